--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# The commands of this project. "make check" is what CI runs.
+JOBS ?= $(shell nproc)
+
+.PHONY: all packages build format lint test check demo clean
+
+all: build
+
+packages:
+	scripts/install_packages.sh
+
+build: packages
+	cmake -S . -B build -G Ninja >/dev/null
+	cmake --build build -j $(JOBS)
+
+format:
+	scripts/format.sh check
+
+lint: build
+	JOBS=$(JOBS) scripts/lint.sh
+
+test: build
+	ctest --test-dir build --output-on-failure -j $(JOBS)
+
+check: packages format build lint test
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/include/sardinespoke/fleet_map.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "sardinespoke/errors.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace sardinespoke {
+
+/// What a host is doing.
+enum class HostState
+{
+  Serving,     ///< Runs work of its pool.
+  Draining,    ///< Gets no new work; finishes what it runs.
+  Maintenance, ///< Rebooting under a roll-out.
+  Failed,      ///< Not usable; still counts against its pool's availability budget.
+  Leaving,     ///< The platform's host list says that it leaves.
+  Count
+};
+
+/// @returns The state's name in documents: "serving", "draining" and so on.
+const char*
+HostStateName(HostState aState);
+
+/// Why a host is draining.
+enum class DrainReason
+{
+  None,
+  Move,
+  Maintenance,
+  Leaving,
+  Count
+};
+
+/// One host of the fleet. It belongs to exactly one pool.
+struct FleetHost
+{
+  std::string id_;
+  std::string address_;
+  std::string rack_;
+  std::string zone_;
+  std::string region_;
+  std::string pool_;
+  std::string targetPool_; ///< Set only while draining for a move.
+  HostState state_ = HostState::Serving;
+  DrainReason reason_ = DrainReason::None;
+  uint64_t changedRevision_ = 0;   ///< Revision of the document that last changed this record.
+  uint64_t boot_ = 0;              ///< Boot count at the start of maintenance.
+  uint64_t maintainedRollout_ = 0; ///< Number of the last roll-out that maintained this host.
+};
+
+/// An entry host that may dispatch work (docs/design.md, 5.2).
+struct Member
+{
+  std::string id_;
+  std::string incarnation_;
+  uint64_t joinedRevision_ = 0;
+  uint64_t ackedRevision_ = 0; ///< Last revision it was seen to have in force.
+};
+
+/// The maintenance roll-out in progress.
+struct Rollout
+{
+  uint64_t number_ = 0; ///< 0 if there never was one.
+  bool active_ = false;
+  bool paused_ = false;
+  std::string startedBy_;
+};
+
+/// The fleet document `config/fleet`. Immutable once published.
+struct FleetMap
+{
+  uint64_t revision_ = 0;
+  std::string writer_;   ///< Entry host that wrote this revision.
+  std::string changeId_; ///< Unique per write; tells after a lost answer whether it took effect.
+  std::map<std::string, FleetHost> hosts_;
+  std::map<std::string, Member> members_;
+  Rollout rollout_;
+
+  /// Parses a document. Errors: ConfigError.
+  static leaf::result<FleetMap> Parse(const std::string& aText);
+
+  /// @returns Compact JSON text; Parse() of it gives an equal map.
+  std::string Serialize() const;
+};
+
+}
--- /dev/null
+++ b/include/sardinespoke/host_control.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "sardinespoke/errors.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sardinespoke {
+
+/// Power state of a host as the platform reports it.
+struct HostPower
+{
+  enum class State
+  {
+    Up,
+    Rebooting,
+    Down,
+    Count
+  };
+  State state_ = State::Up;
+  uint64_t boot_ = 0; ///< Number of completed boots; tells a finished reboot from one not begun.
+};
+
+/// The platform's control over hosts. Errors: StoreError.
+class HostControlI
+{
+public:
+  virtual ~HostControlI() = default;
+  /// Starts a reboot. A repeated call while the host reboots has no further effect.
+  virtual leaf::result<void> Reboot(const std::string& aHost) = 0;
+  virtual leaf::result<HostPower> Power(const std::string& aHost) = 0;
+};
+
+}
--- /dev/null
+++ b/include/sardinespoke/profile_set.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "sardinespoke/errors.h"
+#include "sardinespoke/profile.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// A pool of hosts as the configuration declares it.
+struct PoolRules
+{
+  std::string name_;
+  uint32_t floorHosts_ = 1; ///< Hosts that must stay serving through the loss of any rack.
+  uint32_t slotsPerHost_ = 8;
+  uint32_t connectionsPerHost_ = 64;
+  bool spare_ = false; ///< The pool that spare hosts are taken from and returned to.
+};
+
+/// A service that callers name; it runs in one pool under one profile.
+struct Service
+{
+  std::string name_;
+  std::string pool_;
+  std::string profile_;
+};
+
+/// One accepted change of the configuration.
+struct ChangeRecord
+{
+  uint64_t revision_ = 0;
+  std::string changeId_; ///< Chosen by the client; makes a repeated write recognisable.
+  std::string author_;
+  std::string summary_;
+  std::string acceptedAt_; ///< Wall-clock time in ISO 8601; for people only, never compared.
+};
+
+/// The configuration document `config/profiles`. Immutable once published.
+struct ProfileSet
+{
+  static constexpr size_t kMaxHistory = 64;
+
+  uint64_t revision_ = 0;
+  std::map<std::string, uint32_t> vouchers_; ///< Slots a team has paid for.
+  std::map<std::string, PoolRules> pools_;
+  std::map<std::string, Profile> profiles_;
+  std::map<std::string, Service> services_;
+  std::vector<ChangeRecord> history_; ///< Oldest first, at most kMaxHistory.
+
+  /// Parses and validates a document.
+  /// @param aText JSON text.
+  /// @param aFleetSlots Slots of the whole fleet; 0 skips the checks against the fleet.
+  /// Errors: ConfigError with the path of the field.
+  static leaf::result<ProfileSet> Parse(const std::string& aText, uint64_t aFleetSlots);
+
+  /// @returns The document as JSON text; Parse() of it gives an equal set.
+  std::string Serialize() const;
+};
+
+}
--- /dev/null
+++ b/src/daemon_main.cpp
@@ -0,0 +1,7 @@
+#include "sardinespoke/errors.h"
+
+int
+main()
+{
+  return 0;
+}
