--- a/include/sardinespoke/fleet_map.h
+++ b/include/sardinespoke/fleet_map.h
@@ -34,9 +34,15 @@
   Count
 };
 
+/// @returns The reason's name in documents: "none", "move" and so on.
+const char*
+DrainReasonName(DrainReason aReason);
+
 /// One host of the fleet. It belongs to exactly one pool.
 struct FleetHost
 {
+  bool operator==(const FleetHost&) const = default;
+
   std::string id_;
   std::string address_;
   std::string rack_;
@@ -54,6 +60,8 @@
 /// An entry host that may dispatch work (docs/design.md, 5.2).
 struct Member
 {
+  bool operator==(const Member&) const = default;
+
   std::string id_;
   std::string incarnation_;
   uint64_t joinedRevision_ = 0;
@@ -63,6 +71,8 @@
 /// The maintenance roll-out in progress.
 struct Rollout
 {
+  bool operator==(const Rollout&) const = default;
+
   uint64_t number_ = 0; ///< 0 if there never was one.
   bool active_ = false;
   bool paused_ = false;
@@ -72,6 +82,8 @@
 /// The fleet document `config/fleet`. Immutable once published.
 struct FleetMap
 {
+  bool operator==(const FleetMap&) const = default;
+
   uint64_t revision_ = 0;
   std::string writer_;   ///< Entry host that wrote this revision.
   std::string changeId_; ///< Unique per write; tells after a lost answer whether it took effect.
