--- a/include/sardinespoke/errors.h
+++ b/include/sardinespoke/errors.h
@@ -107,6 +107,7 @@
     BudgetExhausted,
     UnknownHost,
     InvalidTransition,
+    OutcomeUnknown, ///< The write may have taken effect; the document could not be read back.
     Count
   };
   Code code_ = Code::NotHolder;
--- a/include/sardinespoke/fleet_map.h
+++ b/include/sardinespoke/fleet_map.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sardinespoke {
 
@@ -87,10 +88,21 @@
   uint64_t revision_ = 0;
   std::string writer_;   ///< Entry host that wrote this revision.
   std::string changeId_; ///< Unique per write; tells after a lost answer whether it took effect.
+  std::vector<std::string> recentChanges_; ///< Change ids of the writes before, oldest first.
   std::map<std::string, FleetHost> hosts_;
   std::map<std::string, Member> members_;
   Rollout rollout_;
 
+  static constexpr size_t kMaxRecentChanges = 16;
+
+  /// Turns a copy of the document in force into the next one: revision, writer and change id.
+  /// @param aWriter Entry host that writes it.
+  /// @param aChangeId Unique id of this write.
+  void BeginWrite(const std::string& aWriter, const std::string& aChangeId);
+
+  /// @returns Whether the write with this change id is among the last ones that took effect.
+  bool HasChange(const std::string& aChangeId) const;
+
   /// Parses a document. Errors: ConfigError.
   static leaf::result<FleetMap> Parse(const std::string& aText);
 
--- a/src/errors.cpp
+++ b/src/errors.cpp
@@ -31,9 +31,10 @@
   "unknown-service", "queue-full", "deadline-unreachable", "no-view", "stopping",
   "no-backend",      "cancelled"
 };
-constexpr NameTable<PlannerError::Code> kPlannerNames{ "not-holder",   "conflict",
-                                                       "store-down",   "budget-exhausted",
-                                                       "unknown-host", "invalid-transition" };
+constexpr NameTable<PlannerError::Code> kPlannerNames{ "not-holder",     "conflict",
+                                                       "store-down",     "budget-exhausted",
+                                                       "unknown-host",   "invalid-transition",
+                                                       "outcome-unknown" };
 
 }
 
--- a/src/fleet_map.cpp
+++ b/src/fleet_map.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet_map_reader_p.h"
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <tuple>
@@ -13,7 +14,7 @@
 // Layout of the document. Pool names and failure domains are written once and named by their index,
 // and a host is an array, so that a host takes about 60 bytes.
 //
-//   {"revision":7,"writer":"e1","change_id":"...",
+//   {"revision":7,"writer":"e1","change_id":"...","recent_changes":["...",...],
 //    "rollout":{"number":1,"active":true,"paused":false,"started_by":"..."},
 //    "pools":["births",...],
 //    "domains":[["rack","zone","region"],...],
@@ -84,6 +85,9 @@
   if (draining != (aHost.reason_ != DrainReason::None)) {
     aReader.Fail(aPath, "a drain reason is expected exactly when the state is draining");
   }
+  if (aHost.pool_.empty()) {
+    aReader.Fail(aPath, "the host is in no pool");
+  }
   const bool moving = aHost.reason_ == DrainReason::Move;
   if (moving != !aHost.targetPool_.empty()) {
     aReader.Fail(aPath, "a target pool is expected exactly when the host drains for a move");
@@ -208,6 +212,27 @@
   return aReason < DrainReason::Count ? kReasonNames[static_cast<size_t>(aReason)] : "invalid";
 }
 
+void
+FleetMap::BeginWrite(const std::string& aWriter, const std::string& aChangeId)
+{
+  ++revision_;
+  writer_ = aWriter;
+  if (!changeId_.empty()) {
+    recentChanges_.push_back(changeId_);
+  }
+  changeId_ = aChangeId;
+  if (recentChanges_.size() > kMaxRecentChanges) {
+    recentChanges_.erase(recentChanges_.begin());
+  }
+}
+
+bool
+FleetMap::HasChange(const std::string& aChangeId) const
+{
+  return changeId_ == aChangeId ||
+         std::find(recentChanges_.begin(), recentChanges_.end(), aChangeId) != recentChanges_.end();
+}
+
 leaf::result<FleetMap>
 FleetMap::Parse(const std::string& aText)
 {
@@ -218,13 +243,21 @@
   }
   FleetMapReader reader;
   FleetMap fleet;
-  if (reader.CheckKeys(
-        document,
-        "",
-        { "revision", "writer", "change_id", "rollout", "pools", "domains", "hosts", "members" })) {
+  if (reader.CheckKeys(document,
+                       "",
+                       { "revision",
+                         "writer",
+                         "change_id",
+                         "recent_changes",
+                         "rollout",
+                         "pools",
+                         "domains",
+                         "hosts",
+                         "members" })) {
     fleet.revision_ = reader.Number(document["revision"], "/revision");
     fleet.writer_ = reader.Text(document["writer"], "/writer");
     fleet.changeId_ = reader.Text(document["change_id"], "/change_id");
+    fleet.recentChanges_ = reader.Texts(document["recent_changes"], "/recent_changes");
     fleet.rollout_ = ReadRollout(reader, document["rollout"]);
     ReadHosts(reader, document, fleet);
     if (reader.CheckObject(document["members"], "/members")) {
@@ -256,6 +289,7 @@
     { "revision", revision_ },
     { "writer", writer_ },
     { "change_id", changeId_ },
+    { "recent_changes", recentChanges_ },
     { "rollout",
       { { "number", rollout_.number_ },
         { "active", rollout_.active_ },
--- a/src/fleet_map_reader_p.h
+++ b/src/fleet_map_reader_p.h
@@ -119,13 +119,13 @@
       return false;
     }
     for (const std::string& key : aKeys) {
-      if (!Expect(aValue.contains(key), aPath + "/" + key, "a value")) {
+      if (!Expect(aValue.contains(key), Child(aPath, key), "a value")) {
         return false;
       }
     }
     for (const auto& [key, value] : aValue.items()) {
       if (std::find(aKeys.begin(), aKeys.end(), key) == aKeys.end()) {
-        Fail(aPath + "/" + key, "unknown key", ConfigError::Code::Schema);
+        Fail(Child(aPath, key), "unknown key", ConfigError::Code::Schema);
         return false;
       }
     }
@@ -133,6 +133,12 @@
   }
 
 private:
+  static std::string Child(std::string aPath, const std::string& aKey)
+  {
+    aPath.append("/").append(aKey);
+    return aPath;
+  }
+
   bool Expect(bool aHolds, const std::string& aPath, const std::string& aExpected)
   {
     if (!aHolds) {
--- a/tests/fleet_map_test.cpp
+++ b/tests/fleet_map_test.cpp
@@ -29,6 +29,8 @@
   moving.reason_ = DrainReason::Move;
   moving.targetPool_ = "pool-9";
   fleet.members_["e1"] = { "e1", "e1-4711", 3, 9 };
+  fleet.BeginWrite("e1", "e1.1-1");
+  fleet.BeginWrite("e1", "e1.1-2");
   fleet.rollout_ = { 53, true, true, "operator" };
   return fleet;
 }
