Add the in-memory platform with fault switches

Cause: every module above the platform interfaces needs a fake that can fail in the ways of section 1.5 before the HTTP client exists. Calls are counted, a waiting watch as one.

--- /dev/null
+++ b/standins/memory_platform.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "platform_faults.h"
+#include "sardinespoke/clock.h"
+#include "sardinespoke/host_control.h"
+#include "sardinespoke/host_list.h"
+#include "sardinespoke/key_value_store.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace sardinespoke {
+
+/// Fixed properties of a MemoryPlatform.
+struct MemoryPlatformOptions
+{
+  /// False lets a watch without changes return at once; for tests with one thread.
+  bool blockingWatches_ = true;
+  std::chrono::milliseconds rebootTime_{ 5000 };
+};
+
+/// Persistent part of the key-value service, as a backup would hold it. Leased keys are not in it.
+using PlatformSnapshot = std::map<std::string, std::string>;
+
+/// The platform's three services in memory, with faults. Thread-safe. Leases, reboots and the lag
+/// of the host list follow the clock; waiting watches and the "slow" fault take real time.
+class MemoryPlatform final
+  : public KeyValueStoreI
+  , public HostListI
+  , public HostControlI
+{
+public:
+  static constexpr size_t kMaxValueBytes =
+    1000000; ///< Limit of the platform (docs/design.md, 1.5).
+
+  /// @param aClock Must outlive the platform.
+  explicit MemoryPlatform(const ClockI& aClock, MemoryPlatformOptions aOptions = {});
+
+  leaf::result<KeyValueItem> Get(const std::string& aKey) override;
+  leaf::result<uint64_t> Put(const std::string& aKey,
+                             const std::string& aValue,
+                             uint64_t aIfVersion,
+                             const std::optional<std::string>& aLease) override;
+  leaf::result<void> Delete(const std::string& aKey, uint64_t aIfVersion) override;
+  leaf::result<KeyValueRange> Range(const std::string& aPrefix) override;
+  leaf::result<KeyValueChanges> Watch(const std::string& aPrefix,
+                                      uint64_t aAfter,
+                                      std::chrono::milliseconds aWait) override;
+  leaf::result<std::string> GrantLease(std::chrono::milliseconds aTtl) override;
+  leaf::result<void> RenewLease(const std::string& aLease) override;
+  leaf::result<void> RevokeLease(const std::string& aLease) override;
+  leaf::result<HostListSnapshot> Fetch() override;
+  leaf::result<void> Reboot(const std::string& aHost) override;
+  leaf::result<HostPower> Power(const std::string& aHost) override;
+
+  PlatformFaults Faults() const;
+  /// Replaces all fault switches.
+  void SetFaults(const PlatformFaults& aFaults);
+  /// Changes some fault switches.
+  void ChangeFaults(const std::function<void(PlatformFaults&)>& aChange);
+  /// Ends every lease and deletes its keys, as if no holder had renewed in time.
+  void ExpireAllLeases();
+  PlatformSnapshot TakeSnapshot() const;
+  /// Restarts the store with old content. Versions and sequence numbers start again, leases are
+  /// gone and every waiting watch ends with SequenceLost.
+  void RestartWith(const PlatformSnapshot& aSnapshot);
+
+  /// Adds a host to the host list or replaces it.
+  void AddHost(const ListedHost& aHost);
+  /// @returns False if the host is not listed.
+  bool MarkLeaving(const std::string& aHost, bool aLeaving = true);
+  /// @returns False if the host is not listed.
+  bool RemoveHost(const std::string& aHost);
+
+  bool IsCutOff(const std::string& aClient) const;
+  /// Counts a call that a client could not make because it is cut off.
+  void CountRefused();
+  PlatformCalls Calls() const;
+  /// Ends every waiting watch and lets later ones return at once; for a server that shuts down.
+  void Stop();
+
+private:
+  struct Entry
+  {
+    std::string value_;
+    uint64_t version_ = 0;
+    std::string lease_;
+  };
+
+  struct Lease
+  {
+    std::chrono::milliseconds ttl_{ 0 };
+    TimePoint expiry_;
+  };
+
+  struct Change
+  {
+    uint64_t sequence_ = 0;
+    std::string key_;
+  };
+
+  struct Machine
+  {
+    uint64_t boot_ = 1;
+    bool rebooting_ = false;
+    TimePoint backAt_;
+  };
+
+  struct ListVersion
+  {
+    TimePoint since_;
+    HostListSnapshot list_;
+  };
+
+  using Lock = std::unique_lock<std::mutex>;
+  using Counter = uint64_t PlatformCalls::*;
+  using DownSwitch = bool PlatformFaults::*;
+
+  /// Waits as long as "slow" demands, counts the call and refuses it if the service is down.
+  leaf::result<Lock> Enter(Counter aCounter, DownSwitch aDown);
+  void DeleteLapsedLeases();
+  void DropLease(std::map<std::string, Lease>::iterator aLease);
+  void RecordChange(const std::string& aKey);
+  bool LoseAnswer(uint32_t PlatformFaults::*aCount);
+  bool KnowsSequence(uint64_t aAfter) const;
+  KeyValueChanges CollectChanges(const std::string& aPrefix, uint64_t aAfter) const;
+  void PublishList(const std::function<void(std::map<std::string, ListedHost>&)>& aChange);
+  void SettleReboot(const std::string& aHost, Machine& aMachine) const;
+
+  const ClockI& clock_;
+  const MemoryPlatformOptions options_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  PlatformFaults faults_;
+  PlatformCalls calls_;
+  bool stopped_ = false;
+
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, Lease> leases_;
+  std::deque<Change> changes_;
+  uint64_t sequence_ = 0;
+  uint64_t restarts_ = 0;
+  uint64_t nextVersion_ = 1;
+  uint64_t nextLease_ = 1;
+
+  std::map<std::string, ListedHost> hosts_;
+  std::map<std::string, Machine> machines_;
+  std::deque<ListVersion> listHistory_;
+};
+
+}
