Add the planner duty with its decision modules

Cause: hosts must be drained, rebooted and moved under availability budgets by whichever entry host holds the duty, with no unit spent twice. Ruled out: a write per transition. Units that one host frees could then be spent on a stale count, and a step of many hosts would need many writes.

--- /dev/null
+++ b/src/duty_lease.cpp
@@ -0,0 +1,127 @@
+#include "sardinespoke/duty_lease.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sardinespoke {
+
+namespace {
+
+enum class Outcome
+{
+  Done,
+  Refused, ///< Answered, but without effect: a conflict or a lapsed lease.
+  NoAnswer,
+};
+
+template<typename Call>
+Outcome
+Try(const Call& aCall)
+{
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<Outcome> {
+      BOOST_LEAF_CHECK(aCall());
+      return Outcome::Done;
+    },
+    [](const StoreError& aError) {
+      const bool refused = aError.code_ == StoreError::Code::Conflict ||
+                           aError.code_ == StoreError::Code::NotFound ||
+                           aError.code_ == StoreError::Code::LeaseLapsed;
+      return refused ? Outcome::Refused : Outcome::NoAnswer;
+    },
+    [] { return Outcome::NoAnswer; });
+}
+
+}
+
+DutyLease::DutyLease(KeyValueStoreI& aStore,
+                     const ClockI& aClock,
+                     std::string aKey,
+                     std::string aHolder,
+                     std::chrono::milliseconds aTtl)
+  : store_(aStore)
+  , clock_(aClock)
+  , key_(std::move(aKey))
+  , holder_(std::move(aHolder))
+  , ttl_(aTtl)
+{
+}
+
+bool
+DutyLease::Renew()
+{
+  const TimePoint asked = clock_.Now();
+  if (asked - renewed_ < ttl_ / 4) {
+    return true;
+  }
+  const Outcome outcome = Try([&] { return store_.RenewLease(*lease_); });
+  if (outcome == Outcome::Done) {
+    renewed_ = asked;
+  }
+  if (outcome == Outcome::Refused) {
+    lease_.reset();
+  }
+  return outcome == Outcome::Done;
+}
+
+bool
+DutyLease::Take(uint64_t aTerm)
+{
+  std::string current;
+  const Outcome read = Try([&]() -> leaf::result<void> {
+    BOOST_LEAF_AUTO(item, store_.Get(key_));
+    current = item.value_;
+    return {};
+  });
+  if (read == Outcome::Done) {
+    const nlohmann::json record = nlohmann::json::parse(current, nullptr, false);
+    // The answer to the write that took the duty may have been lost.
+    const bool ours = lease_ && record.is_object() && record.value("lease", "") == *lease_;
+    if (lease_ && !ours) {
+      Release();
+    }
+    return ours;
+  }
+  if (read == Outcome::NoAnswer) {
+    return false;
+  }
+  if (!lease_) {
+    const TimePoint asked = clock_.Now();
+    const Outcome granted = Try([&]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(lease, store_.GrantLease(ttl_));
+      lease_ = lease;
+      renewed_ = asked;
+      return {};
+    });
+    if (granted != Outcome::Done) {
+      return false;
+    }
+  }
+  const nlohmann::json record = { { "holder", holder_ }, { "term", aTerm }, { "lease", *lease_ } };
+  return Try([&] { return store_.Put(key_, record.dump(), 0, lease_); }) == Outcome::Done;
+}
+
+bool
+DutyLease::Hold(uint64_t aTerm)
+{
+  if (lease_ && !Renew()) {
+    held_ = false;
+    return false;
+  }
+  if (!held_ || !lease_) {
+    held_ = Take(aTerm);
+  }
+  return held_;
+}
+
+void
+DutyLease::Release()
+{
+  if (lease_) {
+    static_cast<void>(Try([&] { return store_.RevokeLease(*lease_); }));
+  }
+  lease_.reset();
+  held_ = false;
+}
+
+}
--- /dev/null
+++ b/src/member_watch.cpp
@@ -0,0 +1,120 @@
+#include "sardinespoke/member_watch.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+MemberWatch::MemberWatch(MemberLimits aLimits)
+  : limits_(aLimits)
+{
+}
+
+void
+MemberWatch::Observe(const FleetMap& aFleet,
+                     const std::vector<EntryReport>& aEntries,
+                     TimePoint aNow)
+{
+  std::map<Incarnation, const EntryReport*> records;
+  for (const EntryReport& entry : aEntries) {
+    records[{ entry.id_, entry.incarnation_ }] = &entry;
+  }
+  std::map<Incarnation, Seen> seen;
+  for (const auto& [id, member] : aFleet.members_) {
+    const Incarnation key{ id, member.incarnation_ };
+    const auto known = seen_.find(key);
+    if (known == seen_.end()) {
+      changed_ = aNow;
+    }
+    Seen& now = seen[key];
+    now = known == seen_.end() ? Seen{} : known->second;
+    now.acked_ = std::max({ now.acked_, member.ackedRevision_, member.joinedRevision_ });
+    const auto record = records.find(key);
+    if (record == records.end()) {
+      now.absentSince_ = now.absentSince_.value_or(aNow);
+      continue;
+    }
+    now.absentSince_.reset();
+    // A record older than the last one read says nothing new about requests in flight.
+    if (record->second->fleetRevision_ >= now.reported_) {
+      now.reported_ = record->second->fleetRevision_;
+      now.acked_ = std::max(now.acked_, now.reported_);
+      now.busy_ = record->second->busy_;
+    }
+  }
+  for (const auto& [key, old] : seen_) {
+    if (seen.count(key) == 0) {
+      changed_ = aNow;
+    }
+  }
+  seen_ = std::move(seen);
+}
+
+bool
+MemberWatch::HasWitness(const FleetMap& aFleet, const Member& aExpired) const
+{
+  const uint64_t acked = seen_.at({ aExpired.id_, aExpired.incarnation_ }).acked_;
+  for (const auto& [id, member] : aFleet.members_) {
+    const auto seen = seen_.find({ id, member.incarnation_ });
+    const bool live = seen != seen_.end() && !seen->second.absentSince_;
+    if (live && id != aExpired.id_ && member.joinedRevision_ <= acked) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::string>
+MemberWatch::CertainlyStopped(const FleetMap& aFleet, TimePoint aNow) const
+{
+  std::vector<std::string> stopped;
+  for (const auto& [id, member] : aFleet.members_) {
+    const auto seen = seen_.find({ id, member.incarnation_ });
+    if (seen == seen_.end() || !seen->second.absentSince_) {
+      continue;
+    }
+    const auto limit = HasWitness(aFleet, member) ? limits_.expired_ : limits_.outage_;
+    if (aNow - *seen->second.absentSince_ >= limit) {
+      stopped.push_back(id);
+    }
+  }
+  return stopped;
+}
+
+std::optional<std::string>
+MemberWatch::WaitsFor(const FleetHost& aHost, const FleetMap& aFleet, TimePoint aNow) const
+{
+  // An incarnation that left or replaced another one a moment ago may still be dispatching on the
+  // view that it confirmed last.
+  if (aNow - changed_ < limits_.settled_) {
+    return "member list changed";
+  }
+  for (const auto& [id, member] : aFleet.members_) {
+    const auto seen = seen_.find({ id, member.incarnation_ });
+    if (seen == seen_.end()) {
+      return id + " was not observed yet";
+    }
+    if (seen->second.absentSince_) {
+      return id + " has no entry record";
+    }
+    if (seen->second.reported_ < aHost.changedRevision_) {
+      return id + " has not acknowledged";
+    }
+    if (seen->second.busy_.count(aHost.id_) > 0) {
+      return id + " has requests in flight";
+    }
+  }
+  return std::nullopt;
+}
+
+void
+MemberWatch::CopyAcks(FleetMap& aFleet) const
+{
+  for (auto& [id, member] : aFleet.members_) {
+    const auto seen = seen_.find({ id, member.incarnation_ });
+    if (seen != seen_.end()) {
+      member.ackedRevision_ = std::max(member.ackedRevision_, seen->second.acked_);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/planner_duty.cpp
@@ -0,0 +1,253 @@
+#include "sardinespoke/planner_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinespoke {
+
+PlannerDuty::PlannerDuty(PlannerSettings aSettings,
+                         KeyValueStoreI& aStore,
+                         HostListI& aHostList,
+                         HostControlI& aHostControl,
+                         PlannerInputsI& aInputs,
+                         const ClockI& aClock,
+                         EventLogI* aEvents)
+  : settings_(std::move(aSettings))
+  , hostList_(aHostList)
+  , hostControl_(aHostControl)
+  , inputs_(aInputs)
+  , clock_(aClock)
+  , events_(aEvents)
+  , fleetStore_(aStore, settings_.keyPrefix_ + "config/fleet")
+  , duty_(aStore,
+          aClock,
+          settings_.keyPrefix_ + "duty/planner",
+          settings_.entryHost_ + "/" + settings_.incarnation_,
+          settings_.leaseTtl_)
+  , core_(settings_.options_, settings_.entryHost_)
+{
+}
+
+PlannerDuty::~PlannerDuty()
+{
+  Shutdown();
+}
+
+void
+PlannerDuty::Init()
+{
+  stop_ = false;
+  thread_ = std::thread([this] { Run(); });
+}
+
+void
+PlannerDuty::Shutdown()
+{
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stop_ = true;
+  }
+  stopSignal_.notify_all();
+  if (thread_.joinable()) {
+    thread_.join();
+    duty_.Release();
+  }
+}
+
+void
+PlannerDuty::Run()
+{
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stop_) {
+    lock.unlock();
+    Step();
+    lock.lock();
+    stopSignal_.wait_for(lock, settings_.stepInterval_, [this] { return stop_; });
+  }
+}
+
+PlannerDuty::Outcome
+PlannerDuty::Step()
+{
+  const ConfigView view = inputs_.Documents();
+  const bool held = duty_.Hold(view.fleet_ ? view.fleet_->revision_ : 0);
+  if (held != holder_) {
+    Record(held ? "planner.taken" : "planner.lost", "lease of the planner duty", {});
+  }
+  holder_ = held;
+  return held ? StepAsHolder(view) : Outcome::NotHolder;
+}
+
+PlannerDuty::Outcome
+PlannerDuty::StepAsHolder(const ConfigView& aView)
+{
+  PlannerObservation seen;
+  // Entry records and power states are read before the document, so that they are never newer than
+  // what the document says, and so that little time passes between the document and the decision.
+  if (!aView.profiles_ || !Gather(seen, aView)) {
+    return Outcome::Waiting;
+  }
+  const TimePoint readAt = clock_.Now();
+  const leaf::result<StoredFleet> stored = fleetStore_.Read();
+  if (!stored) {
+    return Outcome::Failed;
+  }
+  seen.now_ = clock_.Now();
+  return StepOnDocument(seen, aView, *stored, readAt);
+}
+
+bool
+PlannerDuty::Gather(PlannerObservation& aSeen, const ConfigView& aView)
+{
+  aSeen.profiles_ = *aView.profiles_;
+  leaf::result<std::vector<EntryReport>> entries = inputs_.EntryReports();
+  if (!entries) {
+    return false;
+  }
+  aSeen.entries_ = std::move(*entries);
+  leaf::result<HostListSnapshot> list = hostList_.Fetch();
+  if (list) {
+    aSeen.list_ = std::move(*list);
+  }
+  aSeen.demandSlots_ = inputs_.DemandSlots();
+  const std::vector<std::string> polled =
+    core_.HostsToPoll(last_, aSeen.list_, aSeen.entries_, settings_.powerPolls_);
+  for (const std::string& host : polled) {
+    leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(power, hostControl_.Power(host));
+        aSeen.power_[host] = { true, power };
+        return {};
+      },
+      [&](const StoreError& aError) {
+        if (aError.code_ == StoreError::Code::NotFound) {
+          aSeen.power_[host] = { false, {} };
+        }
+      },
+      [] {});
+  }
+  return true;
+}
+
+PlannerDuty::Outcome
+PlannerDuty::StepOnDocument(PlannerObservation& aSeen,
+                            const ConfigView& aView,
+                            const StoredFleet& aStored,
+                            TimePoint aReadAt)
+{
+  const FleetMap* inForce = aView.fleet_.get();
+  const FleetMap& fleet = aStored.fleet_;
+  const bool readable = aStored.version_ != 0 && aStored.malformed_.empty();
+  const bool differs =
+    readable && inForce != nullptr && inForce->revision_ == fleet.revision_ && *inForce != fleet;
+  if (inForce != nullptr && (!readable || differs || inForce->revision_ > fleet.revision_)) {
+    return WriteBack(*inForce, aStored);
+  }
+  if (!aStored.malformed_.empty()) {
+    Record("fleet.malformed", aStored.malformed_, {});
+    return Outcome::Failed;
+  }
+  const bool behind =
+    std::any_of(aSeen.entries_.begin(), aSeen.entries_.end(), [&](const EntryReport& aEntry) {
+      return aEntry.fleetRevision_ > fleet.revision_;
+    });
+  if (behind) {
+    return Outcome::Waiting;
+  }
+  if (!readable) {
+    return StartFleet(aSeen);
+  }
+  aSeen.fleet_ = fleet;
+  last_ = fleet;
+  PlannerStep step = core_.Decide(aSeen, NextChangeId());
+  Reboot(step.reboot_, aReadAt);
+  if (!step.next_) {
+    return Outcome::Idle;
+  }
+  const Outcome outcome = Save(*step.next_, aStored.version_, Outcome::Written);
+  if (outcome == Outcome::Written) {
+    last_ = *step.next_;
+    for (const PlannerEvent& event : step.events_) {
+      Record(
+        event.type_, event.cause_, { { "host", event.host_ }, { "revision", last_.revision_ } });
+    }
+  }
+  return outcome;
+}
+
+PlannerDuty::Outcome
+PlannerDuty::StartFleet(const PlannerObservation& aSeen)
+{
+  if (!aSeen.list_) {
+    return Outcome::Waiting;
+  }
+  const std::optional<FleetMap> first =
+    core_.FirstDocument(*aSeen.list_, aSeen.profiles_, NextChangeId());
+  if (!first) {
+    return Outcome::Waiting;
+  }
+  Record("fleet.created", "no fleet document exists", { { "hosts", first->hosts_.size() } });
+  return Save(*first, 0, Outcome::Written);
+}
+
+PlannerDuty::Outcome
+PlannerDuty::WriteBack(const FleetMap& aInForce, const StoredFleet& aStored)
+{
+  FleetMap fleet = aInForce;
+  if (!aStored.malformed_.empty() || aStored.fleet_.revision_ == aInForce.revision_) {
+    // The same revision with other content cannot be told apart by revision, so the content in
+    // force gets the next one.
+    fleet.BeginWrite(settings_.entryHost_, NextChangeId());
+  }
+  Record("fleet.written_back",
+         "the store has an older or different document",
+         { { "stored", aStored.fleet_.revision_ }, { "in_force", aInForce.revision_ } });
+  return Save(fleet, aStored.version_, Outcome::WroteBack);
+}
+
+PlannerDuty::Outcome
+PlannerDuty::Save(const FleetMap& aFleet, uint64_t aVersion, Outcome aDone)
+{
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<Outcome> {
+      BOOST_LEAF_CHECK(fleetStore_.Write(aFleet, aVersion));
+      return aDone;
+    },
+    [&](const PlannerError& aError) {
+      Record("planner.write_failed", aError.message_, { { "error", CodeName(aError.code_) } });
+      return Outcome::Failed;
+    },
+    [] { return Outcome::Failed; });
+}
+
+void
+PlannerDuty::Reboot(const std::vector<std::string>& aHosts, TimePoint aReadAt)
+{
+  for (const std::string& host : aHosts) {
+    // The last check before the call: after a pause the host may be in service again.
+    if (clock_.Now() - aReadAt > settings_.rebootReadLimit_) {
+      Record("host.reboot_skipped", "the document was read too long ago", { { "host", host } });
+      continue;
+    }
+    const bool called = static_cast<bool>(hostControl_.Reboot(host));
+    Record(called ? "host.reboot_called" : "host.reboot_unanswered",
+           "it is in maintenance",
+           { { "host", host } });
+  }
+}
+
+void
+PlannerDuty::Record(const std::string& aType, const std::string& aCause, nlohmann::json aDetail)
+{
+  if (events_ != nullptr) {
+    events_->Record(aType, aCause, std::move(aDetail));
+  }
+}
+
+std::string
+PlannerDuty::NextChangeId()
+{
+  return settings_.entryHost_ + "." + settings_.incarnation_ + ".p" + std::to_string(++changes_);
+}
+
+}
--- /dev/null
+++ b/src/spare_planner.cpp
@@ -0,0 +1,207 @@
+#include "sardinespoke/spare_planner.h"
+
+#include "sardinespoke/availability.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sardinespoke {
+
+namespace {
+
+using RackCounts = std::map<std::string, uint32_t>;
+
+uint32_t
+CountAt(const RackCounts& aCounts, const std::string& aRack)
+{
+  const auto found = aCounts.find(aRack);
+  return found == aCounts.end() ? 0 : found->second;
+}
+
+/// @returns By rack, the shortfall that its loss leaves over all pools.
+RackCounts
+Shortfalls(const std::map<std::string, RackCounts>& aPoolRacks, const RackCounts& aFloors)
+{
+  std::set<std::string> racks;
+  std::map<std::string, uint32_t> totals;
+  for (const auto& [pool, counts] : aPoolRacks) {
+    for (const auto& [rack, hosts] : counts) {
+      racks.insert(rack);
+      totals[pool] += hosts;
+    }
+  }
+  RackCounts shortfalls;
+  for (const std::string& rack : racks) {
+    uint32_t& shortfall = shortfalls[rack];
+    for (const auto& [pool, counts] : aPoolRacks) {
+      const uint32_t left = totals[pool] - CountAt(counts, rack);
+      const uint32_t floor = CountAt(aFloors, pool);
+      shortfall += floor > left ? floor - left : 0;
+    }
+  }
+  return shortfalls;
+}
+
+/// Most spare hosts a rack may hold when there are aHosts: the others must cover its loss.
+uint32_t
+MaxInRack(uint32_t aHosts, uint32_t aShortfall, uint32_t aRoom)
+{
+  return aHosts < aShortfall ? 0 : std::min(aRoom, aHosts - aShortfall);
+}
+
+/// Places spare hosts one at a time in the rack that has the fewest.
+RackCounts
+Place(uint32_t aHosts, const RackCounts& aShortfalls, const RackCounts& aRoom)
+{
+  RackCounts placed;
+  for (uint32_t i = 0; i < aHosts; ++i) {
+    const std::string* best = nullptr;
+    for (const auto& [rack, room] : aRoom) {
+      const uint32_t most = MaxInRack(aHosts, CountAt(aShortfalls, rack), room);
+      const uint32_t now = CountAt(placed, rack);
+      if (now < most && (best == nullptr || now < CountAt(placed, *best))) {
+        best = &rack;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    ++placed[*best];
+  }
+  return placed;
+}
+
+/// Hosts per pool in proportion to the floors; the largest remainders get the rest.
+RackCounts
+PoolSizes(size_t aHosts, const ProfileSet& aProfiles)
+{
+  uint64_t floors = 0;
+  for (const auto& [name, rules] : aProfiles.pools_) {
+    floors += rules.floorHosts_;
+  }
+  RackCounts sizes;
+  std::vector<std::pair<double, std::string>> remainders;
+  size_t given = 0;
+  for (const auto& [name, rules] : aProfiles.pools_) {
+    const double weight = floors == 0 ? 1.0 / static_cast<double>(aProfiles.pools_.size())
+                                      : static_cast<double>(rules.floorHosts_) / floors;
+    const double share = weight * static_cast<double>(aHosts);
+    sizes[name] = static_cast<uint32_t>(share);
+    given += sizes[name];
+    remainders.emplace_back(sizes[name] - share, name);
+  }
+  std::sort(remainders.begin(), remainders.end());
+  for (size_t i = 0; given < aHosts && !remainders.empty(); ++i, ++given) {
+    ++sizes[remainders[i % remainders.size()].second];
+  }
+  return sizes;
+}
+
+}
+
+std::string
+SparePool(const ProfileSet& aProfiles)
+{
+  for (const auto& [name, rules] : aProfiles.pools_) {
+    if (rules.spare_) {
+      return name;
+    }
+  }
+  return {};
+}
+
+SparePlan
+PlanSpare(const std::map<std::string, RackCounts>& aPoolRacks,
+          const RackCounts& aFloors,
+          const RackCounts& aRoom)
+{
+  const RackCounts shortfalls = Shortfalls(aPoolRacks, aFloors);
+  SparePlan plan;
+  for (const auto& [rack, shortfall] : shortfalls) {
+    plan.needed_ = std::max(plan.needed_, shortfall);
+  }
+  uint32_t room = 0;
+  for (const auto& [rack, places] : aRoom) {
+    room += places;
+  }
+  for (plan.hosts_ = plan.needed_; plan.hosts_ <= room; ++plan.hosts_) {
+    uint32_t fits = 0;
+    for (const auto& [rack, places] : aRoom) {
+      fits += MaxInRack(plan.hosts_, CountAt(shortfalls, rack), places);
+    }
+    if (fits >= plan.hosts_) {
+      plan.byRack_ = Place(plan.hosts_, shortfalls, aRoom);
+      return plan;
+    }
+  }
+  plan.feasible_ = false;
+  plan.hosts_ = room;
+  plan.byRack_ = aRoom;
+  return plan;
+}
+
+uint32_t
+SpareNeeded(const FleetMap& aFleet, const ProfileSet& aProfiles)
+{
+  std::map<std::string, RackCounts> racks;
+  RackCounts floors;
+  for (const auto& [name, rules] : aProfiles.pools_) {
+    if (!rules.spare_) {
+      floors[name] = rules.floorHosts_;
+      racks[name];
+    }
+  }
+  for (const auto& [id, host] : aFleet.hosts_) {
+    const auto pool = racks.find(host.pool_);
+    if (pool != racks.end() && host.state_ == HostState::Serving) {
+      ++pool->second[RackKey(host)];
+    }
+  }
+  uint32_t needed = 0;
+  for (const auto& [rack, shortfall] : Shortfalls(racks, floors)) {
+    needed = std::max(needed, shortfall);
+  }
+  return needed;
+}
+
+std::map<std::string, std::string>
+DistributeHosts(const std::vector<ListedHost>& aHosts, const ProfileSet& aProfiles)
+{
+  std::map<std::string, std::vector<const ListedHost*>> racks;
+  size_t count = 0;
+  for (const ListedHost& host : aHosts) {
+    if (host.leaving_) {
+      continue;
+    }
+    racks[host.zone_ + "/" + host.rack_].push_back(&host);
+    ++count;
+  }
+  RackCounts left = PoolSizes(count, aProfiles);
+  std::map<std::string, std::string> pools;
+  for (const auto& [rack, hosts] : racks) {
+    RackCounts inRack;
+    for (const ListedHost* host : hosts) {
+      // The pool with the fewest hosts in this rack, then the one with the most hosts to place.
+      const std::string* best = nullptr;
+      for (const auto& [pool, places] : left) {
+        if (places == 0) {
+          continue;
+        }
+        if (best == nullptr ||
+            std::make_pair(inRack[pool], left[*best]) < std::make_pair(inRack[*best], places)) {
+          best = &pool;
+        }
+      }
+      if (best == nullptr) {
+        return pools;
+      }
+      pools[host->id_] = *best;
+      ++inRack[*best];
+      --left[*best];
+    }
+  }
+  return pools;
+}
+
+}
