Test the planner duty and its rules on the in-memory platform

Cause: budgets, moves and reboots must stay correct through races, pauses and faults. Change: planner_rig runs fake entry hosts and planners on a manual clock and checks P1, P2 and P7 at every write, dispatch and reboot, with its own counting. Tests cover two planners at once, a paused holder, lost answers, a store outage during a move, stale entry records, rack loss during a roll-out, a host that never comes back, a member that never acknowledges, expired members, a restored store and the host list. Three mutants outside the product turn the checks red: writes without compare-and-swap, entry records that claim every drain is done, reboots on old documents. Ruled out: real processes and real time here; the decisions do not depend on them. One test failed on the way because the rig dropped a killed entry host's record at once; it now stays for the lease of 4 s, as on the platform.

--- a/src/maintenance_planner.cpp
+++ b/src/maintenance_planner.cpp
@@ -18,21 +18,28 @@
 
 /// @returns Candidates of one pool in the order in which they are tried.
 std::vector<const FleetHost*>
-OrderCandidates(HostsByRack aRacks)
+OrderCandidates(const HostsByRack& aRacks)
 {
+  struct Left
+  {
+    const std::vector<const FleetHost*>* hosts_;
+    size_t next_ = 0;
+  };
+  std::vector<Left> racks;
+  racks.reserve(aRacks.size());
+  for (const auto& [rack, hosts] : aRacks) {
+    racks.push_back({ &hosts });
+  }
+  const auto fewer = [](const Left& aOne, const Left& aOther) {
+    return aOne.hosts_->size() - aOne.next_ < aOther.hosts_->size() - aOther.next_;
+  };
   std::vector<const FleetHost*> order;
   for (;;) {
-    std::vector<const FleetHost*>* longest = nullptr;
-    for (auto& [rack, hosts] : aRacks) {
-      if (!hosts.empty() && (longest == nullptr || hosts.size() > longest->size())) {
-        longest = &hosts;
-      }
-    }
-    if (longest == nullptr) {
+    const auto fullest = std::max_element(racks.begin(), racks.end(), fewer);
+    if (fullest == racks.end() || fullest->next_ == fullest->hosts_->size()) {
       return order;
     }
-    order.push_back(longest->front());
-    longest->erase(longest->begin());
+    order.push_back((*fullest->hosts_)[fullest->next_++]);
   }
 }
 
@@ -42,6 +49,7 @@
 OrderPools(const std::map<std::string, HostsByRack>& aCandidates, const Availability& aAvailability)
 {
   std::vector<std::pair<double, std::string>> rounds;
+  rounds.reserve(aCandidates.size());
   for (const auto& [pool, racks] : aCandidates) {
     size_t hosts = 0;
     for (const auto& [rack, inRack] : racks) {
@@ -52,6 +60,7 @@
   }
   std::sort(rounds.begin(), rounds.end());
   std::vector<std::string> order;
+  order.reserve(rounds.size());
   for (const auto& [negative, pool] : rounds) {
     order.push_back(pool);
   }
--- a/src/planner_core.cpp
+++ b/src/planner_core.cpp
@@ -15,7 +15,7 @@
 std::string
 PoolForNewHosts(const ProfileSet& aProfiles)
 {
-  const std::string spare = SparePool(aProfiles);
+  std::string spare = SparePool(aProfiles);
   if (!spare.empty() || aProfiles.pools_.empty()) {
     return spare;
   }
--- /dev/null
+++ b/standins/planner_rig.cpp
@@ -0,0 +1,487 @@
+#include "planner_rig.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{ 500 };
+constexpr std::chrono::milliseconds kViewLimit{ 2500 };
+constexpr std::chrono::milliseconds kLease{ 4000 };
+constexpr const char* kPrefix = "sardinespoke/";
+constexpr const char* kFleetKey = "sardinespoke/config/fleet";
+constexpr const char* kDutyKey = "sardinespoke/duty/planner";
+
+}
+
+/// The store as the planners see it; reports every write of the fleet document to the checks.
+class PlannerRig::CheckedStore final : public KeyValueStoreI
+{
+public:
+  explicit CheckedStore(PlannerRig& aRig)
+    : rig_(aRig)
+  {
+  }
+
+  leaf::result<KeyValueItem> Get(const std::string& aKey) override
+  {
+    if (aKey == kDutyKey && rig_.allHoldDuty_) {
+      return leaf::new_error(StoreError{ StoreError::Code::NotFound, "every planner is to hold" });
+    }
+    auto item = rig_.platform_.Get(aKey);
+    if (aKey == kFleetKey && rig_.afterRead_) {
+      Call(rig_.afterRead_);
+    }
+    return item;
+  }
+
+  leaf::result<uint64_t> Put(const std::string& aKey,
+                             const std::string& aValue,
+                             uint64_t aIfVersion,
+                             const std::optional<std::string>& aLease) override
+  {
+    if (aKey == kDutyKey && rig_.allHoldDuty_) {
+      return 1;
+    }
+    if (aKey != kFleetKey) {
+      return rig_.platform_.Put(aKey, aValue, aIfVersion, aLease);
+    }
+    if (rig_.beforeWrite_) {
+      Call(rig_.beforeWrite_);
+    }
+    uint64_t version = aIfVersion;
+    if (rig_.mutants_.uncheckedWrites_) {
+      const auto current = rig_.platform_.Get(aKey);
+      version = current ? current->version_ : aIfVersion;
+    }
+    auto result = rig_.platform_.Put(aKey, aValue, version, aLease);
+    const auto now = rig_.platform_.Get(aKey);
+    if (now && now->value_ == aValue) {
+      rig_.CheckWrite(rig_.truth_, *FleetMap::Parse(aValue));
+    }
+    return result;
+  }
+
+  leaf::result<void> Delete(const std::string& aKey, uint64_t aIfVersion) override
+  {
+    return rig_.platform_.Delete(aKey, aIfVersion);
+  }
+  leaf::result<KeyValueRange> Range(const std::string& aPrefix) override
+  {
+    return rig_.platform_.Range(aPrefix);
+  }
+  leaf::result<KeyValueChanges> Watch(const std::string& aPrefix,
+                                      uint64_t aAfter,
+                                      std::chrono::milliseconds aWait) override
+  {
+    return rig_.platform_.Watch(aPrefix, aAfter, aWait);
+  }
+  leaf::result<std::string> GrantLease(std::chrono::milliseconds aTtl) override
+  {
+    return rig_.platform_.GrantLease(aTtl);
+  }
+  leaf::result<void> RenewLease(const std::string& aLease) override
+  {
+    return rig_.platform_.RenewLease(aLease);
+  }
+  leaf::result<void> RevokeLease(const std::string& aLease) override
+  {
+    return rig_.platform_.RevokeLease(aLease);
+  }
+
+private:
+  /// Calls a hook once, so that steps inside the hook do not call it again.
+  static void Call(std::function<void()>& aHook)
+  {
+    const std::function<void()> hook = std::move(aHook);
+    aHook = nullptr;
+    hook();
+  }
+
+  PlannerRig& rig_;
+};
+
+/// Host control as the planners see it; checks each reboot.
+class PlannerRig::CheckedControl final : public HostControlI
+{
+public:
+  explicit CheckedControl(PlannerRig& aRig)
+    : rig_(aRig)
+  {
+  }
+
+  leaf::result<void> Reboot(const std::string& aHost) override
+  {
+    rig_.CheckReboot(aHost);
+    return rig_.platform_.Reboot(aHost);
+  }
+  leaf::result<HostPower> Power(const std::string& aHost) override
+  {
+    return rig_.platform_.Power(aHost);
+  }
+
+private:
+  PlannerRig& rig_;
+};
+
+/// Inputs of one planner, which runs next to the entry host with the same index.
+class PlannerRig::Inputs final : public PlannerInputsI
+{
+public:
+  Inputs(PlannerRig& aRig, size_t aIndex)
+    : rig_(aRig)
+    , index_(aIndex)
+  {
+  }
+
+  leaf::result<std::vector<EntryReport>> EntryReports() override
+  {
+    if (rig_.platform_.Faults().storeDown_) {
+      return leaf::new_error(StoreError{ StoreError::Code::Unreachable, "the store is down" });
+    }
+    return rig_.frozenReports_.value_or(rig_.Reports());
+  }
+  std::map<std::string, double> DemandSlots() override { return rig_.demand_; }
+  ConfigView Documents() override
+  {
+    return { rig_.profiles_, rig_.entries_.at(index_).view_, nullptr };
+  }
+
+private:
+  PlannerRig& rig_;
+  const size_t index_;
+};
+
+PlannerRig::PlannerRig(const RigShape& aShape, uint64_t aSeed, RigMutants aMutants)
+  : shape_(aShape)
+  , mutants_(aMutants)
+  , random_(aSeed)
+  , platform_(clock_, { false, aShape.rebootTime_ })
+  , profiles_(std::make_shared<ProfileSet>())
+  , store_(std::make_unique<CheckedStore>(*this))
+  , control_(std::make_unique<CheckedControl>(*this))
+  , editor_(*store_, kPrefix, "operator", "operator.1")
+{
+  BuildDeployment();
+  for (size_t i = 0; i < shape_.planners_; ++i) {
+    PlannerSettings settings;
+    settings.entryHost_ = entries_.at(i).id_;
+    settings.incarnation_ = entries_.at(i).incarnation_ + "p" + std::to_string(i);
+    settings.options_ = shape_.options_;
+    if (mutants_.skipReadLimit_) {
+      settings.rebootReadLimit_ = std::chrono::hours(1);
+    }
+    inputs_.push_back(std::make_unique<Inputs>(*this, i));
+    planners_.push_back(std::make_unique<PlannerDuty>(
+      settings, *store_, platform_, *control_, *inputs_.back(), clock_, nullptr));
+  }
+  Run(std::chrono::seconds(8)); // The first document, the members and their first acknowledgement.
+}
+
+PlannerRig::~PlannerRig() = default;
+
+void
+PlannerRig::BuildDeployment()
+{
+  for (size_t i = 0; i < shape_.pools_; ++i) {
+    const std::string name = "pool" + std::to_string(i);
+    PoolRules& pool = profiles_->pools_[name];
+    pool.name_ = name;
+    pool.floorHosts_ = shape_.floor_;
+    pool.spare_ = i + 1 == shape_.pools_;
+    Profile& profile = profiles_->profiles_[name];
+    profile.name_ = name;
+    profile.maintenance_ = shape_.rules_;
+    profiles_->services_[name] = { name, name, name };
+  }
+  for (size_t i = 0; i < shape_.pools_ * shape_.hostsPerPool_; ++i) {
+    const size_t rack = i / shape_.hostsPerRack_;
+    ListedHost host;
+    host.id_ = "w" + std::to_string(100 + i);
+    host.address_ = "127.0.0.1:" + std::to_string(20000 + i);
+    host.rack_ = "r" + std::to_string(rack);
+    host.zone_ = "z" + std::to_string(rack % shape_.zones_);
+    host.region_ = "region";
+    listed_[host.id_] = host;
+    platform_.AddHost(host);
+  }
+  for (size_t i = 0; i < std::max(shape_.entryHosts_, shape_.planners_); ++i) {
+    RigEntry entry;
+    entry.id_ = "e" + std::to_string(i);
+    entry.incarnation_ = "1";
+    entries_.push_back(entry);
+  }
+}
+
+void
+PlannerRig::Tick()
+{
+  clock_.Advance(kTick);
+  for (RigEntry& entry : entries_) {
+    TickEntry(entry);
+  }
+  for (size_t i = 0; i < planners_.size(); ++i) {
+    if (pausedPlanners_.count(i) == 0) {
+      planners_[i]->Step();
+    }
+  }
+}
+
+void
+PlannerRig::Run(std::chrono::milliseconds aTime)
+{
+  for (auto passed = kTick; passed <= aTime; passed += kTick) {
+    Tick();
+  }
+}
+
+bool
+PlannerRig::RunUntil(const std::function<bool()>& aCondition, std::chrono::milliseconds aLimit)
+{
+  for (auto passed = kTick; passed <= aLimit; passed += kTick) {
+    if (aCondition()) {
+      return true;
+    }
+    Tick();
+  }
+  return aCondition();
+}
+
+FleetMap
+PlannerRig::Fleet()
+{
+  return truth_;
+}
+
+size_t
+PlannerRig::CountHosts(HostState aState)
+{
+  size_t count = 0;
+  for (const auto& [id, host] : truth_.hosts_) {
+    count += host.state_ == aState ? 1 : 0;
+  }
+  return count;
+}
+
+void
+PlannerRig::TickEntry(RigEntry& aEntry)
+{
+  const TimePoint now = clock_.Now();
+  std::erase_if(aEntry.inFlight_, [&](const auto& aWork) { return aWork.second.end_ <= now; });
+  if (aEntry.dead_ || aEntry.paused_) {
+    return;
+  }
+  const auto item = platform_.Get(kFleetKey);
+  if (item) {
+    aEntry.renewed_ = now;
+    if (item->value_ != parsedText_) {
+      parsedText_ = item->value_;
+      parsed_ = std::make_shared<FleetMap>(*FleetMap::Parse(item->value_));
+    }
+    const std::shared_ptr<const FleetMap> fleet = parsed_;
+    const bool newer = !aEntry.view_ || fleet->revision_ > aEntry.view_->revision_;
+    if (newer && aEntry.acknowledges_) {
+      aEntry.view_ = fleet;
+    }
+    if (aEntry.view_->revision_ >= fleet->revision_) {
+      aEntry.confirmed_ = now;
+    }
+    if (fleet->members_.count(aEntry.id_) == 0) {
+      static_cast<void>(editor_.Edit(0, [&](FleetMap& aFleet) -> leaf::result<void> {
+        aFleet.members_[aEntry.id_] = { aEntry.id_, aEntry.incarnation_, aFleet.revision_, 0 };
+        return {};
+      }));
+    }
+  }
+  Dispatch(aEntry);
+}
+
+bool
+PlannerRig::MayDispatch(const RigEntry& aEntry) const
+{
+  if (!aEntry.view_ || aEntry.view_->members_.count(aEntry.id_) == 0) {
+    return false;
+  }
+  if (clock_.Now() - aEntry.confirmed_ <= kViewLimit) {
+    return true;
+  }
+  // The all-peers rule: every other member answers that it cannot reach the store either.
+  return platform_.Faults().storeDown_ &&
+         std::all_of(entries_.begin(), entries_.end(), [](const RigEntry& aOther) {
+           return !aOther.dead_ && !aOther.paused_;
+         });
+}
+
+void
+PlannerRig::Dispatch(RigEntry& aEntry)
+{
+  if (!MayDispatch(aEntry)) {
+    return;
+  }
+  std::uniform_int_distribution<int64_t> run(100, shape_.runTime_.count());
+  for (const auto& [id, host] : aEntry.view_->hosts_) {
+    if (host.state_ != HostState::Serving || random_() % 2 == 0) {
+      continue;
+    }
+    const auto truth = truth_.hosts_.find(id);
+    if (truth != truth_.hosts_.end() && truth->second.pool_ != host.pool_) {
+      Violate("P2: " + aEntry.id_ + " sent work of " + host.pool_ + " to " + id + " of " +
+              truth->second.pool_);
+    }
+    const TimePoint end = clock_.Now() + std::chrono::milliseconds(run(random_));
+    RigEntry::Work& work = aEntry.inFlight_[id];
+    work = { host.pool_, std::max(work.end_, end) };
+  }
+}
+
+std::vector<EntryReport>
+PlannerRig::Reports() const
+{
+  std::vector<EntryReport> reports;
+  for (const RigEntry& entry : entries_) {
+    if (!entry.view_ || clock_.Now() - entry.renewed_ > kLease) {
+      continue;
+    }
+    EntryReport report{ entry.id_, entry.incarnation_, entry.view_->revision_, {}, {} };
+    report.suspects_ = entry.suspects_;
+    for (const auto& [host, work] : entry.inFlight_) {
+      const auto record = entry.view_->hosts_.find(host);
+      if (record != entry.view_->hosts_.end() && record->second.state_ != HostState::Serving) {
+        report.busy_.insert(host);
+      }
+    }
+    if (mutants_.assumeAcks_) {
+      report.fleetRevision_ = truth_.revision_;
+      report.busy_.clear();
+    }
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+void
+PlannerRig::CheckWrite(const FleetMap& aBefore, const FleetMap& aAfter)
+{
+  ++writes_;
+  // The same document again is a write-back after the store was restored.
+  if (aAfter.revision_ <= aBefore.revision_ && aAfter != aBefore) {
+    Violate("revision " + std::to_string(aAfter.revision_) + " was written again");
+  }
+  CheckBudgets(aBefore, aAfter);
+  for (const auto& [id, host] : aAfter.hosts_) {
+    const auto before = aBefore.hosts_.find(id);
+    if (before == aBefore.hosts_.end() || before->second.pool_ == host.pool_) {
+      continue;
+    }
+    ++moves_;
+    for (const RigEntry& entry : entries_) {
+      if (!entry.dead_ && entry.inFlight_.count(id) > 0) {
+        Violate("P2: " + id + " changed pools while " + entry.id_ + " has work in flight");
+      }
+    }
+  }
+  truth_ = aAfter;
+}
+
+bool
+PlannerRig::IsOut(const std::string& aHost, const FleetMap& aBefore, const FleetMap& aAfter) const
+{
+  if (aAfter.hosts_.at(aHost).state_ != HostState::Serving) {
+    return true;
+  }
+  // A write on a stale document must not hide that the host was already known to have failed.
+  const auto before = aBefore.hosts_.find(aHost);
+  return before != aBefore.hosts_.end() && before->second.state_ == HostState::Failed &&
+         down_.count(aHost) > 0;
+}
+
+void
+PlannerRig::CheckBudgets(const FleetMap& aBefore, const FleetMap& aAfter)
+{
+  // Counted here again on purpose, without the product's code.
+  std::map<std::string, uint32_t> out;
+  std::map<std::pair<std::string, std::string>, uint32_t> outInRack;
+  for (const auto& [id, host] : aAfter.hosts_) {
+    if (IsOut(id, aBefore, aAfter)) {
+      ++out[host.pool_];
+      ++outInRack[{ host.pool_, host.rack_ }];
+    }
+  }
+  for (const auto& [id, host] : aAfter.hosts_) {
+    const auto before = aBefore.hosts_.find(id);
+    const bool started = before != aBefore.hosts_.end() &&
+                         before->second.state_ == HostState::Serving &&
+                         host.state_ == HostState::Draining && host.reason_ != DrainReason::Leaving;
+    if (!started) {
+      continue;
+    }
+    if (out[host.pool_] > shape_.rules_.maxUnavailableHosts_) {
+      Violate("P1: " + std::to_string(out[host.pool_]) + " hosts of " + host.pool_ + " are out");
+    }
+    if (outInRack[{ host.pool_, host.rack_ }] > shape_.rules_.maxPerRack_) {
+      Violate("P1: two hosts of " + host.pool_ + " in " + host.rack_ + " are out");
+    }
+  }
+}
+
+void
+PlannerRig::CheckReboot(const std::string& aHost)
+{
+  const auto host = truth_.hosts_.find(aHost);
+  if (host == truth_.hosts_.end() || host->second.state_ != HostState::Maintenance) {
+    Violate("P7: " + aHost + " is rebooted but not in maintenance");
+  }
+  for (const RigEntry& entry : entries_) {
+    if (!entry.dead_ && entry.inFlight_.count(aHost) > 0) {
+      Violate("P7: " + aHost + " is rebooted while " + entry.id_ + " has work in flight");
+    }
+  }
+}
+
+void
+PlannerRig::Violate(const std::string& aText)
+{
+  violations_.push_back(aText);
+}
+
+void
+PlannerRig::FreezeReports(bool aOn)
+{
+  frozenReports_.reset();
+  if (aOn) {
+    frozenReports_ = Reports();
+  }
+}
+
+void
+PlannerRig::FailHost(const std::string& aHost)
+{
+  down_.insert(aHost);
+  platform_.RemoveHost(aHost);
+  for (RigEntry& entry : entries_) {
+    entry.inFlight_.erase(aHost);
+  }
+}
+
+void
+PlannerRig::RepairHost(const std::string& aHost)
+{
+  down_.erase(aHost);
+  platform_.AddHost(listed_.at(aHost));
+}
+
+std::vector<std::string>
+PlannerRig::FailRack(const std::string& aRack)
+{
+  std::vector<std::string> failed;
+  for (const auto& [id, host] : listed_) {
+    if (host.rack_ == aRack) {
+      failed.push_back(id);
+      FailHost(id);
+    }
+  }
+  return failed;
+}
+
+}
--- /dev/null
+++ b/standins/planner_rig.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "memory_platform.h"
+#include "sardinespoke/fleet_editor.h"
+#include "sardinespoke/manual_clock.h"
+#include "sardinespoke/planner_duty.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// Shape of a deployment for planner runs: pools of equal size on racks of equal size.
+struct RigShape
+{
+  size_t pools_ = 5;
+  size_t hostsPerPool_ = 10;
+  size_t hostsPerRack_ = 4;
+  size_t zones_ = 3;
+  uint32_t floor_ = 7;
+  size_t entryHosts_ = 3;
+  size_t planners_ = 1;
+  MaintenanceRules rules_;
+  std::chrono::milliseconds rebootTime_{ 60000 };
+  std::chrono::milliseconds runTime_{ 3000 }; ///< Longest run of a request.
+  PlannerOptions options_;
+};
+
+/// Deliberate errors outside the product that the checks must find.
+struct RigMutants
+{
+  /// Writes ignore the version: budgets are checked before the write, but not in the same write.
+  bool uncheckedWrites_ = false;
+  bool assumeAcks_ = false;    ///< Entry records claim that every drain is done.
+  bool skipReadLimit_ = false; ///< Reboots are called on a document of any age.
+};
+
+/// A fake entry host: follows the fleet document, sends work to the hosts that its view allows, and
+/// reports its entry record.
+struct RigEntry
+{
+  std::string id_;
+  std::string incarnation_;
+  std::shared_ptr<const FleetMap> view_;
+  TimePoint confirmed_{};
+  TimePoint renewed_{};
+  bool dead_ = false;
+  bool paused_ = false;
+  bool acknowledges_ = true; ///< False: keeps its first view and never reports more.
+  std::set<std::string> suspects_;
+  struct Work
+  {
+    std::string pool_;
+    TimePoint end_;
+  };
+  std::map<std::string, Work> inFlight_; ///< By host.
+};
+
+/// A planner run on the in-memory platform: fake entry hosts, one or more planner duties, a clock
+/// that is advanced by hand, and checks of the invariants P1, P2 and P7 at every write, dispatch
+/// and reboot. Not thread-safe.
+class PlannerRig
+{
+public:
+  PlannerRig(const RigShape& aShape, uint64_t aSeed, RigMutants aMutants = {});
+  ~PlannerRig();
+  PlannerRig(const PlannerRig&) = delete;
+  PlannerRig& operator=(const PlannerRig&) = delete;
+
+  /// Advances the clock by one step interval and lets every entry host and planner act.
+  void Tick();
+  void Run(std::chrono::milliseconds aTime);
+  /// Ticks until a condition holds. @returns Whether it did within the limit.
+  bool RunUntil(const std::function<bool()>& aCondition, std::chrono::milliseconds aLimit);
+
+  FleetMap Fleet();
+  MemoryPlatform& Platform() { return platform_; }
+  ManualClock& Clock() { return clock_; }
+  PlannerDuty& Planner(size_t aIndex) { return *planners_.at(aIndex); }
+  FleetEditor& Editor() { return editor_; }
+  RigEntry& Entry(size_t aIndex) { return entries_.at(aIndex); }
+  ProfileSet& Profiles() { return *profiles_; }
+  std::map<std::string, double>& Demand() { return demand_; }
+  std::set<size_t>& PausedPlanners() { return pausedPlanners_; }
+  /// Lets a planner ignore that it does not hold the duty, like one whose lease lapsed unnoticed.
+  void AllHoldDuty(bool aOn) { allHoldDuty_ = aOn; }
+
+  /// Keeps the entry records that planners read as they are now.
+  void FreezeReports(bool aOn);
+
+  void FailHost(const std::string& aHost);
+  void RepairHost(const std::string& aHost);
+  std::vector<std::string> FailRack(const std::string& aRack);
+  size_t CountHosts(HostState aState);
+
+  /// Called before a planner's write reaches the store; a test acts here for a paused writer.
+  std::function<void()> beforeWrite_;
+  /// Called after a planner has read the document.
+  std::function<void()> afterRead_;
+
+  const std::vector<std::string>& Violations() const { return violations_; }
+  uint64_t Writes() const { return writes_; }
+  uint64_t Moves() const { return moves_; }
+
+private:
+  class CheckedStore;
+  class CheckedControl;
+  class Inputs;
+
+  void BuildDeployment();
+  void TickEntry(RigEntry& aEntry);
+  void Dispatch(RigEntry& aEntry);
+  bool MayDispatch(const RigEntry& aEntry) const;
+  std::vector<EntryReport> Reports() const;
+  bool IsOut(const std::string& aHost, const FleetMap& aBefore, const FleetMap& aAfter) const;
+  void CheckWrite(const FleetMap& aBefore, const FleetMap& aAfter);
+  void CheckBudgets(const FleetMap& aBefore, const FleetMap& aAfter);
+  void CheckReboot(const std::string& aHost);
+  void Violate(const std::string& aText);
+
+  const RigShape shape_;
+  const RigMutants mutants_;
+  std::mt19937_64 random_;
+  ManualClock clock_;
+  MemoryPlatform platform_;
+  std::shared_ptr<ProfileSet> profiles_;
+  std::map<std::string, double> demand_;
+  std::vector<RigEntry> entries_;
+  std::map<std::string, ListedHost> listed_;
+  std::string parsedText_; ///< Text of parsed_, so that each document is parsed once.
+  std::shared_ptr<const FleetMap> parsed_;
+  FleetMap truth_; ///< Document in the store after the last write that took effect.
+  std::unique_ptr<CheckedStore> store_;
+  std::unique_ptr<CheckedControl> control_;
+  std::vector<std::unique_ptr<Inputs>> inputs_;
+  std::vector<std::unique_ptr<PlannerDuty>> planners_;
+  std::set<size_t> pausedPlanners_;
+  FleetEditor editor_;
+  bool allHoldDuty_ = false;
+  std::optional<std::vector<EntryReport>> frozenReports_;
+  std::set<std::string> down_; ///< Hosts that have really failed.
+  std::vector<std::string> violations_;
+  uint64_t writes_ = 0;
+  uint64_t moves_ = 0;
+};
+
+}
--- /dev/null
+++ b/tests/planner_duty_test.cpp
@@ -0,0 +1,366 @@
+#include "planner_rig.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace sardinespoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::IsEmpty;
+
+bool
+RolloutDone(PlannerRig& aRig)
+{
+  return !aRig.Fleet().rollout_.active_;
+}
+
+std::set<uint64_t>
+MaintainedBy(const FleetMap& aFleet)
+{
+  std::set<uint64_t> rollouts;
+  for (const auto& [id, host] : aFleet.hosts_) {
+    rollouts.insert(host.maintainedRollout_);
+  }
+  return rollouts;
+}
+
+// Guards against a first document that leaves hosts out or puts a pool into few racks.
+TEST(PlannerDuty, FirstDocumentSpreadsHostsOverPools)
+{
+  PlannerRig rig({}, 1);
+  std::map<std::string, size_t> sizes;
+  std::map<std::pair<std::string, std::string>, size_t> inRack;
+  for (const auto& [id, host] : rig.Fleet().hosts_) {
+    ++sizes[host.pool_];
+    EXPECT_LE((++inRack[{ host.pool_, host.rack_ }]), 1U);
+  }
+  EXPECT_EQ(sizes.size(), 5U);
+  for (const auto& [pool, size] : sizes) {
+    EXPECT_EQ(size, 10U);
+  }
+  EXPECT_EQ(rig.Fleet().members_.size(), 3U);
+}
+
+// Guards against a roll-out that skips hosts, never ends, breaks a budget or reboots a busy host.
+TEST(PlannerDuty, RolloutMaintainsEveryHostOnce)
+{
+  PlannerRig rig({}, 2);
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  EXPECT_FALSE(rig.Editor().StartRollout(0, "operator"));
+  EXPECT_TRUE(rig.RunUntil([&] { return RolloutDone(rig); }, minutes(20)));
+  EXPECT_EQ(MaintainedBy(rig.Fleet()), std::set<uint64_t>{ 1 });
+  EXPECT_EQ(rig.CountHosts(HostState::Serving), 50U);
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+/// Steps planner 1 inside every write of planner 0, while hosts fail and come back.
+std::vector<std::string>
+RunTwoPlanners(RigMutants aMutants)
+{
+  RigShape shape;
+  shape.planners_ = 2;
+  PlannerRig rig(shape, 3, aMutants);
+  rig.AllHoldDuty(true);
+  static_cast<void>(rig.Editor().StartRollout(0, "operator"));
+  for (int i = 0; i < 600; ++i) {
+    const std::string host = "w" + std::to_string(100 + (i * 7) % 50);
+    rig.beforeWrite_ = [&] {
+      rig.FailHost(host);
+      rig.Planner(1).Step(); // Sees the host missing and polls its power.
+      rig.Planner(1).Step();
+    };
+    rig.Tick();
+    rig.beforeWrite_ = nullptr;
+    rig.Tick();
+    rig.RepairHost(host);
+  }
+  return rig.Violations();
+}
+
+// Guards against a budget unit that two planners spend twice (P1).
+TEST(PlannerDuty, TwoPlannersAtOnceKeepTheBudget)
+{
+  EXPECT_THAT(RunTwoPlanners({}), IsEmpty());
+}
+
+// Shows that the checks find a budget that is checked before the write, but not in the same write.
+TEST(PlannerDutyMutants, UncheckedWriteBreaksTheBudget)
+{
+  RigMutants mutants;
+  mutants.uncheckedWrites_ = true;
+  EXPECT_THAT(RunTwoPlanners(mutants), testing::Contains(testing::HasSubstr("P1")));
+}
+
+// Guards against a holder that resumes after another planner took over and overwrites its changes.
+TEST(PlannerDuty, PausedHolderCannotWrite)
+{
+  RigShape shape;
+  shape.planners_ = 2;
+  PlannerRig rig(shape, 4);
+  ASSERT_TRUE(rig.Planner(0).IsHolder());
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  uint64_t revision = 0;
+  rig.beforeWrite_ = [&] {
+    rig.PausedPlanners().insert(0);
+    rig.FailHost("w100");
+    rig.Run(minutes(1));
+    EXPECT_TRUE(rig.Planner(1).IsHolder());
+    revision = rig.Fleet().revision_;
+  };
+  EXPECT_EQ(rig.Planner(0).Step(), PlannerDuty::Outcome::Failed);
+  EXPECT_EQ(rig.Fleet().revision_, revision);
+  EXPECT_EQ(rig.Planner(0).Step(), PlannerDuty::Outcome::NotHolder);
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+/// Pauses the holder between its last read and the reboot until the host serves again.
+std::vector<std::string>
+PauseBeforeReboot(RigMutants aMutants)
+{
+  RigShape shape;
+  shape.planners_ = 2;
+  shape.rebootTime_ = seconds(5);
+  PlannerRig rig(shape, 5, aMutants);
+  static_cast<void>(rig.Editor().StartRollout(0, "operator"));
+  EXPECT_TRUE(
+    rig.RunUntil([&] { return rig.CountHosts(HostState::Maintenance) == 5; }, minutes(2)));
+  rig.afterRead_ = [&] {
+    rig.PausedPlanners().insert(0);
+    rig.Run(seconds(25));
+  };
+  rig.Planner(0).Step();
+  return rig.Violations();
+}
+
+// Guards against a reboot call that arrives after another planner returned the host to service.
+TEST(PlannerDuty, PausedHolderDoesNotRebootServingHosts)
+{
+  EXPECT_THAT(PauseBeforeReboot({}), IsEmpty());
+}
+
+// Shows that the checks find reboots that are called on an old document.
+TEST(PlannerDutyMutants, RebootOnOldDocumentIsFound)
+{
+  RigMutants mutants;
+  mutants.skipReadLimit_ = true;
+  EXPECT_THAT(PauseBeforeReboot(mutants), testing::Contains(testing::HasSubstr("P7")));
+}
+
+// Guards against steps that are repeated or skipped when the answer to a write is lost.
+TEST(PlannerDuty, LostAnswersDoNotChangeTheOutcome)
+{
+  PlannerRig rig({}, 6);
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  const auto lose = [&] {
+    rig.Platform().ChangeFaults([](PlatformFaults& aFaults) {
+      aFaults.loseWriteAnswers_ = 1;
+      aFaults.loseRebootAnswers_ = 1;
+    });
+    return RolloutDone(rig);
+  };
+  EXPECT_TRUE(rig.RunUntil(lose, minutes(20)));
+  EXPECT_EQ(MaintainedBy(rig.Fleet()), std::set<uint64_t>{ 1 });
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+/// Makes pool0 short of hosts until a host drains for a move to it.
+std::string
+StartMoveByDemand(PlannerRig& aRig)
+{
+  aRig.Demand()["pool0"] = 150;
+  std::string moving;
+  EXPECT_TRUE(aRig.RunUntil(
+    [&] {
+      for (const auto& [id, host] : aRig.Fleet().hosts_) {
+        moving = host.reason_ == DrainReason::Move ? id : moving;
+      }
+      return !moving.empty();
+    },
+    minutes(5)));
+  return moving;
+}
+
+// Guards against a move that is lost or finished too early when the store fails in the middle.
+TEST(PlannerDuty, StoreOutageInTheMiddleOfAMove)
+{
+  PlannerRig rig({}, 7);
+  const std::string host = StartMoveByDemand(rig);
+  rig.Demand().clear();
+  const uint64_t revision = rig.Fleet().revision_;
+  rig.Platform().ChangeFaults([](PlatformFaults& aFaults) { aFaults.storeDown_ = true; });
+  rig.Run(minutes(2));
+  EXPECT_EQ(rig.Fleet().revision_, revision);
+  rig.Platform().ChangeFaults([](PlatformFaults& aFaults) { aFaults.storeDown_ = false; });
+  rig.Run(seconds(30));
+  EXPECT_EQ(rig.Fleet().hosts_.at(host).pool_, "pool0");
+  EXPECT_EQ(rig.Fleet().hosts_.at(host).state_, HostState::Serving);
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against a second write that counts stale entry records as acknowledgements.
+TEST(PlannerDuty, StaleEntryRecordsDelayTheSecondWrite)
+{
+  PlannerRig rig({}, 8);
+  rig.FreezeReports(true);
+  const std::string host = StartMoveByDemand(rig);
+  rig.Run(seconds(20));
+  EXPECT_EQ(rig.Fleet().hosts_.at(host).state_, HostState::Draining);
+  rig.FreezeReports(false);
+  rig.Run(seconds(10));
+  EXPECT_EQ(rig.Fleet().hosts_.at(host).pool_, "pool0");
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Shows that the checks find a second write that does not wait for acknowledgements (P2).
+TEST(PlannerDutyMutants, UnacknowledgedMoveIsFound)
+{
+  RigMutants mutants;
+  mutants.assumeAcks_ = true;
+  PlannerRig rig({}, 9, mutants);
+  StartMoveByDemand(rig);
+  rig.Run(seconds(10));
+  EXPECT_THAT(rig.Violations(), testing::Contains(testing::HasSubstr("P2")));
+}
+
+// Guards against moving or rebooting a host that an entry host without news still uses, and
+// against a drain that holds its budget unit for ever.
+TEST(PlannerDuty, MemberThatNeverAcknowledgesBlocksOnlyTheSecondWrite)
+{
+  PlannerRig rig({}, 10);
+  rig.Entry(2).acknowledges_ = false;
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  rig.Run(seconds(30));
+  EXPECT_EQ(rig.CountHosts(HostState::Draining), 5U);
+  rig.Run(seconds(30));
+  EXPECT_EQ(rig.CountHosts(HostState::Maintenance), 0U);
+  rig.Entry(2).acknowledges_ = true;
+  EXPECT_TRUE(rig.RunUntil([&] { return RolloutDone(rig); }, minutes(20)));
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against waiting for ever for a killed entry host, and against trusting a paused one that
+// resumes after it was removed.
+TEST(PlannerDuty, ExpiredMembersAreRemovedAndDrainsGoOn)
+{
+  PlannerRig rig({}, 11);
+  rig.Entry(1).dead_ = true;
+  rig.Entry(2).paused_ = true;
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  rig.Run(seconds(10));
+  EXPECT_EQ(rig.Fleet().members_.size(), 3U);
+  rig.Run(seconds(5));
+  EXPECT_EQ(rig.Fleet().members_.size(), 1U);
+  EXPECT_TRUE(
+    rig.RunUntil([&] { return rig.CountHosts(HostState::Maintenance) == 5; }, seconds(15)));
+  rig.Entry(2).paused_ = false;
+  EXPECT_TRUE(rig.RunUntil([&] { return RolloutDone(rig); }, minutes(20)));
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against a roll-out that goes on draining while a lost rack uses up the budgets.
+TEST(PlannerDuty, RackLossStopsTheRolloutAtTheNextStep)
+{
+  PlannerRig rig({}, 12);
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  rig.Run(minutes(3));
+  const std::vector<std::string> lost = rig.FailRack("r5");
+  rig.Run(minutes(3));
+  std::map<std::string, size_t> out;
+  for (const auto& [id, host] : rig.Fleet().hosts_) {
+    out[host.pool_] += host.state_ == HostState::Serving ? 0 : 1;
+  }
+  for (const std::string& id : lost) {
+    EXPECT_EQ(rig.Fleet().hosts_.at(id).state_, HostState::Failed);
+    EXPECT_EQ(out[rig.Fleet().hosts_.at(id).pool_], 1U);
+  }
+  for (const std::string& id : lost) {
+    rig.RepairHost(id);
+  }
+  EXPECT_TRUE(rig.RunUntil([&] { return RolloutDone(rig); }, minutes(20)));
+  EXPECT_EQ(rig.CountHosts(HostState::Serving), 50U);
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against giving back the budget unit of a host that does not return from its reboot.
+TEST(PlannerDuty, HostThatNeverComesBackKeepsItsBudgetUnit)
+{
+  PlannerRig rig({}, 13);
+  rig.Platform().ChangeFaults([](PlatformFaults& aFaults) { aFaults.stuckHosts_ = { "w100" }; });
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  const auto state = [&] { return rig.Fleet().hosts_.at("w100").state_; };
+  ASSERT_TRUE(rig.RunUntil([&] { return state() == HostState::Maintenance; }, minutes(15)));
+  rig.Run(minutes(9));
+  EXPECT_EQ(state(), HostState::Maintenance);
+  EXPECT_TRUE(rig.RunUntil([&] { return state() == HostState::Failed; }, minutes(2)));
+  rig.Run(minutes(20));
+  EXPECT_EQ(state(), HostState::Failed);
+  EXPECT_FALSE(RolloutDone(rig));
+  rig.Platform().ChangeFaults([](PlatformFaults& aFaults) { aFaults.stuckHosts_.clear(); });
+  EXPECT_TRUE(rig.RunUntil([&] { return RolloutDone(rig); }, minutes(20)));
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against a fleet that follows a store restored from a backup back to an older revision.
+TEST(PlannerDuty, RestoredStoreIsWrittenBack)
+{
+  PlannerRig rig({}, 14);
+  const PlatformSnapshot backup = rig.Platform().TakeSnapshot();
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  rig.Run(seconds(30));
+  const FleetMap before = rig.Fleet();
+  rig.Platform().RestartWith(backup);
+  rig.Run(seconds(1));
+  EXPECT_GE(rig.Fleet().revision_, before.revision_);
+  EXPECT_TRUE(rig.Fleet().rollout_.active_);
+  EXPECT_TRUE(rig.RunUntil([&] { return RolloutDone(rig); }, minutes(20)));
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against a fleet document that does not follow the host list.
+TEST(PlannerDuty, FollowsTheHostList)
+{
+  PlannerRig rig({}, 15);
+  ListedHost added{ "x1", "127.0.0.1:30000", "r99", "z0", "region", false };
+  rig.Platform().AddHost(added);
+  rig.Run(seconds(1));
+  EXPECT_EQ(rig.Fleet().hosts_.at("x1").pool_, "pool4"); // The spare pool.
+  rig.Platform().MarkLeaving("w100");
+  rig.Run(seconds(1));
+  EXPECT_EQ(rig.Fleet().hosts_.at("w100").reason_, DrainReason::Leaving);
+  rig.Run(seconds(10));
+  EXPECT_EQ(rig.Fleet().hosts_.at("w100").state_, HostState::Leaving);
+  rig.Platform().RemoveHost("w100");
+  rig.Run(seconds(1));
+  EXPECT_EQ(rig.Fleet().hosts_.count("w100"), 0U);
+  rig.FailHost("w101");
+  rig.Run(minutes(9));
+  EXPECT_EQ(rig.Fleet().hosts_.at("w101").state_, HostState::Failed);
+  rig.Run(minutes(2));
+  EXPECT_EQ(rig.Fleet().hosts_.count("w101"), 0U);
+  EXPECT_THAT(rig.Violations(), IsEmpty());
+}
+
+// Guards against a paused roll-out that starts drains, and against commands on a restored store.
+TEST(PlannerDuty, OperatorCommands)
+{
+  PlannerRig rig({}, 16);
+  EXPECT_FALSE(rig.Editor().PauseRollout(0));
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  ASSERT_TRUE(rig.Editor().PauseRollout(0));
+  rig.Run(seconds(20));
+  EXPECT_EQ(rig.CountHosts(HostState::Serving), 50U);
+  EXPECT_FALSE(rig.Editor().ResumeRollout(rig.Fleet().revision_ + 1));
+  ASSERT_TRUE(rig.Editor().ResumeRollout(rig.Fleet().revision_));
+  rig.Run(seconds(2));
+  EXPECT_EQ(rig.CountHosts(HostState::Serving), 45U);
+  EXPECT_FALSE(rig.Editor().ForgetMember(0, "e9"));
+  rig.Entry(2).dead_ = true;
+  ASSERT_TRUE(rig.Editor().ForgetMember(0, "e2"));
+  EXPECT_EQ(rig.Fleet().members_.count("e2"), 0U);
+}
+
+}
+}
