--- /dev/null
+++ b/src/logging.cpp
@@ -0,0 +1,105 @@
+#include "sardinespoke/logging.h"
+
+#include "json_layout_p.h"
+
+#include <nlohmann/json.hpp>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/helpers/timehelper.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <array>
+#include <memory>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::array<log4cplus::LogLevel, static_cast<size_t>(LogLevel::Count)> kLevels{
+  log4cplus::DEBUG_LOG_LEVEL,
+  log4cplus::INFO_LOG_LEVEL,
+  log4cplus::WARN_LOG_LEVEL,
+  log4cplus::ERROR_LOG_LEVEL,
+};
+
+std::unique_ptr<log4cplus::Initializer>&
+Library()
+{
+  static std::unique_ptr<log4cplus::Initializer> library;
+  return library;
+}
+
+log4cplus::LogLevel
+LevelOf(const std::string& aName)
+{
+  if (aName == "debug") {
+    return log4cplus::DEBUG_LOG_LEVEL;
+  }
+  if (aName == "warn") {
+    return log4cplus::WARN_LOG_LEVEL;
+  }
+  if (aName == "error") {
+    return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+}
+
+JsonLayout::JsonLayout(std::string aProcess)
+  : process_(std::move(aProcess))
+{
+}
+
+void
+JsonLayout::formatAndAppend(log4cplus::tostream& aOutput,
+                            const log4cplus::spi::InternalLoggingEvent& aEvent)
+{
+  auto line = nlohmann::json::parse(aEvent.getMessage(), nullptr, false);
+  if (!line.is_object()) {
+    line = { { "message", aEvent.getMessage() } };
+  }
+  line["time"] =
+    log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ", aEvent.getTimestamp(), true);
+  line["level"] = log4cplus::getLogLevelManager().toString(aEvent.getLogLevel());
+  line["process"] = process_;
+  aOutput << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
+}
+
+void
+InitLogging(const std::string& aProcess, const std::string& aLevel)
+{
+  Library() = std::make_unique<log4cplus::Initializer>();
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<JsonLayout>(aProcess));
+  auto root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  root.addAppender(appender);
+  root.setLogLevel(LevelOf(aLevel));
+}
+
+void
+ShutdownLogging()
+{
+  Library().reset();
+}
+
+void
+Log(LogLevel aLevel, const std::string& aEvent, const nlohmann::json& aFields)
+{
+  if (!Library()) {
+    return;
+  }
+  auto root = log4cplus::Logger::getRoot();
+  const auto level = kLevels[static_cast<size_t>(aLevel)];
+  if (!root.isEnabledFor(level)) {
+    return;
+  }
+  auto line = aFields.is_object() ? aFields : nlohmann::json{ { "detail", aFields } };
+  line["event"] = aEvent;
+  root.forcedLog(level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+}
