--- /dev/null
+++ b/include/sardinespoke/admin_server.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "sardinespoke/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// A request of an operator or a monitoring system.
+struct AdminRequest
+{
+  std::string method_;
+  std::string path_;
+  std::map<std::string, std::string> parameters_; ///< Path and query parameters.
+  std::string body_;
+
+  /// @returns A parameter, or an empty text.
+  std::string Parameter(const std::string& aName) const;
+};
+
+/// The answer to it.
+struct AdminResponse
+{
+  unsigned int status_ = 200;
+  std::string contentType_ = "application/json";
+  std::string body_;
+
+  static AdminResponse Json(unsigned int aStatus, const nlohmann::json& aBody);
+
+  /// The body of every error: {"error", "field", "message"}.
+  static AdminResponse Error(unsigned int aStatus,
+                             const std::string& aError,
+                             const std::string& aField,
+                             const std::string& aMessage);
+};
+
+/// HTTP server of the admin address.
+class AdminServer
+{
+public:
+  using Handler = std::function<AdminResponse(const AdminRequest&)>;
+
+  AdminServer();
+  ~AdminServer();
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
+
+  /// Adds a route; call before Init().
+  /// @param aPattern Path; a segment that begins with "@" is a parameter.
+  void Route(const std::string& aMethod, const std::string& aPattern, Handler aHandler);
+
+  /// Starts to listen. Errors: ConfigError if the address cannot be bound.
+  leaf::result<void> Init(const Endpoint& aListen);
+  void Shutdown();
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+#include <sstream>
+
 namespace sardinespoke {
 namespace {
 
@@ -92,5 +95,18 @@
   EXPECT_NE(error.message_.find("\"id\" occurs twice"), std::string::npos);
 }
 
+// Guards against sample settings that the daemon refuses.
+TEST(Settings, ExamplesAreAccepted)
+{
+  for (const char* name : { "inyana", "atlas" }) {
+    std::ifstream file(std::string(SOURCE_DIR) + "/examples/" + name + ".settings.json");
+    std::ostringstream text;
+    text << file.rdbuf();
+    const auto parsed = Settings::Parse(text.str());
+    ASSERT_TRUE(parsed) << name;
+    EXPECT_EQ(parsed->region_, name);
+  }
+}
+
 }
 }
