--- /dev/null
+++ b/src/pool_scheduler.cpp
@@ -0,0 +1,246 @@
+#include "pool_scheduler_p.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr int kEntitledTier = 0;
+constexpr int kAllocatedTier = 1;
+constexpr int kSurplusTier = 2; // Plus the urgency class.
+constexpr int kNoTier = 100;
+
+bool
+IsLong(const CostModel& aCosts, const std::string& aKind)
+{
+  return aCosts.P95(aKind) > kLongWork;
+}
+
+uint32_t
+AboveEntitlement(const PoolScheduler::ProfileState& aProfile, uint32_t aLong)
+{
+  return aLong > aProfile.part_.entitled_ ? aLong - aProfile.part_.entitled_ : 0;
+}
+
+}
+
+PoolScheduler::PoolScheduler(PoolRules aRules, std::vector<std::string> aMembers)
+  : rules_(std::move(aRules))
+  , members_(std::move(aMembers))
+{
+}
+
+void
+PoolScheduler::AddProfile(const Profile& aProfile)
+{
+  profiles_[aProfile.name_].rules_ = aProfile;
+}
+
+void
+PoolScheduler::AddWorker(const FleetHost& aHost)
+{
+  WorkerState& worker = workers_[aHost.id_];
+  worker.host_ = &aHost;
+  workerList_.push_back(&worker);
+}
+
+void
+PoolScheduler::AddRunning(const std::string& aProfile, const std::string& aHost, bool aLong)
+{
+  if (const auto profile = profiles_.find(aProfile); profile != profiles_.end()) {
+    ++profile->second.running_;
+    profile->second.longRunning_ += aLong ? 1 : 0;
+    NoteDemand(aProfile, profile->second);
+  }
+  if (const auto worker = workers_.find(aHost); worker != workers_.end()) {
+    ++worker->second.running_;
+  }
+}
+
+void
+PoolScheduler::EndRunning(const std::string& aProfile, const std::string& aHost, bool aLong)
+{
+  if (const auto profile = profiles_.find(aProfile); profile != profiles_.end()) {
+    --profile->second.running_;
+    profile->second.longRunning_ -= aLong ? 1 : 0;
+  }
+  if (const auto worker = workers_.find(aHost); worker != workers_.end()) {
+    --worker->second.running_;
+  }
+}
+
+void
+PoolScheduler::UpdateShares(const DemandTable& aTable, const std::string& aSelf)
+{
+  PoolCapacity capacity;
+  capacity.slotsPerWorker_ = rules_.slotsPerHost_;
+  capacity.connectionsPerWorker_ = rules_.connectionsPerHost_;
+  capacity.members_ = members_;
+  for (const auto& [id, worker] : workers_) {
+    capacity.workers_.push_back(id);
+  }
+  for (const auto& [name, profile] : profiles_) {
+    capacity.profiles_.push_back(profile.rules_);
+  }
+  const SlotShares shares = ComputeSlotShares(capacity, aTable, aSelf);
+  totalSlots_ = shares.totalSlots_;
+  for (auto& [id, worker] : workers_) {
+    worker.slots_ = shares.workers_.at(id).slots_;
+  }
+  for (auto& [name, profile] : profiles_) {
+    profile.part_ = shares.profiles_.at(name);
+  }
+}
+
+std::optional<AdmissionError::Code>
+PoolScheduler::Submit(const std::string& aProfile, QueuedItem aItem, TimePoint aNow)
+{
+  if (workers_.empty()) {
+    return AdmissionError::Code::NoBackend;
+  }
+  ProfileState& profile = profiles_.at(aProfile);
+  const ProfilePart& part = profile.part_;
+  QueueLimits limits;
+  limits.length_ = profile.rules_.queueLength_;
+  limits.slots_ = std::max({ part.entitled_, part.allocated_, profile.running_, 1U });
+  const auto refused = queue_.Add(aProfile, std::move(aItem), limits, aNow);
+  NoteDemand(aProfile, profile);
+  return refused;
+}
+
+std::optional<PoolScheduler::Match>
+PoolScheduler::Next(const CostModel& aCosts,
+                    const BreakerMap& aBreakers,
+                    Placement& aPlacement,
+                    TimePoint aNow)
+{
+  if (queue_.Size() == 0) {
+    return std::nullopt;
+  }
+  const std::vector<PlacementCandidate> candidates = Candidates(aBreakers, aNow);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+
+  int bestTier = kNoTier;
+  std::vector<std::pair<std::string, uint32_t>> best;
+  for (const auto& [name, profile] : profiles_) {
+    const int tier = Tier(name, profile, aCosts);
+    if (tier == kNoTier || tier > bestTier) {
+      continue;
+    }
+    if (tier < bestTier) {
+      bestTier = tier;
+      best.clear();
+    }
+    best.emplace_back(name, std::max(profile.rules_.entitledSlots_, 1U));
+  }
+  if (best.empty()) {
+    return std::nullopt;
+  }
+
+  Match match;
+  match.profile_ = best[queue_.ChooseNext(best)].first;
+  const std::string& avoid = queue_.Front(match.profile_)->item_.avoidHost_;
+  const size_t chosen = *aPlacement.Choose(candidates, avoid);
+  match.host_ = workerList_[chosen]->host_;
+  match.item_ = queue_.Pop(match.profile_);
+  match.long_ = IsLong(aCosts, match.item_.item_.kind_);
+  AddRunning(match.profile_, match.host_->id_, match.long_);
+  return match;
+}
+
+void
+PoolScheduler::MarkFull(const std::string& aHost, TimePoint aNow)
+{
+  if (const auto worker = workers_.find(aHost); worker != workers_.end()) {
+    worker->second.fullUntil_ = aNow + kFullBackoff;
+  }
+}
+
+void
+PoolScheduler::TakeDemand(std::map<std::string, uint32_t>& aReport)
+{
+  for (auto& [name, profile] : profiles_) {
+    if (profile.peakDemand_ > 0) {
+      aReport[name] = profile.peakDemand_;
+    }
+    profile.peakDemand_ = 0;
+    NoteDemand(name, profile);
+  }
+}
+
+const Profile*
+PoolScheduler::FindProfile(const std::string& aProfile) const
+{
+  const auto found = profiles_.find(aProfile);
+  return found == profiles_.end() ? nullptr : &found->second.rules_;
+}
+
+std::vector<PlacementCandidate>
+PoolScheduler::Candidates(const BreakerMap& aBreakers, TimePoint aNow) const
+{
+  std::vector<PlacementCandidate> candidates;
+  size_t index = 0;
+  for (const WorkerState* worker : workerList_) {
+    const size_t current = index++;
+    if (worker->running_ >= worker->slots_ || aNow < worker->fullUntil_) {
+      continue;
+    }
+    const auto breaker = aBreakers.find(worker->host_->id_);
+    if (breaker != aBreakers.end() && !breaker->second.Allows(aNow)) {
+      continue;
+    }
+    candidates.push_back({ current,
+                           worker->host_->id_,
+                           worker->host_->zone_,
+                           worker->slots_ - worker->running_,
+                           worker->running_ });
+  }
+  return candidates;
+}
+
+int
+PoolScheduler::Tier(const std::string& aName,
+                    const ProfileState& aProfile,
+                    const CostModel& aCosts) const
+{
+  const QueuedItem* front = queue_.Front(aName);
+  if (front == nullptr || aProfile.running_ >= aProfile.part_.max_) {
+    return kNoTier;
+  }
+  if (aProfile.running_ < aProfile.part_.entitled_) {
+    return kEntitledTier;
+  }
+  if (IsLong(aCosts, front->item_.kind_) && !MayBorrowLong(aProfile)) {
+    return kNoTier;
+  }
+  if (aProfile.running_ < aProfile.part_.allocated_) {
+    return kAllocatedTier;
+  }
+  return kSurplusTier + static_cast<int>(aProfile.rules_.urgency_);
+}
+
+bool
+PoolScheduler::MayBorrowLong(const ProfileState& aProfile) const
+{
+  uint32_t entitled = 0;
+  uint32_t borrowed = 0;
+  for (const auto& [name, profile] : profiles_) {
+    entitled += profile.part_.entitled_;
+    const uint32_t next = profile.longRunning_ + (&profile == &aProfile ? 1 : 0);
+    borrowed += AboveEntitlement(profile, next);
+  }
+  const uint32_t unsold = totalSlots_ > entitled ? totalSlots_ - entitled : 0;
+  return borrowed <= std::max(unsold, totalSlots_ / kLongReserveDivisor);
+}
+
+void
+PoolScheduler::NoteDemand(const std::string& aName, ProfileState& aProfile)
+{
+  const auto queued = static_cast<uint32_t>(queue_.Length(aName));
+  aProfile.peakDemand_ = std::max(aProfile.peakDemand_, queued + aProfile.running_);
+}
+
+}
--- /dev/null
+++ b/src/pool_scheduler_p.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "sardinespoke/admission_queue.h"
+#include "sardinespoke/circuit_breaker.h"
+#include "sardinespoke/cost_model.h"
+#include "sardinespoke/fault_attribution.h"
+#include "sardinespoke/fleet_map.h"
+#include "sardinespoke/placement.h"
+#include "sardinespoke/profile_set.h"
+#include "sardinespoke/slot_shares.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// Work whose 95th percentile run time is above this is long: a slot lent to it is not back before
+/// urgent work has to start (2.6 s with queueing and hand-over).
+constexpr std::chrono::milliseconds kLongWork{ 1000 };
+
+/// Part of the slots that long work may borrow when all slots are covered by entitlements.
+constexpr uint32_t kLongReserveDivisor = 8;
+
+/// A worker that refused for lack of a slot is not asked again for this long.
+constexpr std::chrono::milliseconds kFullBackoff{ 10 };
+
+/// The scheduling state of one pool at one entry host.
+class PoolScheduler
+{
+public:
+  struct ProfileState
+  {
+    Profile rules_;
+    ProfilePart part_;
+    uint32_t running_ = 0;
+    uint32_t longRunning_ = 0;
+    uint32_t peakDemand_ = 0; ///< Most queued and running since the last report.
+  };
+
+  struct WorkerState
+  {
+    const FleetHost* host_ = nullptr; ///< Kept alive by the view.
+    uint32_t slots_ = 0;              ///< This entry host's part.
+    uint32_t running_ = 0;
+    TimePoint fullUntil_;
+  };
+
+  /// A request that was matched with a worker.
+  struct Match
+  {
+    QueuedItem item_;
+    std::string profile_;
+    const FleetHost* host_ = nullptr;
+    bool long_ = false;
+  };
+
+  using BreakerMap = std::map<std::string, CircuitBreaker>;
+
+  PoolScheduler(PoolRules aRules, std::vector<std::string> aMembers);
+
+  void AddProfile(const Profile& aProfile);
+  void AddWorker(const FleetHost& aHost);
+
+  /// Counts a request that was already running when the pool was rebuilt.
+  void AddRunning(const std::string& aProfile, const std::string& aHost, bool aLong);
+  void EndRunning(const std::string& aProfile, const std::string& aHost, bool aLong);
+
+  void UpdateShares(const DemandTable& aTable, const std::string& aSelf);
+
+  std::optional<AdmissionError::Code> Submit(const std::string& aProfile,
+                                             QueuedItem aItem,
+                                             TimePoint aNow);
+
+  /// Matches the next request with a worker and counts it as running.
+  std::optional<Match> Next(const CostModel& aCosts,
+                            const BreakerMap& aBreakers,
+                            Placement& aPlacement,
+                            TimePoint aNow);
+
+  void MarkFull(const std::string& aHost, TimePoint aNow);
+
+  /// Adds the peak demand of each profile to a report and starts the next peak.
+  void TakeDemand(std::map<std::string, uint32_t>& aReport);
+
+  const PoolRules& Rules() const { return rules_; }
+  const Profile* FindProfile(const std::string& aProfile) const;
+  const std::map<std::string, WorkerState>& Workers() const { return workers_; }
+  AdmissionQueue& Queue() { return queue_; }
+  const AdmissionQueue& Queue() const { return queue_; }
+  FaultAttribution& Faults() { return faults_; }
+
+private:
+  std::vector<PlacementCandidate> Candidates(const BreakerMap& aBreakers, TimePoint aNow) const;
+  int Tier(const std::string& aName, const ProfileState& aProfile, const CostModel& aCosts) const;
+  bool MayBorrowLong(const ProfileState& aProfile) const;
+  void NoteDemand(const std::string& aName, ProfileState& aProfile);
+
+  PoolRules rules_;
+  std::vector<std::string> members_;
+  std::map<std::string, ProfileState> profiles_;
+  std::map<std::string, WorkerState> workers_;
+  std::vector<const WorkerState*> workerList_; ///< Elements of workers_.
+  uint32_t totalSlots_ = 0;                    ///< This entry host's part of the pool.
+  AdmissionQueue queue_;
+  FaultAttribution faults_;
+};
+
+}
--- /dev/null
+++ b/src/slot_shares.cpp
@@ -0,0 +1,158 @@
+#include "sardinespoke/slot_shares.h"
+
+#include "sardinespoke/fair_share.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sardinespoke {
+
+namespace {
+
+uint32_t
+DemandOf(const DemandReport& aReport, const std::string& aProfile)
+{
+  const auto found = aReport.byProfile_.find(aProfile);
+  return found == aReport.byProfile_.end() ? 0 : found->second;
+}
+
+/// Shares of all entry hosts, computed alike on each of them.
+class Division
+{
+public:
+  Division(const PoolCapacity& aPool, const DemandTable& aTable, const std::string& aSelf)
+    : pool_(aPool)
+    , table_(aTable)
+  {
+    std::set<std::string> hosts{ aSelf };
+    for (const auto& [host, report] : aTable.byEntryHost_) {
+      hosts.insert(host);
+    }
+    demandKnown_ = hosts.size() > 1 || aPool.members_.size() <= 1;
+    if (!demandKnown_) {
+      hosts.insert(aPool.members_.begin(), aPool.members_.end());
+    }
+    entryHosts_.assign(hosts.begin(), hosts.end());
+    const auto position = std::find(entryHosts_.begin(), entryHosts_.end(), aSelf);
+    self_ = static_cast<size_t>(position - entryHosts_.begin());
+    workers_ = aPool.workers_;
+    std::sort(workers_.begin(), workers_.end());
+  }
+
+  SlotShares Compute()
+  {
+    const auto slots = static_cast<uint32_t>(workers_.size()) * pool_.slotsPerWorker_;
+    entrySlots_.assign(entryHosts_.size(), 0);
+    const uint32_t allocated = AddProfiles(slots);
+    AddEqually(slots - allocated);
+    AddWorkers();
+    return std::move(result_);
+  }
+
+private:
+  std::vector<uint64_t> DemandWeights(const std::string& aProfile) const
+  {
+    std::vector<uint64_t> weights;
+    for (const std::string& host : entryHosts_) {
+      const auto report = table_.byEntryHost_.find(host);
+      const bool known = demandKnown_ && report != table_.byEntryHost_.end();
+      weights.push_back(known ? DemandOf(report->second, aProfile) : 0);
+    }
+    return weights;
+  }
+
+  /// Divides each profile's fair share, entitlement and maximum over the entry hosts.
+  /// @returns Slots allocated to all profiles.
+  uint32_t AddProfiles(uint32_t aSlots)
+  {
+    std::vector<ShareClaim> claims;
+    std::vector<std::vector<uint64_t>> weights;
+    for (const Profile& profile : pool_.profiles_) {
+      weights.push_back(DemandWeights(profile.name_));
+      uint64_t demand = 0;
+      for (const uint64_t weight : weights.back()) {
+        demand += weight;
+      }
+      const auto bounded = static_cast<uint32_t>(std::min<uint64_t>(demand, UINT32_MAX));
+      claims.push_back(
+        { profile.name_, bounded, profile.entitledSlots_, profile.maxSlots_, profile.urgency_ });
+    }
+    const std::vector<uint32_t> shares = FairShare(aSlots, claims);
+    uint32_t allocated = 0;
+    for (size_t i = 0; i < claims.size(); ++i) {
+      const std::vector<uint32_t> parts = ProportionalParts(shares[i], weights[i]);
+      for (size_t host = 0; host < parts.size(); ++host) {
+        entrySlots_[host] += parts[host];
+      }
+      allocated += shares[i];
+      // One is added to each weight, so that an entry host whose demand for this profile has just
+      // begun can start a part of it before the next exchange.
+      for (uint64_t& weight : weights[i]) {
+        ++weight;
+      }
+      ProfilePart& part = result_.profiles_[claims[i].profile_];
+      part.allocated_ = parts[self_];
+      part.entitled_ = ProportionalParts(claims[i].entitledSlots_, weights[i])[self_];
+      const uint32_t most = std::max(claims[i].maxSlots_, claims[i].entitledSlots_);
+      part.max_ = ProportionalParts(most, weights[i])[self_];
+    }
+    return allocated;
+  }
+
+  /// Divides slots that no reported demand needs; they serve demand that is not reported yet.
+  void AddEqually(uint32_t aSlots)
+  {
+    const std::vector<uint64_t> equal(entryHosts_.size(), 1);
+    const std::vector<uint32_t> parts = ProportionalParts(aSlots, equal);
+    for (size_t host = 0; host < parts.size(); ++host) {
+      entrySlots_[host] += parts[host];
+    }
+  }
+
+  /// Cuts each worker's capacity into consecutive ranges, one per entry host. The cuts of worker w
+  /// are shifted by w / workers, so that the rounding differs from worker to worker and adds up to
+  /// exactly entrySlots_ over the pool (Hermite's identity).
+  uint32_t PartOfWorker(uint64_t aCapacity, size_t aWorker) const
+  {
+    const uint64_t total = workers_.size() * pool_.slotsPerWorker_;
+    uint64_t before = 0;
+    for (size_t host = 0; host < self_; ++host) {
+      before += entrySlots_[host];
+    }
+    const uint64_t after = before + entrySlots_[self_];
+    const uint64_t count = workers_.size();
+    const auto cut = [&](uint64_t aSum) {
+      return (aSum * aCapacity * count + aWorker * total) / (total * count);
+    };
+    return static_cast<uint32_t>(cut(after) - cut(before));
+  }
+
+  void AddWorkers()
+  {
+    for (size_t worker = 0; worker < workers_.size(); ++worker) {
+      WorkerPart& part = result_.workers_[workers_[worker]];
+      part.slots_ = PartOfWorker(pool_.slotsPerWorker_, worker);
+      part.connections_ = PartOfWorker(pool_.connectionsPerWorker_, worker);
+      result_.totalSlots_ += part.slots_;
+    }
+  }
+
+  const PoolCapacity& pool_;
+  const DemandTable& table_;
+  std::vector<std::string> entryHosts_;
+  std::vector<std::string> workers_;
+  std::vector<uint32_t> entrySlots_; ///< Slots of the pool per entry host.
+  size_t self_ = 0;
+  bool demandKnown_ = false;
+  SlotShares result_;
+};
+
+}
+
+SlotShares
+ComputeSlotShares(const PoolCapacity& aPool, const DemandTable& aTable, const std::string& aSelf)
+{
+  return Division(aPool, aTable, aSelf).Compute();
+}
+
+}
