Measure floods, skew and faults of the scheduling core

Cause: nothing showed what the scheduler keeps for other queues during a flood.

Change: sardinespoke-measure with a table of measure groups.

--- /dev/null
+++ b/tools/sardinespoke-measure/measure_table.cpp
@@ -0,0 +1,18 @@
+#include "measure_table.h"
+
+#include "flood_measures.h"
+
+namespace sardinespoke {
+
+const std::vector<MeasureGroup>&
+MeasureGroups()
+{
+  static const std::vector<MeasureGroup> groups = {
+    { "flood", "what other work keeps during a flood; baselines included", RunFloodMeasures },
+    { "entry", "capacity lost when one entry host sees most of the load", RunEntryMeasures },
+    { "fault", "failing workers and work that can never run", RunFaultMeasures },
+  };
+  return groups;
+}
+
+}
