Report demand with hysteresis

Reports followed every change of demand, each report moved slots between entry hosts, and a moved slot is refused until the last request of its former holder has ended.

Change: a report is raised at once above +10%, and lowered only after ten reports below 70%.

--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -163,8 +163,9 @@
 PoolScheduler::TakeDemand(std::map<std::string, uint32_t>& aReport)
 {
   for (auto& [name, profile] : profiles_) {
-    if (profile.peakDemand_ > 0) {
-      aReport[name] = profile.peakDemand_;
+    UpdateReport(profile);
+    if (profile.reported_ > 0) {
+      aReport[name] = profile.reported_;
     }
     profile.peakDemand_ = 0;
     NoteDemand(name, profile);
@@ -236,6 +237,26 @@
   return borrowed <= std::max(unsold, totalSlots_ / kLongReserveDivisor);
 }
 
+void
+PoolScheduler::UpdateReport(ProfileState& aProfile)
+{
+  const uint32_t peak = aProfile.peakDemand_;
+  if (peak > aProfile.reported_ * kRaiseReport) {
+    aProfile.reported_ = peak;
+  }
+  if (peak >= aProfile.reported_ * kLowerReport) {
+    aProfile.lowReports_ = 0;
+    aProfile.lowPeak_ = 0;
+    return;
+  }
+  aProfile.lowPeak_ = std::max(aProfile.lowPeak_, peak);
+  if (++aProfile.lowReports_ >= kLowReports) {
+    aProfile.reported_ = aProfile.lowPeak_;
+    aProfile.lowReports_ = 0;
+    aProfile.lowPeak_ = 0;
+  }
+}
+
 void
 PoolScheduler::NoteDemand(const std::string& aName, ProfileState& aProfile)
 {
--- a/src/pool_scheduler_p.h
+++ b/src/pool_scheduler_p.h
@@ -26,6 +26,13 @@
 /// A worker that refused for lack of a slot is not asked again for this long.
 constexpr std::chrono::milliseconds kFullBackoff{ 10 };
 
+/// A report is raised at once when demand grows by more than a tenth, and lowered only after demand
+/// was below 0.7 of it for kLowReports reports. Each change moves slots between entry hosts, and a
+/// moved slot is refused by the worker until the last request of its former holder has ended.
+constexpr double kRaiseReport = 1.1;
+constexpr double kLowerReport = 0.7;
+constexpr uint32_t kLowReports = 10;
+
 /// The scheduling state of one pool at one entry host.
 class PoolScheduler
 {
@@ -37,6 +44,9 @@
     uint32_t running_ = 0;
     uint32_t longRunning_ = 0;
     uint32_t peakDemand_ = 0; ///< Most queued and running since the last report.
+    uint32_t reported_ = 0;   ///< Demand in the last report.
+    uint32_t lowReports_ = 0; ///< Reports in a row whose peak was far below reported_.
+    uint32_t lowPeak_ = 0;    ///< Greatest peak of these.
   };
 
   struct WorkerState
@@ -96,6 +106,7 @@
   int Tier(const std::string& aName, const ProfileState& aProfile, const CostModel& aCosts) const;
   bool MayBorrowLong(const ProfileState& aProfile) const;
   void NoteDemand(const std::string& aName, ProfileState& aProfile);
+  static void UpdateReport(ProfileState& aProfile);
 
   PoolRules rules_;
   std::vector<std::string> members_;
