Send attempts to backend servers over kept libcurl handles

Cause: the gateway needs attempts whose failure tells exactly whether the backend server may have run the request.

A handle is kept only after a whole answer. The view check runs in the pre-request callback, which libcurl calls after connecting and before the first byte. A kept connection that is readable there is replaced, because it is closed or has bytes that nobody asked for. Answers without a length, with two lengths, or with another attempt's id are Incomplete.

Ruled out: relying on CURLE_ codes for "not sent"; a reused connection that the server closed gives the same code before and after the request was written.

--- /dev/null
+++ b/src/curl_transfer_p.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "sardinespoke/backend_link.h"
+#include "sardinespoke/curl_backend_link.h"
+
+#include <curl/curl.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace sardinespoke {
+
+/// One kept libcurl handle and its connection; carries one transfer at a time.
+class CurlTransfer
+{
+public:
+  /// How a transfer ended.
+  struct Result
+  {
+    std::optional<BackendAnswer> answer_; ///< Set if the whole answer arrived.
+    BackendError error_;                  ///< Valid without an answer.
+    /// The kept connection was found unusable before a byte was sent; another handle may be used.
+    bool unusable_ = false;
+  };
+
+  explicit CurlTransfer(const CurlLinkSettings& aSettings);
+  ~CurlTransfer();
+  CurlTransfer(const CurlTransfer&) = delete;
+  CurlTransfer& operator=(const CurlTransfer&) = delete;
+
+  Result Run(const BackendRequest& aRequest);
+
+  uint64_t ConnectionsOpened() const { return opened_; }
+  uint64_t SecondConnectionsRefused() const { return refused_; }
+
+private:
+  // Why a callback ended the transfer.
+  enum class Stop
+  {
+    None,
+    Stale,
+    Unusable,
+    Cancelled,
+    TooLarge,
+    BadHeader,
+    Count
+  };
+
+  static curl_socket_t OpenSocket(void* aSelf, curlsocktype aPurpose, curl_sockaddr* aAddress);
+  static int CloseSocket(void* aSelf, curl_socket_t aSocket);
+  static int BeforeRequest(void* aSelf, char* aPeer, char* aLocal, int aPeerPort, int aLocalPort);
+  static size_t OnHeader(char* aData, size_t aSize, size_t aCount, void* aSelf);
+  static size_t OnBody(char* aData, size_t aSize, size_t aCount, void* aSelf);
+
+  void SetConstantOptions();
+  void SetRequestOptions(const BackendRequest& aRequest);
+  void BuildHeaders(const BackendRequest& aRequest);
+  CURLcode Perform(const BackendRequest& aRequest);
+  Result Translate(CURLcode aCode);
+  bool RequestMayHaveBeenSent() const;
+  bool ConnectionIsClean() const;
+  bool AddHeader(const std::string& aLine);
+  bool KeepFraming(const std::string& aName, const std::string& aValue);
+  const char* FramingFault() const;
+  bool HasNoBody() const;
+
+  const CurlLinkSettings settings_;
+  CURLM* multi_ = nullptr;
+  CURL* easy_ = nullptr;
+  curl_slist* headerLines_ = nullptr;
+  curl_socket_t socket_ = CURL_SOCKET_BAD;
+  uint64_t opened_ = 0;
+  uint64_t refused_ = 0;
+
+  // State of the transfer in progress.
+  const BackendRequest* request_ = nullptr;
+  BackendAnswer answer_;
+  Stop stop_ = Stop::None;
+  bool started_ = false;     ///< BeforeRequest() allowed the first byte.
+  bool freshSocket_ = true;  ///< The connection was opened for this transfer.
+  bool headersDone_ = false; ///< The header section of the final answer has ended.
+  std::string contentLength_;
+  std::string transferEncoding_;
+};
+
+}
--- /dev/null
+++ b/src/listen_address_p.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+
+namespace sardinespoke {
+
+/// @param aText "ip:port" with an IPv4 address.
+/// @returns The address, or nothing if the text is not one.
+std::optional<sockaddr_in>
+ParseListenAddress(const std::string& aText);
+
+}
--- /dev/null
+++ b/tests/raw_server.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sardinespoke {
+
+/// What a RawServer does after it has read one request.
+struct RawReply
+{
+  std::string bytes_;
+  bool close_ = false;
+  std::function<bool()> holdWhile_; ///< Polled; the reply is sent once it returns false.
+};
+
+/// A server on 127.0.0.1 that answers with any bytes, also invalid HTTP.
+class RawServer
+{
+public:
+  /// @param aIndex Counts requests over all connections from 0.
+  using Script = std::function<RawReply(const std::string& aRequest, size_t aIndex)>;
+
+  explicit RawServer(Script aScript);
+  ~RawServer();
+
+  std::string Address() const;
+  std::vector<std::string> Requests() const;
+  size_t Connections() const { return connections_; }
+
+private:
+  void Accept();
+  void Serve(int aSocket);
+
+  Script script_;
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  std::atomic<bool> stop_{ false };
+  std::atomic<size_t> connections_{ 0 };
+  mutable std::mutex mutex_;
+  std::vector<std::string> requests_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+/// @returns A whole answer with Content-Length.
+std::string
+RawAnswer(const std::string& aBody, const std::string& aHeaders = "");
+
+/// Sends bytes over a new connection and reads until the peer closes or a whole answer has come.
+std::string
+RawCall(const std::string& aAddress, const std::string& aBytes);
+
+/// @returns A socket connected to "ip:port".
+int
+RawConnect(const std::string& aAddress);
+
+}
