Add the caller HTTP server with retries, claims and graceful stop

Cause: callers need one definite outcome per request (ok, not-run, unknown, already-run) whatever happens behind the entry host.

A request stays "unknown" once any of its attempts may have run, also if a later attempt is refused or cannot connect. An internal fault is reported as unknown. HangupWatch polls the sockets of waiting callers, because libmicrohttpd does not read them during a request.

Ruled out: ulfius for the caller port. It keeps one value per header name, which drops repeated headers, and hides the connection, so that a caller that leaves cannot be noticed. libmicrohttpd, which ulfius uses itself, is used directly with a thread per connection.

Also found: libmicrohttpd counts the run time of a request as idle time; the timer is switched off while a request runs. An exception inside leaf::try_handle_all reaches the catch-all handler, which answered "not-run" for a request that had run; it now answers "unknown".

--- /dev/null
+++ b/src/caller_answer.cpp
@@ -0,0 +1,148 @@
+#include "caller_answer_p.h"
+#include "http_fields_p.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
+constexpr int kHeadersTooBig = 431;
+constexpr int kInternalError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr char kRetryAfterSeconds[] = "1";
+
+constexpr std::array<const char*, static_cast<size_t>(Outcome::Count)>
+  kOutcomeNames{ "ok", "not-run", "unknown", "already-run" };
+constexpr std::array<const char*, static_cast<size_t>(GatewayError::Code::Count)> kErrorNames{
+  "malformed", "unknown-route", "body-too-large", "headers-too-big",
+  "stopping",  "internal",      "listen-failed"
+};
+constexpr std::array<int, static_cast<size_t>(GatewayError::Code::Count)> kErrorStatus{
+  kBadRequest, kNotFound, kTooLarge, kHeadersTooBig, kUnavailable, kInternalError, kInternalError
+};
+
+/// @returns The number, or nothing if the text is not a number.
+std::optional<uint64_t>
+ParseLength(const std::string& aText)
+{
+  uint64_t length = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, code] = std::from_chars(aText.data(), end, length);
+  return code == std::errc() && stop == end ? std::optional(length) : std::nullopt;
+}
+
+/// @returns Whether the header is set anew towards the caller.
+bool
+IsReplaced(const std::string& aName)
+{
+  constexpr std::string_view kOwnPrefix = "Sardinespoke-";
+  const std::string_view start = std::string_view(aName).substr(0, kOwnPrefix.size());
+  return EqualNoCase(aName, "Content-Length") || EqualNoCase(start, kOwnPrefix);
+}
+
+}
+
+const char*
+OutcomeName(Outcome aOutcome)
+{
+  return kOutcomeNames.at(static_cast<size_t>(aOutcome));
+}
+
+const char*
+CodeName(GatewayError::Code aCode)
+{
+  return kErrorNames.at(static_cast<size_t>(aCode));
+}
+
+CallerAnswer
+ForwardAnswer(BackendAnswer aAnswer)
+{
+  CallerAnswer answer;
+  answer.status_ = aAnswer.status_;
+  answer.outcome_ = Outcome::Ok;
+  answer.body_ = std::move(aAnswer.body_);
+  const std::vector<std::string> listed = ConnectionOptions(aAnswer.headers_);
+  for (auto& [name, value] : aAnswer.headers_) {
+    if (answer.body_.empty() && EqualNoCase(name, "Content-Length")) {
+      answer.headLength_ = ParseLength(value);
+    }
+    if (IsHopByHop(name) || IsReplaced(name) || ContainsNoCase(listed, name)) {
+      continue;
+    }
+    answer.headers_.emplace_back(std::move(name), std::move(value));
+  }
+  return answer;
+}
+
+CallerAnswer
+RefusalAnswer(int aStatus,
+              Outcome aOutcome,
+              const std::string& aError,
+              const std::string& aField,
+              const std::string& aMessage)
+{
+  const nlohmann::json body = {
+    { "error", aError },
+    { "field", aField },
+    { "message", aMessage },
+    { "outcome", OutcomeName(aOutcome) },
+  };
+  CallerAnswer answer;
+  answer.status_ = aStatus;
+  answer.outcome_ = aOutcome;
+  // Parts of the request may be quoted, and they need not be valid UTF-8.
+  answer.body_ = body.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  answer.headers_.emplace_back("Content-Type", "application/json");
+  if (aStatus == kUnavailable) {
+    answer.headers_.emplace_back("Retry-After", kRetryAfterSeconds);
+  }
+  return answer;
+}
+
+CallerAnswer
+RefusalAnswer(const GatewayError& aError)
+{
+  return RefusalAnswer(kErrorStatus.at(static_cast<size_t>(aError.code_)),
+                       Outcome::NotRun,
+                       CodeName(aError.code_),
+                       aError.field_,
+                       aError.message_);
+}
+
+CallerAnswer
+RefusalAnswer(const AdmissionError& aError, bool aMayHaveRun)
+{
+  const bool unknownService = aError.code_ == AdmissionError::Code::UnknownService;
+  return RefusalAnswer(unknownService ? kNotFound : kUnavailable,
+                       aMayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                       CodeName(aError.code_),
+                       unknownService ? "service" : "",
+                       aError.message_);
+}
+
+CallerAnswer
+RefusalAnswer(const BackendError& aError, bool aMayHaveRun)
+{
+  const Outcome outcome = aMayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+  int status = kBadGateway;
+  if (aError.code_ == BackendError::Code::Timeout) {
+    status = kGatewayTimeout;
+  }
+  const bool refused =
+    aError.code_ == BackendError::Code::SlotsRefused || aError.code_ == BackendError::Code::Stale;
+  if (refused && !aMayHaveRun) {
+    status = kUnavailable;
+  }
+  return RefusalAnswer(status, outcome, CodeName(aError.code_), "", aError.message_);
+}
+
+}
--- /dev/null
+++ b/src/gateway_impl.cpp
@@ -0,0 +1,484 @@
+#include "gateway_impl_p.h"
+#include "http_fields_p.h"
+#include "listen_address_p.h"
+
+#include "sardinespoke/event_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <exception>
+#include <memory>
+#include <utility>
+
+namespace sardinespoke {
+
+namespace {
+
+// The calls of libcurl, JSON and the dispatcher below a handler need less than 64 KiB.
+constexpr size_t kThreadStackBytes = 256 * 1024;
+// libmicrohttpd refuses longer headers by itself, without the header Sardinespoke-Outcome.
+constexpr size_t kConnectionMemoryBytes = 64 * 1024;
+// Bytes read and dropped behind a body that is too large, as a multiple of the body limit.
+constexpr size_t kMaxDroppedBodies = 3;
+constexpr unsigned int kBacklog = 1024;
+constexpr std::string_view kIdsPath = "/v1/request-ids";
+constexpr std::string_view kHealthPath = "/healthz";
+constexpr int kOkStatus = 200;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
+
+/// @returns The path of a target, without the query.
+std::string_view
+PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+/// Converts the error of a LEAF result into an answer.
+template<typename Function>
+CallerAnswer
+AnswerOrRefusal(Function aFunction)
+{
+  return leaf::try_handle_all(
+    aFunction,
+    [](const GatewayError& aError) { return RefusalAnswer(aError); },
+    [] {
+      // Also an exception, at any point of the request: it may have run.
+      return RefusalAnswer(kInternalError,
+                           Outcome::Unknown,
+                           CodeName(GatewayError::Code::Internal),
+                           "",
+                           "a fault of this entry host");
+    });
+}
+
+GatewayError
+StoppingError()
+{
+  return GatewayError{ GatewayError::Code::Stopping, "", "this entry host is stopping" };
+}
+
+GatewayError
+BodyTooLarge(const GatewaySettings& aSettings)
+{
+  return GatewayError{ GatewayError::Code::BodyTooLarge,
+                       "body",
+                       "more than " + std::to_string(aSettings.maxBodyBytes_) + " bytes" };
+}
+
+CallerAnswer
+JsonAnswer(int aStatus, Outcome aOutcome, const nlohmann::json& aBody)
+{
+  CallerAnswer answer;
+  answer.status_ = aStatus;
+  answer.outcome_ = aOutcome;
+  answer.headers_.emplace_back("Content-Type", "application/json");
+  answer.body_ = aBody.dump();
+  return answer;
+}
+
+/// Body source of answers to HEAD; libmicrohttpd sends their length and never asks for the bytes.
+ssize_t
+NoBody(void*, uint64_t, char*, size_t)
+{
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+MHD_Response*
+MakeResponse(CallerAnswer& aAnswer)
+{
+  if (aAnswer.headLength_) {
+    return MHD_create_response_from_callback(*aAnswer.headLength_, 1024, &NoBody, nullptr, nullptr);
+  }
+  return MHD_create_response_from_buffer(
+    aAnswer.body_.size(), aAnswer.body_.data(), MHD_RESPMEM_PERSISTENT);
+}
+
+}
+
+Gateway::Impl::Impl(GatewaySettings aSettings,
+                    const ClockI& aClock,
+                    DispatcherI& aDispatcher,
+                    BackendLinkI& aBackends,
+                    RequestClaimsI& aClaims,
+                    RetryBudget& aBudget,
+                    EventLogI& aEvents)
+  : settings_(std::move(aSettings))
+  , claims_(aClaims)
+  , events_(aEvents)
+  , runner_(settings_, aClock, aDispatcher, aBackends, aClaims, aBudget, aEvents)
+  , watch_(settings_.hangupPoll_)
+{
+}
+
+Gateway::Impl::~Impl()
+{
+  Shutdown();
+}
+
+leaf::result<void>
+Gateway::Impl::Init()
+{
+  const auto address = ParseListenAddress(settings_.listenAddress_);
+  if (!address) {
+    return leaf::new_error(GatewayError{ GatewayError::Code::ListenFailed,
+                                         "caller",
+                                         "expected an IPv4 address and a port, found \"" +
+                                           settings_.listenAddress_ + "\"" });
+  }
+  constexpr unsigned int kFlags =
+    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
+  const auto idleSeconds = static_cast<unsigned int>(settings_.idleTimeout_.count());
+  daemon_ = MHD_start_daemon(kFlags,
+                             ntohs(address->sin_port),
+                             nullptr,
+                             nullptr,
+                             &Impl::OnAccess,
+                             this,
+                             MHD_OPTION_SOCK_ADDR,
+                             &*address,
+                             MHD_OPTION_URI_LOG_CALLBACK,
+                             &Impl::OnRequestLine,
+                             this,
+                             MHD_OPTION_NOTIFY_COMPLETED,
+                             &Impl::OnCompleted,
+                             this,
+                             MHD_OPTION_NOTIFY_CONNECTION,
+                             &Impl::OnConnection,
+                             this,
+                             MHD_OPTION_CONNECTION_LIMIT,
+                             static_cast<unsigned int>(settings_.maxConnections_),
+                             MHD_OPTION_CONNECTION_TIMEOUT,
+                             idleSeconds,
+                             MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                             kConnectionMemoryBytes,
+                             MHD_OPTION_THREAD_STACK_SIZE,
+                             kThreadStackBytes,
+                             MHD_OPTION_LISTEN_BACKLOG_SIZE,
+                             kBacklog,
+                             MHD_OPTION_STRICT_FOR_CLIENT,
+                             1,
+                             MHD_OPTION_END);
+  if (!daemon_) {
+    return leaf::new_error(GatewayError{
+      GatewayError::Code::ListenFailed, "caller", "cannot listen on " + settings_.listenAddress_ });
+  }
+  port_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
+  events_.Record("gateway.started", "start", { { "address", settings_.listenAddress_ } });
+  return {};
+}
+
+void
+Gateway::Impl::FailHealth()
+{
+  healthFails_ = true;
+  events_.Record("gateway.health_fails", "stop", nlohmann::json::object());
+}
+
+void
+Gateway::Impl::RefuseNew()
+{
+  healthFails_ = true;
+  refusing_ = true;
+  events_.Record("gateway.refuses_new", "stop", nlohmann::json::object());
+}
+
+bool
+Gateway::Impl::WaitIdle(std::chrono::milliseconds aLimit)
+{
+  std::unique_lock lock(idleMutex_);
+  return idle_.wait_for(lock, aLimit, [this] { return inFlight_ == 0; });
+}
+
+void
+Gateway::Impl::Shutdown()
+{
+  if (!daemon_) {
+    return;
+  }
+  MHD_stop_daemon(daemon_);
+  daemon_ = nullptr;
+  events_.Record("gateway.stopped", "stop", nlohmann::json::object());
+}
+
+GatewayCounters
+Gateway::Impl::Counters() const
+{
+  const auto count = [this](Outcome aOutcome) {
+    return outcomes_.at(static_cast<size_t>(aOutcome)).load();
+  };
+  GatewayCounters counters;
+  counters.ok_ = count(Outcome::Ok);
+  counters.notRun_ = count(Outcome::NotRun);
+  counters.unknown_ = count(Outcome::Unknown);
+  counters.alreadyRun_ = count(Outcome::AlreadyRun);
+  counters.retries_ = runner_.Retries();
+  counters.slotRefusals_ = runner_.SlotRefusals();
+  counters.callersLeft_ = watch_.Left();
+  counters.connections_ = connections_;
+  const std::lock_guard lock(idleMutex_);
+  counters.inFlight_ = inFlight_;
+  return counters;
+}
+
+void*
+Gateway::Impl::OnRequestLine(void* aSelf, const char* aTarget, MHD_Connection*)
+{
+  auto* self = static_cast<Impl*>(aSelf);
+  auto exchange = std::make_unique<Exchange>();
+  exchange->raw_.target_ = aTarget;
+  const std::lock_guard lock(self->idleMutex_);
+  ++self->inFlight_;
+  return exchange.release();
+}
+
+void
+Gateway::Impl::OnCompleted(void* aSelf,
+                           MHD_Connection*,
+                           void** aExchange,
+                           MHD_RequestTerminationCode)
+{
+  if (!*aExchange) {
+    return;
+  }
+  const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*aExchange));
+  *aExchange = nullptr;
+  auto* self = static_cast<Impl*>(aSelf);
+  const std::lock_guard lock(self->idleMutex_);
+  if (--self->inFlight_ == 0) {
+    self->idle_.notify_all();
+  }
+}
+
+void
+Gateway::Impl::OnConnection(void* aSelf,
+                            MHD_Connection*,
+                            void**,
+                            MHD_ConnectionNotificationCode aCode)
+{
+  if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+    ++static_cast<Impl*>(aSelf)->connections_;
+  }
+}
+
+MHD_Result
+Gateway::Impl::OnHeader(void* aExchange,
+                        MHD_ValueKind,
+                        const char* aName,
+                        size_t aNameSize,
+                        const char* aValue,
+                        size_t aValueSize)
+{
+  static_cast<Exchange*>(aExchange)->raw_.headers_.emplace_back(
+    std::string(aName, aNameSize), aValue ? std::string(aValue, aValueSize) : std::string());
+  return MHD_YES;
+}
+
+MHD_Result
+Gateway::Impl::OnAccess(void* aSelf,
+                        MHD_Connection* aConnection,
+                        const char*,
+                        const char* aMethod,
+                        const char*,
+                        const char* aData,
+                        size_t* aDataSize,
+                        void** aExchange)
+{
+  auto* self = static_cast<Impl*>(aSelf);
+  auto* exchange = static_cast<Exchange*>(*aExchange);
+  try {
+    if (!exchange->headersRead_) {
+      exchange->raw_.method_ = aMethod;
+    }
+    return self->Handle(aConnection, *exchange, aData, aDataSize);
+  } catch (const std::exception& error) {
+    // Nothing may be thrown through the C library. The caller's connection is closed, which tells
+    // it that the outcome is unknown.
+    self->events_.Record("gateway.internal_error", error.what(), nlohmann::json::object());
+  } catch (...) {
+    self->events_.Record("gateway.internal_error", "unknown", nlohmann::json::object());
+  }
+  return MHD_NO;
+}
+
+MHD_Result
+Gateway::Impl::Handle(MHD_Connection* aConnection,
+                      Exchange& aExchange,
+                      const char* aData,
+                      size_t* aDataSize)
+{
+  if (!aExchange.headersRead_) {
+    aExchange.headersRead_ = true;
+    return HandleHeaders(aConnection, aExchange);
+  }
+  if (*aDataSize > 0) {
+    return HandleBody(aExchange, aData, aDataSize);
+  }
+  if (aExchange.bodyTooLarge_) {
+    return Reply(aConnection, aExchange, RefusalAnswer(BodyTooLarge(settings_)));
+  }
+  // The timer of idle connections would otherwise count the run time of the request, and
+  // libmicrohttpd would close the connection before the answer is sent.
+  MHD_set_connection_option(aConnection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+  CallerAnswer answer = Answer(aConnection, aExchange);
+  MHD_set_connection_option(aConnection,
+                            MHD_CONNECTION_OPTION_TIMEOUT,
+                            static_cast<unsigned int>(settings_.idleTimeout_.count()));
+  return Reply(aConnection, aExchange, std::move(answer));
+}
+
+bool
+Gateway::Impl::IsHealth(const RawRequest& aRaw) const
+{
+  return PathOf(aRaw.target_) == kHealthPath;
+}
+
+MHD_Result
+Gateway::Impl::HandleHeaders(MHD_Connection* aConnection, Exchange& aExchange)
+{
+  MHD_get_connection_values_n(aConnection, MHD_HEADER_KIND, &Impl::OnHeader, &aExchange);
+  // Refused before the body is read, so that a large body costs nothing.
+  if (refusing_ && !IsHealth(aExchange.raw_)) {
+    return Reply(aConnection, aExchange, RefusalAnswer(StoppingError()));
+  }
+  std::optional<CallerAnswer> refusal = leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<CallerAnswer>> {
+      BOOST_LEAF_CHECK(CheckLimits(aExchange.raw_, settings_));
+      return std::optional<CallerAnswer>();
+    },
+    [](const GatewayError& aError) { return std::make_optional(RefusalAnswer(aError)); },
+    [] {
+      return std::make_optional(
+        RefusalAnswer(GatewayError{ GatewayError::Code::Internal, "", "unexpected error type" }));
+    });
+  if (refusal) {
+    return Reply(aConnection, aExchange, std::move(*refusal));
+  }
+  const char* length = MHD_lookup_connection_value(aConnection, MHD_HEADER_KIND, "Content-Length");
+  if (!length) {
+    return MHD_YES;
+  }
+  const std::string_view digits = length;
+  uint64_t bytes = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), bytes);
+  if (bytes <= settings_.maxBodyBytes_) {
+    aExchange.body_.reserve(bytes);
+    return MHD_YES;
+  }
+  return Reply(aConnection, aExchange, RefusalAnswer(BodyTooLarge(settings_)));
+}
+
+MHD_Result
+Gateway::Impl::HandleBody(Exchange& aExchange, const char* aData, size_t* aDataSize) const
+{
+  const size_t size = std::exchange(*aDataSize, 0);
+  if (aExchange.body_.size() + size <= settings_.maxBodyBytes_ && !aExchange.bodyTooLarge_) {
+    aExchange.body_.append(aData, size);
+    return MHD_YES;
+  }
+  // Only a body in chunks gets here. No answer can be sent before its end, so the rest is dropped;
+  // a caller that goes on for too long is cut off.
+  aExchange.bodyTooLarge_ = true;
+  aExchange.dropped_ += size;
+  return aExchange.dropped_ <= kMaxDroppedBodies * settings_.maxBodyBytes_ ? MHD_YES : MHD_NO;
+}
+
+CallerAnswer
+Gateway::Impl::Answer(MHD_Connection* aConnection, Exchange& aExchange)
+{
+  const RawRequest& raw = aExchange.raw_;
+  const std::string_view path = PathOf(raw.target_);
+  if (IsHealth(raw)) {
+    return Health();
+  }
+  if (path == kIdsPath) {
+    return IssueIds(raw);
+  }
+  if (path.substr(0, kServicesPrefix.size()) == kServicesPrefix) {
+    return RunService(aConnection, aExchange);
+  }
+  return RefusalAnswer(
+    GatewayError{ GatewayError::Code::UnknownRoute, "path", "expected /v1/services/<service>" });
+}
+
+CallerAnswer
+Gateway::Impl::RunService(MHD_Connection* aConnection, Exchange& aExchange)
+{
+  return AnswerOrRefusal([&]() -> leaf::result<CallerAnswer> {
+    BOOST_LEAF_AUTO(request, ParseServiceRequest(aExchange.raw_));
+    request.body_ = std::move(aExchange.body_);
+    const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const auto cancelled = std::make_shared<std::atomic<bool>>(false);
+    const uint64_t handle = watch_.Add(info->connect_fd, cancelled);
+    const std::shared_ptr<void> unwatch(nullptr, [&](void*) { watch_.Remove(handle); });
+    return runner_.Run(request, cancelled);
+  });
+}
+
+CallerAnswer
+Gateway::Impl::IssueIds(const RawRequest& aRaw)
+{
+  if (aRaw.method_ != "POST") {
+    return RefusalAnswer(
+      kMethodNotAllowed, Outcome::NotRun, "malformed", "method", "expected POST");
+  }
+  return AnswerOrRefusal([&]() -> leaf::result<CallerAnswer> {
+    BOOST_LEAF_AUTO(count, ParseIdCount(aRaw.target_));
+    const std::vector<std::string> ids = claims_.Issue(count);
+    if (ids.empty()) {
+      return RefusalAnswer(
+        kUnavailable, Outcome::NotRun, "no-ids", "", "no request ids can be issued now");
+    }
+    return JsonAnswer(kOkStatus, Outcome::Ok, { { "ids", ids } });
+  });
+}
+
+CallerAnswer
+Gateway::Impl::Health() const
+{
+  const bool healthy = !healthFails_ && (!settings_.healthy_ || settings_.healthy_());
+  if (healthy) {
+    return JsonAnswer(kOkStatus, Outcome::Ok, { { "status", "ok" } });
+  }
+  const char* reason = healthFails_ ? "stopping" : "no-view";
+  return RefusalAnswer(
+    kUnavailable, Outcome::NotRun, reason, "", "this entry host takes no new requests");
+}
+
+void
+Gateway::Impl::Count(Outcome aOutcome)
+{
+  ++outcomes_.at(static_cast<size_t>(aOutcome));
+}
+
+MHD_Result
+Gateway::Impl::Reply(MHD_Connection* aConnection, Exchange& aExchange, CallerAnswer aAnswer)
+{
+  aExchange.answer_ = std::move(aAnswer);
+  CallerAnswer& answer = aExchange.answer_;
+  if (aExchange.raw_.method_ != "HEAD") {
+    answer.headLength_.reset();
+  }
+  if (!IsHealth(aExchange.raw_)) {
+    Count(answer.outcome_);
+  }
+  MHD_Response* response = MakeResponse(answer);
+  if (!response) {
+    return MHD_NO;
+  }
+  MHD_add_response_header(response, "Sardinespoke-Outcome", OutcomeName(answer.outcome_));
+  for (const auto& [name, value] : answer.headers_) {
+    MHD_add_response_header(response, name.c_str(), value.c_str());
+  }
+  if (refusing_) {
+    MHD_add_response_header(response, "Connection", "close");
+  }
+  const MHD_Result result =
+    MHD_queue_response(aConnection, static_cast<unsigned int>(answer.status_), response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+}
--- /dev/null
+++ b/src/request_runner.cpp
@@ -0,0 +1,319 @@
+#include "request_runner_p.h"
+
+#include "sardinespoke/event_log.h"
+#include "sardinespoke/retry_budget.h"
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr int kConflict = 409;
+constexpr int kFirstServerError = 500;
+constexpr char kRequestIdHeader[] = "Sardinespoke-Request-Id";
+
+/// Converts a LEAF result into a value that can be kept.
+template<typename Value, typename Error, typename Function>
+std::variant<Value, Error>
+Capture(Function aFunction, Error aOther)
+{
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<std::variant<Value, Error>> {
+      BOOST_LEAF_AUTO(value, aFunction());
+      return std::variant<Value, Error>(std::move(value));
+    },
+    [](const Error& aError) { return std::variant<Value, Error>(aError); },
+    [&] { return std::variant<Value, Error>(aOther); });
+}
+
+AttemptResult
+ToAttemptResult(const std::variant<BackendAnswer, BackendError>& aOutcome, bool aCancelled)
+{
+  if (const auto* answer = std::get_if<BackendAnswer>(&aOutcome)) {
+    return answer->status_ >= kFirstServerError ? AttemptResult::ServerError : AttemptResult::Ok;
+  }
+  if (aCancelled) {
+    return AttemptResult::Cancelled;
+  }
+  constexpr std::array<AttemptResult, static_cast<size_t>(BackendError::Code::Count)> kResults{
+    AttemptResult::NotSent, AttemptResult::SlotsRefused, AttemptResult::Incomplete,
+    AttemptResult::Timeout, AttemptResult::Incomplete,   AttemptResult::Stale
+  };
+  return kResults.at(static_cast<size_t>(std::get<BackendError>(aOutcome).code_));
+}
+
+/// @returns Whether the backend server may have run the attempt.
+bool
+MayHaveRun(BackendError::Code aCode)
+{
+  return aCode == BackendError::Code::Incomplete || aCode == BackendError::Code::Timeout ||
+         aCode == BackendError::Code::TooLarge;
+}
+
+/// Returns a slot exactly once, also if the attempt ends with an exception.
+class GrantGuard
+{
+public:
+  GrantGuard(DispatcherI& aDispatcher, const Grant& aGrant)
+    : dispatcher_(aDispatcher)
+    , grant_(aGrant)
+  {
+  }
+  ~GrantGuard() { dispatcher_.Release(grant_, result_, runTime_); }
+  GrantGuard(const GrantGuard&) = delete;
+  GrantGuard& operator=(const GrantGuard&) = delete;
+
+  void SetResult(AttemptResult aResult, std::chrono::nanoseconds aRunTime)
+  {
+    result_ = aResult;
+    runTime_ = aRunTime;
+  }
+
+private:
+  DispatcherI& dispatcher_;
+  const Grant& grant_;
+  AttemptResult result_ = AttemptResult::Incomplete;
+  std::chrono::nanoseconds runTime_{ 0 };
+};
+
+}
+
+RequestRunner::RequestRunner(const GatewaySettings& aSettings,
+                             const ClockI& aClock,
+                             DispatcherI& aDispatcher,
+                             BackendLinkI& aBackends,
+                             RequestClaimsI& aClaims,
+                             RetryBudget& aBudget,
+                             EventLogI& aEvents)
+  : settings_(aSettings)
+  , clock_(aClock)
+  , dispatcher_(aDispatcher)
+  , backends_(aBackends)
+  , claims_(aClaims)
+  , budget_(aBudget)
+  , events_(aEvents)
+{
+}
+
+CallerAnswer
+RequestRunner::Run(const CallerRequest& aRequest, const CancelFlag& aCancelled)
+{
+  if (!aRequest.idempotent_) {
+    const ClaimReply reply = claims_.Claim(aRequest.requestId_);
+    if (reply.state_ != ClaimState::Granted) {
+      return AnswerClaimed(reply);
+    }
+  }
+  RunResult result;
+  result.mayHaveRun_ = true;
+  try {
+    result = RunAttempts(aRequest, aCancelled);
+  } catch (...) {
+    if (!aRequest.idempotent_) {
+      FinishClaim(aRequest.requestId_, result);
+    }
+    throw;
+  }
+  if (!aRequest.idempotent_) {
+    FinishClaim(aRequest.requestId_, result);
+  }
+  return result.answer_ ? ForwardAnswer(std::move(*result.answer_)) : std::move(result.refusal_);
+}
+
+CallerAnswer
+RequestRunner::AnswerClaimed(const ClaimReply& aReply) const
+{
+  switch (aReply.state_) {
+    case ClaimState::Finished:
+      if (aReply.answer_) {
+        return ForwardAnswer(*aReply.answer_);
+      }
+      return RefusalAnswer(kConflict,
+                           Outcome::AlreadyRun,
+                           "already-run",
+                           kRequestIdHeader,
+                           "the request has run and its answer was not kept");
+    case ClaimState::Running:
+      return RefusalAnswer(kConflict,
+                           Outcome::Unknown,
+                           "running",
+                           kRequestIdHeader,
+                           "another attempt with this id is running");
+    case ClaimState::Malformed:
+      return RefusalAnswer(GatewayError{
+        GatewayError::Code::Malformed, kRequestIdHeader, "not an id that an entry host issued" });
+    default:
+      return RefusalAnswer(kConflict,
+                           Outcome::Unknown,
+                           "unknown-id",
+                           kRequestIdHeader,
+                           "this attempt was not run, but an earlier one may have been");
+  }
+}
+
+void
+RequestRunner::FinishClaim(const std::string& aId, const RunResult& aResult)
+{
+  if (aResult.answer_) {
+    claims_.Finish(aId, ClaimResult::Ran, aResult.answer_);
+    return;
+  }
+  claims_.Finish(
+    aId, aResult.mayHaveRun_ ? ClaimResult::Unknown : ClaimResult::NotRun, std::nullopt);
+}
+
+RequestRunner::RunResult
+RequestRunner::RunAttempts(const CallerRequest& aRequest, const CancelFlag& aCancelled)
+{
+  budget_.OnFirstTry();
+  Progress progress;
+  progress.started_ = clock_.Now();
+  RunResult result;
+  for (;;) {
+    const auto slot = AcquireSlot(aRequest, aCancelled, progress);
+    if (const auto* refused = std::get_if<AdmissionError>(&slot)) {
+      result.refusal_ = RefusalAnswer(*refused, progress.mayHaveRun_);
+      break;
+    }
+    const auto& grant = std::get<Grant>(slot);
+    AttemptOutcome outcome = Attempt(aRequest, grant, aCancelled, progress);
+    if (auto* answer = std::get_if<BackendAnswer>(&outcome)) {
+      result.answer_ = std::move(*answer);
+      break;
+    }
+    const auto& error = std::get<BackendError>(outcome);
+    progress.mayHaveRun_ = progress.mayHaveRun_ || MayHaveRun(error.code_);
+    progress.avoidHost_ = grant.host_;
+    if (*aCancelled || !MayRetry(aRequest, error, progress)) {
+      result.refusal_ = RefusalAnswer(error, progress.mayHaveRun_);
+      if (progress.mayHaveRun_) {
+        RecordUnknown(aRequest, error, progress);
+      }
+      break;
+    }
+  }
+  result.mayHaveRun_ = progress.mayHaveRun_;
+  return result;
+}
+
+std::variant<Grant, AdmissionError>
+RequestRunner::AcquireSlot(const CallerRequest& aRequest,
+                           const CancelFlag& aCancelled,
+                           const Progress& aProgress)
+{
+  WorkItem item;
+  item.service_ = aRequest.service_;
+  item.kind_ = aRequest.kind_;
+  item.deadline_ = aRequest.deadline_;
+  item.retry_ = aProgress.attempts_ > 0;
+  item.avoidHost_ = aProgress.avoidHost_;
+  item.cancelled_ = aCancelled;
+  if (item.retry_ && aRequest.deadline_.count() > 0) {
+    // The caller's deadline covers all attempts; 0 would mean the profile's limit.
+    const auto used =
+      std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - aProgress.started_);
+    item.deadline_ -= used;
+    if (item.deadline_.count() <= 0) {
+      return AdmissionError{ AdmissionError::Code::DeadlineUnreachable,
+                             "the deadline passed before a retry could start" };
+    }
+  }
+  return Capture<Grant>([&] { return dispatcher_.Acquire(item); },
+                        AdmissionError{ AdmissionError::Code::NoBackend, "no slot was granted" });
+}
+
+BackendRequest
+RequestRunner::MakeBackendRequest(const CallerRequest& aRequest,
+                                  const Grant& aGrant,
+                                  const std::string& aAttemptId) const
+{
+  BackendRequest request;
+  request.address_ = aGrant.address_;
+  request.method_ = aRequest.method_;
+  request.path_ = aRequest.path_;
+  request.headers_ = aRequest.headers_;
+  request.headers_.emplace_back("Sardinespoke-Attempt", aAttemptId);
+  request.headers_.emplace_back("Sardinespoke-Service", aRequest.service_);
+  if (!aRequest.requestId_.empty()) {
+    request.headers_.emplace_back(kRequestIdHeader, aRequest.requestId_);
+  }
+  request.body_ = aRequest.body_;
+  request.idempotent_ = aRequest.idempotent_;
+  request.timeout_ = aGrant.runLimit_;
+  return request;
+}
+
+RequestRunner::AttemptOutcome
+RequestRunner::Attempt(const CallerRequest& aRequest,
+                       const Grant& aGrant,
+                       const CancelFlag& aCancelled,
+                       Progress& aProgress)
+{
+  GrantGuard guard(dispatcher_, aGrant);
+  ++aProgress.attempts_;
+  aProgress.lastAttempt_ = settings_.attemptPrefix_ + "." + std::to_string(nextAttempt_++);
+  BackendRequest request = MakeBackendRequest(aRequest, aGrant, aProgress.lastAttempt_);
+  std::optional<TimePoint> firstByte;
+  request.mayStart_ = [&] {
+    if (*aCancelled || !dispatcher_.MayStart(aGrant)) {
+      return false;
+    }
+    firstByte = clock_.Now();
+    return true;
+  };
+  if (aRequest.idempotent_) {
+    // Non-idempotent work that was sent is not cut: its answer settles the request id, and the
+    // caller may ask for it through another entry host.
+    request.cancelled_ = [&aCancelled] { return aCancelled->load(); };
+  }
+  AttemptOutcome outcome =
+    Capture<BackendAnswer>([&] { return backends_.Send(request); },
+                           BackendError{ BackendError::Code::Incomplete, "unknown failure" });
+  const auto runTime = firstByte ? clock_.Now() - *firstByte : TimePoint::duration::zero();
+  guard.SetResult(ToAttemptResult(outcome, *aCancelled), runTime);
+  return outcome;
+}
+
+bool
+RequestRunner::MayRetry(const CallerRequest& aRequest,
+                        const BackendError& aError,
+                        Progress& aProgress)
+{
+  using Code = BackendError::Code;
+  if (aError.code_ == Code::SlotsRefused) {
+    // A refused slot is no fault and costs the backend server little, so it spends no budget.
+    ++slotRefusals_;
+    return ++aProgress.slotRefusals_ <= settings_.maxSlotRefusals_;
+  }
+  if (aError.code_ == Code::TooLarge) {
+    return false;
+  }
+  if (MayHaveRun(aError.code_) && !aRequest.idempotent_) {
+    return false;
+  }
+  const uint32_t counted = aProgress.attempts_ - aProgress.slotRefusals_;
+  if (counted >= settings_.maxAttempts_ || !budget_.TrySpend()) {
+    return false;
+  }
+  ++retries_;
+  return true;
+}
+
+void
+RequestRunner::RecordUnknown(const CallerRequest& aRequest,
+                             const BackendError& aError,
+                             const Progress& aProgress)
+{
+  events_.Record("request.unknown",
+                 aError.message_,
+                 { { "service", aRequest.service_ },
+                   { "request_id", aRequest.requestId_ },
+                   { "attempt", aProgress.lastAttempt_ },
+                   { "host", aProgress.avoidHost_ },
+                   { "error", CodeName(aError.code_) } });
+}
+
+}
--- /dev/null
+++ b/src/request_runner_p.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "caller_answer_p.h"
+#include "caller_request_p.h"
+#include "sardinespoke/dispatcher.h"
+#include "sardinespoke/gateway.h"
+#include "sardinespoke/request_claims.h"
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace sardinespoke {
+
+/// Runs one caller's request: claim, slot, attempts and retries. Thread-safe.
+class RequestRunner
+{
+public:
+  using CancelFlag = std::shared_ptr<std::atomic<bool>>;
+
+  RequestRunner(const GatewaySettings& aSettings,
+                const ClockI& aClock,
+                DispatcherI& aDispatcher,
+                BackendLinkI& aBackends,
+                RequestClaimsI& aClaims,
+                RetryBudget& aBudget,
+                EventLogI& aEvents);
+
+  /// @param aCancelled Set once the caller has left.
+  CallerAnswer Run(const CallerRequest& aRequest, const CancelFlag& aCancelled);
+
+  uint64_t Retries() const { return retries_; }
+  uint64_t SlotRefusals() const { return slotRefusals_; }
+
+private:
+  /// Progress of one request over its attempts.
+  struct Progress
+  {
+    TimePoint started_;
+    uint32_t attempts_ = 0;
+    uint32_t slotRefusals_ = 0;
+    bool mayHaveRun_ = false; ///< An attempt may have reached a backend server.
+    std::string avoidHost_;
+    std::string lastAttempt_;
+  };
+  /// What the attempts gave: the whole answer or the refusal for the caller.
+  struct RunResult
+  {
+    std::optional<BackendAnswer> answer_;
+    CallerAnswer refusal_;
+    bool mayHaveRun_ = false;
+  };
+  using AttemptOutcome = std::variant<BackendAnswer, BackendError>;
+
+  RunResult RunAttempts(const CallerRequest& aRequest, const CancelFlag& aCancelled);
+  std::variant<Grant, AdmissionError> AcquireSlot(const CallerRequest& aRequest,
+                                                  const CancelFlag& aCancelled,
+                                                  const Progress& aProgress);
+  AttemptOutcome Attempt(const CallerRequest& aRequest,
+                         const Grant& aGrant,
+                         const CancelFlag& aCancelled,
+                         Progress& aProgress);
+  BackendRequest MakeBackendRequest(const CallerRequest& aRequest,
+                                    const Grant& aGrant,
+                                    const std::string& aAttemptId) const;
+  bool MayRetry(const CallerRequest& aRequest, const BackendError& aError, Progress& aProgress);
+  CallerAnswer AnswerClaimed(const ClaimReply& aReply) const;
+  void FinishClaim(const std::string& aId, const RunResult& aResult);
+  void RecordUnknown(const CallerRequest& aRequest,
+                     const BackendError& aError,
+                     const Progress& aProgress);
+
+  const GatewaySettings& settings_;
+  const ClockI& clock_;
+  DispatcherI& dispatcher_;
+  BackendLinkI& backends_;
+  RequestClaimsI& claims_;
+  RetryBudget& budget_;
+  EventLogI& events_;
+  std::atomic<uint64_t> nextAttempt_{ 1 };
+  std::atomic<uint64_t> retries_{ 0 };
+  std::atomic<uint64_t> slotRefusals_{ 0 };
+};
+
+}
