Add the stand-in for backend servers

Cause: the data path has to be tested against many workers with slots, run times and faults, and against a record of what they really ran.

Each has one epoll thread of libmicrohttpd; requests that run are suspended and resumed by one timer thread. A run goes on when its caller leaves. The body can be computed by the caller, so a wrong or partial answer shows. Faults are switched per worker over the control port.

Ruled out: ulfius and a thread per connection. 50 workers with 64 connections would need 3,200 threads in one process.

--- /dev/null
+++ b/standins/backend_worker.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "delay_timer.h"
+#include "run_record.h"
+
+#include <microhttpd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace sardinespoke {
+
+/// What is wrong with a stand-in worker.
+enum class BackendFault
+{
+  None,
+  FailAll,          ///< Runs every request and answers 500.
+  CloseAfterActing, ///< Runs the request and closes the connection without an answer.
+  ShortBody,        ///< Ends the answer half way.
+  LateAnswer,       ///< Answers kLateBy after the run has ended.
+  OutOfOrder,       ///< Holds back every other answer, so that later requests are answered first.
+  MixedUp,          ///< Answers with the answer to the request before.
+  Down,             ///< Does not listen; what was running is cut.
+  Count
+};
+
+/// @returns The fault's name: "none", "fail-all", "close-after-acting" and so on.
+const char*
+BackendFaultName(BackendFault aFault);
+
+/// @returns The fault of that name, or BackendFault::Count.
+BackendFault
+ParseBackendFault(const std::string& aName);
+
+/// Size of a stand-in worker.
+struct BackendWorkerSettings
+{
+  std::string ip_ = "127.0.0.1";
+  uint16_t port_ = 0; ///< 0 lets the system choose.
+  uint32_t number_ = 0;
+  uint32_t slots_ = 8;
+  uint32_t connections_ = 64;
+};
+
+/// One backend server with a number of slots.
+///
+/// `ANY /<path>?ms=RUN_TIME&bytes=ANSWER_LENGTH&nonce=N&fail=STATUS`. The path "/always-fails" is
+/// the kind of work that can never run: every worker answers it with 500. A run goes on when its
+/// caller has left. One epoll thread of libmicrohttpd serves all connections of a worker; waiting
+/// requests are suspended, so that 50 workers need 50 threads and not 3,200.
+class BackendWorker
+{
+public:
+  static constexpr std::chrono::milliseconds kLateBy{ 1500 };
+  static constexpr std::chrono::milliseconds kHoldBack{ 30 };
+
+  BackendWorker(BackendWorkerSettings aSettings, RunRecord& aRecord, DelayTimer& aTimer);
+  ~BackendWorker();
+  BackendWorker(const BackendWorker&) = delete;
+  BackendWorker& operator=(const BackendWorker&) = delete;
+
+  /// @returns Whether the worker listens.
+  bool Start();
+  void Stop();
+
+  void SetFault(BackendFault aFault);
+
+  std::string Address() const;
+  uint64_t Connections() const { return opened_; }
+  uint64_t Refused() const { return refused_; }
+
+private:
+  /// One request, from its headers to the end of its answer.
+  struct Exchange
+  {
+    MHD_Connection* connection_ = nullptr;
+    RunEntry run_;
+    size_t runIndex_ = 0;
+    size_t bytes_ = 0;
+    BackendFault fault_ = BackendFault::None;
+    bool started_ = false;
+    uint64_t starts_ = 0; ///< Number of the worker's life in which the run began.
+    bool headersRead_ = false;
+    bool cut_ = false;
+    std::string body_;
+  };
+  using ExchangeRef = std::shared_ptr<Exchange>;
+
+  static MHD_Result OnAccess(void* aSelf,
+                             MHD_Connection* aConnection,
+                             const char* aUrl,
+                             const char* aMethod,
+                             const char* aVersion,
+                             const char* aData,
+                             size_t* aDataSize,
+                             void** aExchange);
+  static void OnCompleted(void* aSelf,
+                          MHD_Connection* aConnection,
+                          void** aExchange,
+                          MHD_RequestTerminationCode aCode);
+  static void OnConnection(void* aSelf,
+                           MHD_Connection* aConnection,
+                           void** aContext,
+                           MHD_ConnectionNotificationCode aCode);
+
+  MHD_Result Begin(const ExchangeRef& aExchange, const std::string& aPath);
+  void Schedule(const ExchangeRef& aExchange, std::chrono::milliseconds aRunTime);
+  void EndRun(const ExchangeRef& aExchange);
+  void Resume(const ExchangeRef& aExchange);
+  MHD_Result Answer(Exchange& aExchange);
+  MHD_Result RefuseSlot(Exchange& aExchange);
+
+  BackendWorkerSettings settings_;
+  RunRecord& record_;
+  DelayTimer& timer_;
+  MHD_Daemon* daemon_ = nullptr;
+  std::atomic<uint64_t> opened_{ 0 };
+  std::atomic<uint64_t> refused_{ 0 };
+
+  std::mutex mutex_;
+  BackendFault fault_ = BackendFault::None;
+  bool stopping_ = false;
+  uint32_t running_ = 0;
+  uint64_t begun_ = 0;
+  uint64_t starts_ = 0;
+  std::set<ExchangeRef> suspended_;
+  RunEntry previous_; ///< The request before; its answer is used by MixedUp.
+};
+
+}
