--- /dev/null
+++ b/include/sardinespoke/event_log_ring.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "sardinespoke/event_log.h"
+
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace sardinespoke {
+
+/// Keeps the last events in memory and stamps them with a hybrid logical clock: the wall clock in
+/// microseconds, but always above every time given out or observed before.
+class EventLogRing final : public EventLogI
+{
+public:
+  static constexpr size_t kCapacity = 4096;
+  /// A peer's time further ahead than this is ignored, so that one wrong clock cannot spread.
+  static constexpr uint64_t kMaxAheadMicroseconds = 60'000'000;
+
+  /// @param aProcess Entry host id and incarnation.
+  /// @param aWallMicroseconds Wall clock in microseconds since 1970; the system clock if empty.
+  explicit EventLogRing(std::string aProcess,
+                        std::function<uint64_t()> aWallMicroseconds = nullptr);
+
+  void Record(const std::string& aType, const std::string& aCause, nlohmann::json aDetail) override;
+  std::vector<Event> After(uint64_t aSequence) const override;
+  uint64_t HybridTime() override;
+  void Observe(uint64_t aHybridTime) override;
+
+private:
+  uint64_t Tick();
+
+  const std::string process_;
+  const std::function<uint64_t()> wall_;
+  mutable std::mutex mutex_;
+  std::deque<Event> events_;
+  uint64_t sequence_ = 0;
+  uint64_t last_ = 0;
+};
+
+}
