Add the config sync: registration, member list, documents, views

Change: ConfigCore decides, ConfigSync makes the calls. Three lanes (registration, host list, view) with a thread each, because one slow call would otherwise delay the confirmation of the view. The entry record acknowledges a fleet revision only after the scheduler has stated its busy hosts for it.

Ruled out: one thread for all calls; with one second per call a round of lease, host list and watch exceeds the view limit of 2.5 s.

--- /dev/null
+++ b/src/config_core_p.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "confirm_message_p.h"
+#include "entry_registration_p.h"
+#include "held_document_p.h"
+#include "sardinespoke/config_source.h"
+#include "sardinespoke/event_log.h"
+#include "service_view_p.h"
+
+#include <deque>
+#include <vector>
+
+namespace sardinespoke {
+
+/// Keys of the two documents, without the deployment's prefix.
+inline constexpr const char* kFleetKey = "config/fleet";
+inline constexpr const char* kProfilesKey = "config/profiles";
+inline constexpr const char* kEntryPrefix = "entry/";
+
+/// Independent sequences of calls. A slow call in one does not delay the others.
+enum class SyncLane
+{
+  Registration, ///< Lease, entry record, member list, writing documents back.
+  Hosts,        ///< Host list.
+  View,         ///< Watch, Confirm, pushes.
+  Count
+};
+
+/// A call to make.
+enum class SyncStep
+{
+  None,
+  GrantLease,
+  RenewLease,
+  WriteRecord,
+  ReadRecord,
+  Join,
+  WriteBack,
+  FetchHosts,
+  ReadStore,
+  Confirm,
+  Push,
+  Count
+};
+
+struct SyncAction
+{
+  SyncStep step_ = SyncStep::None;
+  std::string peer_{};    ///< Entry host id for Confirm and Push; empty for a seed address.
+  std::string address_{}; ///< Peer address for Confirm and Push.
+  std::string key_{};     ///< Document key for Push and WriteBack.
+  std::chrono::milliseconds wait_{ 0 }; ///< Longest wait of ReadStore.
+};
+
+/// Decisions of the config sync. Pure: takes events with their times and says which call is next.
+class ConfigCore
+{
+public:
+  ConfigCore(const ConfigSyncSettings& aSettings, EventLogI& aEvents);
+
+  /// @returns The next call of a lane, or SyncStep::None if nothing is due.
+  SyncAction Next(SyncLane aLane, TimePoint aNow);
+
+  /// @returns The first time at which this daemon may no longer dispatch.
+  TimePoint DispatchUntil() const;
+
+  // Results of calls. aSentAt is when the call was made.
+  void OnRange(const KeyValueRange& aRange, TimePoint aSentAt, TimePoint aNow);
+  void OnChanges(const KeyValueChanges& aChanges, TimePoint aSentAt, TimePoint aNow);
+  void OnReadFailed(StoreError::Code aCode);
+  void OnGranted(const std::string& aLease, TimePoint aSentAt, TimePoint aNow);
+  void OnRenewed(TimePoint aSentAt, TimePoint aNow);
+  void OnRecordWritten(const std::string& aText, uint64_t aVersion, TimePoint aNow);
+  void OnRecordRead(const std::optional<KeyValueItem>& aItem, TimePoint aNow);
+  void OnRegistrationFailed(StoreError::Code aCode);
+  void OnHosts(const HostListSnapshot& aHosts, TimePoint aSentAt, TimePoint aNow);
+  void OnHostsFailed();
+  void OnConfirmReply(const ConfirmReply& aReply, TimePoint aSentAt, TimePoint aNow);
+  void OnConfirmFailed(const std::string& aPeer, TimePoint aNow);
+  /// A document that is known to be in the store with this version.
+  AdoptResult OnStoreDocument(const std::string& aKey,
+                              const std::string& aText,
+                              uint64_t aVersion,
+                              TimePoint aNow);
+
+  // Requests of peers and of other modules.
+  ConfirmReply AnswerConfirm(const ConfirmRequest& aRequest, TimePoint aNow);
+  /// Takes a document from a peer, or one that another module of this daemon has written.
+  /// @param aPush Whether to push it to all other daemons.
+  AdoptResult Offer(const std::string& aKey,
+                    const std::string& aText,
+                    const std::string& aSource,
+                    bool aPush);
+  void Acknowledge(uint64_t aFleetRevision, std::set<std::string> aBusy);
+  void SetSuspects(std::set<std::string> aSuspects) { suspects_ = std::move(aSuspects); }
+  void SetStopping(bool aStopping) { stopping_ = aStopping; }
+  /// From now on this daemon does not dispatch any more.
+  void Leave() { left_ = true; }
+  void SetHoldsPlanner(bool aHolds) { holdsPlanner_ = aHolds; }
+
+  // State.
+  std::shared_ptr<const ConfigView> View() const { return view_; }
+  const EntryRoster& Roster() const { return roster_; }
+  std::shared_ptr<const HostListSnapshot> Hosts() const { return hosts_; }
+  bool StoreReachable() const { return store_.reachable_; }
+  bool IsObserver() const;
+  bool IsMember() const;
+  bool KnowsPeer(const std::string& aId) const;
+  std::string PeerAddress(const std::string& aId) const;
+  bool WriteBackNeeded(const std::string& aKey) const;
+  std::pair<std::string, uint64_t> WriteBackContent(const std::string& aKey) const;
+  uint64_t Revision(const std::string& aKey) const;
+  const std::string& Text(const std::string& aKey) const;
+  const EntryRegistration& Registration() const { return registration_; }
+  const std::optional<uint64_t>& WatchPosition() const { return position_; }
+  /// Entry record as it should be in the store.
+  EntryRecord WantedRecord() const;
+  ConfirmRequest MakeConfirm(const std::string& aPeer) const;
+  /// @returns Whether this daemon may put itself on the member list of the given document.
+  bool MayJoin(const FleetMap& aFleet, TimePoint aNow) const;
+
+private:
+  struct Guest
+  {
+    uint64_t ackedRevision_ = 0;
+    uint64_t profilesRevision_ = 0;
+    std::string incarnation_;
+    std::set<std::string> busy_;
+    TimePoint heardAt_;
+  };
+
+  /// One attempt to confirm both views.
+  struct Round
+  {
+    bool active_ = false;
+    bool answered_ = false; ///< An observer or the store confirmed the views.
+    bool readTried_ = false;
+    bool peersAsked_ = false;
+    std::deque<SyncAction> queue_{};
+    std::set<std::string> asked_{};
+  };
+
+  SyncAction NextRegistration(TimePoint aNow);
+  SyncAction NextHosts(TimePoint aNow);
+  SyncAction NextView(TimePoint aNow);
+  void StartRound(TimePoint aNow);
+  void AskAllPeers();
+  void AskPeer(const std::string& aId);
+  bool NeedsStoreRead(TimePoint aNow) const;
+  bool NeedsAllPeers(TimePoint aNow) const;
+  std::optional<SyncAction> WatchAgain(TimePoint aNow) const;
+  bool WriteBackDue(const std::string& aKey, TimePoint aNow) const;
+  /// Whether this daemon reads the store and the host list itself.
+  bool Reads() const { return IsObserver() || holdsPlanner_; }
+  void OnStoreRead(TimePoint aSentAt, TimePoint aNow);
+  void TakeItems(const std::vector<KeyValueItem>& aItems, TimePoint aNow);
+  void TakeRecord(const KeyValueItem& aItem);
+  void RecordConflict(const std::string& aKey, const std::string& aSource);
+  void AskObservers();
+  AdoptResult OnAdopted(const std::string& aKey, AdoptResult aResult, const std::string& aSource);
+  void PushToPeers(const std::string& aKey);
+  void TakePeerDocuments(const ConfirmReply& aReply);
+  void TakePeerLists(const ConfirmReply& aReply, TimePoint aSentAt);
+  void TakeSponsor(const ConfirmReply& aReply, TimePoint aSentAt);
+  void KeepGuest(const ConfirmRequest& aRequest, TimePoint aNow);
+  void DropGuests(TimePoint aNow);
+  void SetRoster(EntryRoster aRoster, TimePoint aAt);
+  void UpdateView();
+  std::set<std::string> OtherMembers() const;
+  std::string WithoutPrefix(const std::string& aKey) const;
+  void SetStoreReachable(bool aReachable);
+
+  const ConfigSyncSettings& settings_;
+  EventLogI& events_;
+  EntryRegistration registration_;
+  HeldDocument<FleetMap> fleet_;
+  HeldDocument<ProfileSet> profiles_;
+  ServiceView store_;
+  ServiceView list_;
+  std::shared_ptr<const std::set<std::string>> leaving_;
+  std::shared_ptr<const HostListSnapshot> hosts_;
+  std::shared_ptr<const ConfigView> view_;
+
+  nlohmann::json lastConflict_; ///< Detail of the last conflict event, to record each only once.
+
+  EntryRoster roster_;
+  TimePoint rosterAt_;
+  std::map<std::string, std::string> lastAddress_; ///< Also of entry hosts without a record now.
+  std::optional<uint64_t> position_;               ///< Watch position.
+  TimePoint positionAt_;
+
+  uint64_t ackedRevision_ = 0;
+  std::set<std::string> busy_;
+  std::set<std::string> suspects_;
+  bool stopping_ = false;
+  bool left_ = false;
+  bool holdsPlanner_ = false;
+
+  Round round_;
+  TimePoint nextRoundAt_;
+  TimePoint nextHostsAt_;
+  TimePoint nextJoinAt_;
+  TimePoint nextWriteBackAt_;
+  std::chrono::milliseconds readOverhead_{ 0 };
+  std::deque<SyncAction> pushes_;
+
+  std::map<std::string, Guest> guests_;
+  std::string sponsor_;
+  TimePoint guestUntil_;
+};
+
+}
--- /dev/null
+++ b/src/config_rounds.cpp
@@ -0,0 +1,404 @@
+#include "config_core_p.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+// A watch position older than this is not used again: after a restart of the store the positions
+// start again and could have passed it unnoticed. Shorter than it takes to restart a service.
+constexpr std::chrono::milliseconds kPositionLimit{ 2000 };
+// A watch with a shorter wait is not worth a call.
+constexpr std::chrono::milliseconds kShortestWatch{ 20 };
+
+}
+
+SyncAction
+ConfigCore::Next(SyncLane aLane, TimePoint aNow)
+{
+  switch (aLane) {
+    case SyncLane::Registration:
+      return NextRegistration(aNow);
+    case SyncLane::Hosts:
+      return NextHosts(aNow);
+    default:
+      return NextView(aNow);
+  }
+}
+
+SyncAction
+ConfigCore::NextRegistration(TimePoint aNow)
+{
+  DropGuests(aNow);
+  switch (registration_.Next(aNow, WantedRecord().Serialize())) {
+    case RegistrationStep::GrantLease:
+      return { .step_ = SyncStep::GrantLease };
+    case RegistrationStep::RenewLease:
+      return { .step_ = SyncStep::RenewLease };
+    case RegistrationStep::WriteRecord:
+      return { .step_ = SyncStep::WriteRecord };
+    case RegistrationStep::ReadRecord:
+      return { .step_ = SyncStep::ReadRecord };
+    default:
+      break;
+  }
+  if (registration_.Held()) {
+    return {};
+  }
+  for (const char* key : { kFleetKey, kProfilesKey }) {
+    if (aNow >= nextWriteBackAt_ && WriteBackDue(key, aNow)) {
+      nextWriteBackAt_ = aNow + settings_.pollInterval_;
+      return { .step_ = SyncStep::WriteBack, .key_ = key };
+    }
+  }
+  const FleetMap none;
+  const FleetMap& fleet = fleet_.InForce() ? *fleet_.InForce() : none;
+  const auto self = fleet.members_.find(settings_.id_);
+  const bool joined =
+    self != fleet.members_.end() && self->second.incarnation_ == registration_.Incarnation();
+  if (joined || stopping_ || aNow < nextJoinAt_ || !MayJoin(fleet, aNow)) {
+    return {};
+  }
+  nextJoinAt_ = aNow + settings_.pollInterval_;
+  return { .step_ = SyncStep::Join };
+}
+
+bool
+ConfigCore::WriteBackDue(const std::string& aKey, TimePoint aNow) const
+{
+  if (aKey == kProfilesKey) {
+    return profiles_.OlderSince() && IsObserver();
+  }
+  if (!fleet_.OlderSince()) {
+    return false;
+  }
+  const bool late = aNow - *fleet_.OlderSince() >= settings_.writeBackDelay_;
+  return holdsPlanner_ || (late && IsObserver());
+}
+
+SyncAction
+ConfigCore::NextHosts(TimePoint aNow)
+{
+  if (aNow < nextHostsAt_) {
+    return {};
+  }
+  if (!Reads() && list_.reachable_ && list_.Fresh(aNow, settings_.freshLimit_)) {
+    return {};
+  }
+  nextHostsAt_ = aNow + settings_.pollInterval_;
+  return { .step_ = SyncStep::FetchHosts };
+}
+
+SyncAction
+ConfigCore::NextView(TimePoint aNow)
+{
+  if (!pushes_.empty()) {
+    SyncAction push = pushes_.front();
+    pushes_.pop_front();
+    return push;
+  }
+  if (!round_.active_) {
+    if (aNow < nextRoundAt_) {
+      return {};
+    }
+    StartRound(aNow);
+  }
+  if (round_.queue_.empty() && !Reads() && !round_.answered_) {
+    AskObservers();
+  }
+  if (round_.queue_.empty() && NeedsStoreRead(aNow)) {
+    round_.queue_.push_back({ .step_ = SyncStep::ReadStore });
+  }
+  if (round_.queue_.empty() && NeedsAllPeers(aNow)) {
+    AskAllPeers();
+  }
+  if (!round_.queue_.empty()) {
+    SyncAction action = round_.queue_.front();
+    round_.queue_.pop_front();
+    if (action.step_ == SyncStep::ReadStore) {
+      round_.readTried_ = true;
+    }
+    if (position_ && aNow - positionAt_ > kPositionLimit) {
+      position_.reset();
+    }
+    return action;
+  }
+  if (std::optional<SyncAction> again = WatchAgain(aNow)) {
+    return *again;
+  }
+  round_.active_ = false;
+  return {};
+}
+
+void
+ConfigCore::StartRound(TimePoint aNow)
+{
+  round_ = Round{ .active_ = true };
+  nextRoundAt_ = aNow + settings_.pollInterval_;
+  if (Reads()) {
+    // On a slow service the wait is cut, so that an answer does not confirm a view that has nearly
+    // lapsed again.
+    const auto wait = std::max(settings_.watchWait_ - readOverhead_, std::chrono::milliseconds(0));
+    round_.queue_.push_back({ .step_ = SyncStep::ReadStore, .wait_ = wait });
+    return;
+  }
+  for (const std::string& id : Observers(fleet_.InForce().get(), roster_)) {
+    AskPeer(id);
+    break;
+  }
+  if (!IsMember() && !sponsor_.empty()) {
+    AskPeer(sponsor_);
+  }
+}
+
+bool
+ConfigCore::NeedsStoreRead(TimePoint aNow) const
+{
+  if (round_.readTried_) {
+    return false;
+  }
+  const bool confirmed = round_.answered_ && store_.Fresh(aNow, settings_.freshLimit_);
+  return !confirmed || !store_.reachable_ || registration_.Held();
+}
+
+bool
+ConfigCore::NeedsAllPeers(TimePoint aNow) const
+{
+  if (round_.peersAsked_) {
+    return false;
+  }
+  const bool storeGood = store_.reachable_ && store_.Fresh(aNow, settings_.freshLimit_);
+  const bool listGood = list_.reachable_ && list_.Fresh(aNow, settings_.freshLimit_);
+  return !storeGood || !listGood;
+}
+
+void
+ConfigCore::AskAllPeers()
+{
+  round_.peersAsked_ = true;
+  for (const std::string& id : OtherMembers()) {
+    AskPeer(id);
+  }
+  if (fleet_.InForce()) {
+    return;
+  }
+  for (const std::string& address : settings_.seedPeers_) {
+    round_.queue_.push_back({ .step_ = SyncStep::Confirm, .address_ = address });
+  }
+}
+
+void
+ConfigCore::AskObservers()
+{
+  for (const std::string& id : Observers(fleet_.InForce().get(), roster_)) {
+    AskPeer(id);
+  }
+}
+
+void
+ConfigCore::AskPeer(const std::string& aId)
+{
+  const std::string address = PeerAddress(aId);
+  if (aId == settings_.id_ || address.empty() || !round_.asked_.insert(aId).second) {
+    return;
+  }
+  round_.queue_.push_back({ .step_ = SyncStep::Confirm, .peer_ = aId, .address_ = address });
+}
+
+std::optional<SyncAction>
+ConfigCore::WatchAgain(TimePoint aNow) const
+{
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(nextRoundAt_ - aNow);
+  if (!Reads() || !position_ || settings_.watchWait_.count() == 0 || left < kShortestWatch) {
+    return std::nullopt;
+  }
+  return SyncAction{ .step_ = SyncStep::ReadStore, .wait_ = left };
+}
+
+void
+ConfigCore::PushToPeers(const std::string& aKey)
+{
+  for (const auto& entry : roster_) {
+    const std::string& id = entry.first;
+    const EntryRecord& record = entry.second;
+    const uint64_t known = aKey == kFleetKey ? record.fleetRevision_ : record.profilesRevision_;
+    const bool queued = std::any_of(pushes_.begin(), pushes_.end(), [&](const SyncAction& aPush) {
+      return aPush.peer_ == id && aPush.key_ == aKey;
+    });
+    if (id == settings_.id_ || queued || known >= Revision(aKey)) {
+      continue;
+    }
+    pushes_.push_back(
+      { .step_ = SyncStep::Push, .peer_ = id, .address_ = record.peer_, .key_ = aKey });
+  }
+}
+
+ConfirmRequest
+ConfigCore::MakeConfirm(const std::string& aPeer) const
+{
+  ConfirmRequest request;
+  request.sender_ = settings_.id_;
+  request.incarnation_ = registration_.Incarnation();
+  request.profilesRevision_ = profiles_.Revision();
+  request.fleetRevision_ = fleet_.Revision();
+  request.rosterDigest_ = Digest(roster_);
+  request.leavingDigest_ = leaving_ ? Digest(*leaving_) : 0;
+  request.hybridTime_ = events_.HybridTime();
+  if (!IsMember() && !sponsor_.empty() && aPeer == sponsor_) {
+    request.sponsor_ = sponsor_;
+    request.busy_ = busy_;
+    request.ackedRevision_ = std::min(ackedRevision_, fleet_.Revision());
+  }
+  return request;
+}
+
+ConfirmReply
+ConfigCore::AnswerConfirm(const ConfirmRequest& aRequest, TimePoint aNow)
+{
+  events_.Observe(aRequest.hybridTime_);
+  ConfirmReply reply;
+  reply.id_ = settings_.id_;
+  reply.profilesRevision_ = profiles_.Revision();
+  reply.fleetRevision_ = fleet_.Revision();
+  reply.store_ = store_.Report(aNow);
+  reply.list_ = list_.Report(aNow);
+  reply.rosterDigest_ = Digest(roster_);
+  reply.leavingDigest_ = leaving_ ? Digest(*leaving_) : 0;
+  if (reply.rosterDigest_ != aRequest.rosterDigest_) {
+    reply.roster_ = roster_;
+  }
+  if (leaving_ && reply.leavingDigest_ != aRequest.leavingDigest_) {
+    reply.leaving_ = *leaving_;
+  }
+  if (reply.profilesRevision_ > aRequest.profilesRevision_) {
+    reply.documents_[kProfilesKey] = profiles_.Text();
+  }
+  if (reply.fleetRevision_ > aRequest.fleetRevision_) {
+    reply.documents_[kFleetKey] = fleet_.Text();
+  }
+  const TimePoint until = DispatchUntil();
+  reply.maySponsor_ = IsMember() && !stopping_ && aNow < until;
+  if (reply.maySponsor_ && aRequest.sponsor_ == settings_.id_) {
+    KeepGuest(aRequest, aNow);
+    const auto left = std::min<std::chrono::nanoseconds>(until - aNow, settings_.viewLimit_);
+    reply.grant_ = std::chrono::floor<std::chrono::microseconds>(left);
+  }
+  reply.hybridTime_ = events_.HybridTime();
+  return reply;
+}
+
+void
+ConfigCore::OnConfirmReply(const ConfirmReply& aReply, TimePoint aSentAt, TimePoint aNow)
+{
+  events_.Observe(aReply.hybridTime_);
+  TakePeerDocuments(aReply);
+  const bool sameRevision = fleet_.InForce() && aReply.fleetRevision_ == fleet_.Revision();
+  if (sameRevision && aReply.store_.age_) {
+    store_.lease_.Inherit(aSentAt, *aReply.store_.age_);
+  }
+  TakePeerLists(aReply, aSentAt);
+  store_.OnReport(aReply.id_, aReply.store_, aSentAt, aNow);
+  list_.OnReport(aReply.id_, aReply.list_, aSentAt, aNow);
+  TakeSponsor(aReply, aSentAt);
+  const bool freshStore = store_.Fresh(aNow, settings_.freshLimit_);
+  round_.answered_ = round_.answered_ || (sameRevision && freshStore);
+  for (const char* key : { kFleetKey, kProfilesKey }) {
+    const uint64_t theirs =
+      std::string(key) == kFleetKey ? aReply.fleetRevision_ : aReply.profilesRevision_;
+    if (theirs >= Revision(key) || !roster_.contains(aReply.id_)) {
+      continue;
+    }
+    pushes_.push_back({ .step_ = SyncStep::Push,
+                        .peer_ = aReply.id_,
+                        .address_ = PeerAddress(aReply.id_),
+                        .key_ = key });
+  }
+}
+
+void
+ConfigCore::OnConfirmFailed(const std::string& aPeer, TimePoint aNow)
+{
+  if (aPeer == sponsor_ && aNow >= guestUntil_) {
+    sponsor_.clear();
+  }
+}
+
+void
+ConfigCore::TakePeerDocuments(const ConfirmReply& aReply)
+{
+  for (const auto& [key, text] : aReply.documents_) {
+    Offer(key, text, aReply.id_, false);
+  }
+}
+
+void
+ConfigCore::TakePeerLists(const ConfirmReply& aReply, TimePoint aSentAt)
+{
+  if (aReply.store_.age_ && aReply.roster_ && aSentAt - *aReply.store_.age_ >= rosterAt_) {
+    SetRoster(*aReply.roster_, aSentAt - *aReply.store_.age_);
+  }
+  if (!aReply.list_.age_) {
+    return;
+  }
+  const TimePoint seenAt = aSentAt - *aReply.list_.age_;
+  const bool newer = !list_.lease_.ConfirmedAt() || seenAt > *list_.lease_.ConfirmedAt();
+  if (!newer) {
+    return;
+  }
+  if (aReply.leaving_) {
+    leaving_ = std::make_shared<const std::set<std::string>>(*aReply.leaving_);
+    UpdateView();
+  }
+  if (leaving_ && Digest(*leaving_) == aReply.leavingDigest_) {
+    list_.lease_.Inherit(aSentAt, *aReply.list_.age_);
+  }
+}
+
+void
+ConfigCore::SetRoster(EntryRoster aRoster, TimePoint aAt)
+{
+  roster_ = std::move(aRoster);
+  rosterAt_ = aAt;
+  for (const auto& [id, record] : roster_) {
+    lastAddress_[id] = record.peer_;
+  }
+}
+
+void
+ConfigCore::TakeSponsor(const ConfirmReply& aReply, TimePoint aSentAt)
+{
+  if (IsMember()) {
+    sponsor_.clear();
+    return;
+  }
+  if (sponsor_.empty() && aReply.maySponsor_ && !store_.reachable_) {
+    sponsor_ = aReply.id_;
+    return;
+  }
+  if (aReply.id_ == sponsor_ && aReply.grant_ && aReply.fleetRevision_ == fleet_.Revision()) {
+    guestUntil_ = std::max(guestUntil_, aSentAt + *aReply.grant_);
+  }
+}
+
+void
+ConfigCore::KeepGuest(const ConfirmRequest& aRequest, TimePoint aNow)
+{
+  guests_[aRequest.sender_] = Guest{
+    aRequest.ackedRevision_, aRequest.profilesRevision_, aRequest.incarnation_, aRequest.busy_, aNow
+  };
+}
+
+void
+ConfigCore::DropGuests(TimePoint aNow)
+{
+  std::erase_if(guests_, [&](const auto& aGuest) {
+    const bool silent = aNow - aGuest.second.heardAt_ >= settings_.stoppedLimit_;
+    const auto& members = fleet_.InForce()->members_;
+    auto listed = members.find(aGuest.first);
+    return silent ||
+           (listed != members.end() && listed->second.incarnation_ == aGuest.second.incarnation_);
+  });
+}
+
+}
--- /dev/null
+++ b/src/config_sync_impl.cpp
@@ -0,0 +1,412 @@
+#include "config_sync_impl_p.h"
+
+#include "store_call_p.h"
+
+namespace sardinespoke {
+
+namespace {
+
+// Upper bound of the delay until a lane notices that something is due.
+constexpr std::chrono::milliseconds kIdleWait{ 50 };
+
+auto
+Refuse(PeerError::Code aCode, const std::string& aMessage)
+{
+  return leaf::new_error(PeerError{ aCode, aMessage });
+}
+
+}
+
+ConfigSync::Impl::Impl(const ConfigSyncSettings& aSettings,
+                       KeyValueStoreI& aStore,
+                       HostListI& aHosts,
+                       PeerLinkI& aPeers,
+                       const ClockI& aClock,
+                       EventLogI& aEvents)
+  : settings_(aSettings)
+  , store_(aStore)
+  , hosts_(aHosts)
+  , peers_(aPeers)
+  , clock_(aClock)
+  , events_(aEvents)
+  , writer_(aStore, aSettings.keyPrefix_ + kFleetKey, aSettings.id_, aSettings.process_)
+  , core_(settings_, aEvents)
+  , dispatchUntil_(TimePoint::min().time_since_epoch().count())
+{
+  peers_.Handle("Confirm", [this](const nlohmann::json& aMessage) { return OnConfirm(aMessage); });
+  peers_.Handle("Document",
+                [this](const nlohmann::json& aMessage) { return OnDocument(aMessage); });
+  peers_.Handle("Status",
+                [this](const nlohmann::json&) -> leaf::result<nlohmann::json> { return Status(); });
+}
+
+ConfigSync::Impl::Publisher::~Publisher()
+{
+  owner_.dispatchUntil_ = owner_.core_.DispatchUntil().time_since_epoch().count();
+  owner_.wake_.notify_all();
+}
+
+TimePoint
+ConfigSync::Impl::DispatchUntil() const
+{
+  return TimePoint(TimePoint::duration(dispatchUntil_.load()));
+}
+
+void
+ConfigSync::Impl::Start()
+{
+  for (size_t lane = 0; lane < threads_.size(); ++lane) {
+    threads_[lane] = std::thread([this, lane]() { ThreadMain(static_cast<SyncLane>(lane)); });
+  }
+}
+
+void
+ConfigSync::Impl::Stop()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stop_ = true;
+    wake_.notify_all();
+  }
+  for (std::thread& thread : threads_) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void
+ConfigSync::Impl::ThreadMain(SyncLane aLane)
+{
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    const SyncAction action = core_.Next(aLane, clock_.Now());
+    if (action.step_ == SyncStep::None) {
+      wake_.wait_for(lock, kIdleWait);
+      continue;
+    }
+    lock.unlock();
+    Run(action);
+    lock.lock();
+  }
+}
+
+void
+ConfigSync::Impl::RunLane(SyncLane aLane)
+{
+  for (;;) {
+    const SyncAction action =
+      Tell([&](ConfigCore& aCore) { return aCore.Next(aLane, clock_.Now()); });
+    if (action.step_ == SyncStep::None) {
+      return;
+    }
+    Run(action);
+  }
+}
+
+void
+ConfigSync::Impl::Run(const SyncAction& aAction)
+{
+  switch (aAction.step_) {
+    case SyncStep::GrantLease:
+      return GrantLease();
+    case SyncStep::RenewLease:
+      return RenewLease();
+    case SyncStep::WriteRecord:
+      return WriteRecord();
+    case SyncStep::ReadRecord:
+      return ReadRecord();
+    case SyncStep::Join:
+      return Join();
+    case SyncStep::WriteBack:
+      return WriteBack(aAction.key_);
+    case SyncStep::FetchHosts:
+      return FetchHosts();
+    case SyncStep::ReadStore:
+      return ReadStore(aAction.wait_);
+    case SyncStep::Confirm:
+      return Confirm(aAction);
+    case SyncStep::Push:
+      return Push(aAction);
+    default:
+      return;
+  }
+}
+
+void
+ConfigSync::Impl::GrantLease()
+{
+  const TimePoint sentAt = clock_.Now();
+  const auto outcome =
+    CallStore<std::string>([&]() { return store_.GrantLease(settings_.leaseTtl_); });
+  Tell([&](ConfigCore& aCore) {
+    if (!outcome.value_) {
+      return aCore.OnRegistrationFailed(outcome.code_);
+    }
+    aCore.OnGranted(*outcome.value_, sentAt, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::RenewLease()
+{
+  const std::string lease =
+    Ask([](const ConfigCore& aCore) { return aCore.Registration().Lease().value_or(""); });
+  const TimePoint sentAt = clock_.Now();
+  const StoreError::Code code = CallStoreVoid([&]() { return store_.RenewLease(lease); });
+  Tell([&](ConfigCore& aCore) {
+    if (code != StoreError::Code::Count) {
+      return aCore.OnRegistrationFailed(code);
+    }
+    aCore.OnRenewed(sentAt, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::WriteRecord()
+{
+  std::string text;
+  uint64_t version = 0;
+  std::optional<std::string> lease;
+  Ask([&](const ConfigCore& aCore) {
+    text = aCore.WantedRecord().Serialize();
+    version = aCore.Registration().Version();
+    lease = aCore.Registration().Lease();
+  });
+  const auto outcome =
+    CallStore<uint64_t>([&]() { return store_.Put(EntryKey(), text, version, lease); });
+  Tell([&](ConfigCore& aCore) {
+    if (!outcome.value_) {
+      return aCore.OnRegistrationFailed(outcome.code_);
+    }
+    aCore.OnRecordWritten(text, *outcome.value_, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::ReadRecord()
+{
+  const auto outcome = CallStore<KeyValueItem>([&]() { return store_.Get(EntryKey()); });
+  Tell([&](ConfigCore& aCore) {
+    if (!outcome.value_ && outcome.code_ != StoreError::Code::NotFound) {
+      return aCore.OnRegistrationFailed(outcome.code_);
+    }
+    aCore.OnRecordRead(outcome.value_, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::Join()
+{
+  std::string incarnation;
+  uint64_t inForce = 0;
+  Ask([&](const ConfigCore& aCore) {
+    incarnation = aCore.Registration().Incarnation();
+    inForce = aCore.Revision(kFleetKey);
+  });
+  const auto edit = [&](FleetMap& aFleet) {
+    const bool allowed =
+      Ask([&](const ConfigCore& aCore) { return aCore.MayJoin(aFleet, clock_.Now()); });
+    Member& member = aFleet.members_[settings_.id_];
+    if (!allowed || member.incarnation_ == incarnation) {
+      return false;
+    }
+    member = { settings_.id_, incarnation, aFleet.revision_, aFleet.revision_ };
+    return true;
+  };
+  const auto outcome = CallStore<StoredFleet>([&]() { return writer_.Apply(edit, inForce); });
+  if (!outcome.value_) {
+    events_.Record("member.join_failed", CodeName(outcome.code_), {});
+    return;
+  }
+  events_.Record("member.joined", "", { { "incarnation", incarnation } });
+  Tell([&](ConfigCore& aCore) {
+    aCore.OnStoreDocument(kFleetKey, outcome.value_->text_, outcome.value_->version_, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::WriteBack(const std::string& aKey)
+{
+  const std::pair<std::string, uint64_t> content =
+    Ask([&](const ConfigCore& aCore) { return aCore.WriteBackContent(aKey); });
+  const auto outcome = CallStore<uint64_t>(
+    [&]() { return store_.Put(FullKey(aKey), content.first, content.second, std::nullopt); });
+  if (!outcome.value_) {
+    events_.Record("config.write_back_failed", CodeName(outcome.code_), { { "key", aKey } });
+    return;
+  }
+  events_.Record("config.written_back", "the store showed an older document", { { "key", aKey } });
+  Tell([&](ConfigCore& aCore) {
+    aCore.OnStoreDocument(aKey, content.first, *outcome.value_, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::FetchHosts()
+{
+  const TimePoint sentAt = clock_.Now();
+  const auto outcome = CallStore<HostListSnapshot>([&]() { return hosts_.Fetch(); });
+  Tell([&](ConfigCore& aCore) {
+    if (!outcome.value_) {
+      return aCore.OnHostsFailed();
+    }
+    aCore.OnHosts(*outcome.value_, sentAt, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::ReadStore(std::chrono::milliseconds aWait)
+{
+  const std::optional<uint64_t> position =
+    Ask([](const ConfigCore& aCore) { return aCore.WatchPosition(); });
+  const TimePoint sentAt = clock_.Now();
+  if (position) {
+    const auto outcome = CallStore<KeyValueChanges>(
+      [&]() { return store_.Watch(settings_.keyPrefix_, *position, aWait); });
+    if (outcome.code_ != StoreError::Code::SequenceLost) {
+      return Tell([&](ConfigCore& aCore) {
+        if (!outcome.value_) {
+          return aCore.OnReadFailed(outcome.code_);
+        }
+        aCore.OnChanges(*outcome.value_, sentAt, clock_.Now());
+      });
+    }
+  }
+  const TimePoint rangeSentAt = clock_.Now();
+  const auto outcome =
+    CallStore<KeyValueRange>([&]() { return store_.Range(settings_.keyPrefix_); });
+  Tell([&](ConfigCore& aCore) {
+    if (!outcome.value_) {
+      return aCore.OnReadFailed(outcome.code_);
+    }
+    aCore.OnRange(*outcome.value_, rangeSentAt, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::Confirm(const SyncAction& aAction)
+{
+  const ConfirmRequest request =
+    Ask([&](const ConfigCore& aCore) { return aCore.MakeConfirm(aAction.peer_); });
+  const TimePoint sentAt = clock_.Now();
+  const auto reply = leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<ConfirmReply>> {
+      BOOST_LEAF_AUTO(json,
+                      peers_.Call(aAction.address_, request.ToJson(), settings_.peerTimeout_));
+      return ConfirmReply::FromJson(json);
+    },
+    [](leaf::catch_<nlohmann::json::exception>) { return std::optional<ConfirmReply>(); },
+    []() { return std::optional<ConfirmReply>(); });
+  Tell([&](ConfigCore& aCore) {
+    const bool wrongPeer = reply && !aAction.peer_.empty() && reply->id_ != aAction.peer_;
+    if (!reply || wrongPeer) {
+      return aCore.OnConfirmFailed(aAction.peer_, clock_.Now());
+    }
+    aCore.OnConfirmReply(*reply, sentAt, clock_.Now());
+  });
+}
+
+void
+ConfigSync::Impl::Push(const SyncAction& aAction)
+{
+  const std::string text = Ask([&](const ConfigCore& aCore) { return aCore.Text(aAction.key_); });
+  const nlohmann::json message{ { "type", "Document" },
+                                { "sender", settings_.id_ },
+                                { "key", aAction.key_ },
+                                { "document", text },
+                                { "hybrid_time", events_.HybridTime() } };
+  leaf::try_handle_all(
+    [&]() -> leaf::result<void> {
+      BOOST_LEAF_CHECK(peers_.Call(aAction.address_, message, settings_.peerTimeout_));
+      return {};
+    },
+    // The peer takes the document with its next Confirm.
+    [&]() {
+      events_.Record("config.push_failed", "no answer", { { "peer", aAction.peer_ } });
+    });
+}
+
+leaf::result<nlohmann::json>
+ConfigSync::Impl::OnConfirm(const nlohmann::json& aMessage)
+{
+  const ConfirmRequest request = ConfirmRequest::FromJson(aMessage);
+  return Tell(
+    [&](ConfigCore& aCore) { return aCore.AnswerConfirm(request, clock_.Now()).ToJson(); });
+}
+
+leaf::result<nlohmann::json>
+ConfigSync::Impl::OnDocument(const nlohmann::json& aMessage)
+{
+  const std::string sender = aMessage.at("sender").get<std::string>();
+  const std::string key = aMessage.at("key").get<std::string>();
+  const std::string text = aMessage.at("document").get<std::string>();
+  if (!Ask([&](const ConfigCore& aCore) { return aCore.KnowsPeer(sender); })) {
+    return Refuse(PeerError::Code::Refused, "unknown sender \"" + sender + "\"");
+  }
+  events_.Observe(aMessage.at("hybrid_time").get<uint64_t>());
+  return Tell([&](ConfigCore& aCore) -> leaf::result<nlohmann::json> {
+    if (aCore.Offer(key, text, sender, false) == AdoptResult::Invalid) {
+      return Refuse(PeerError::Code::Malformed, "invalid document for \"" + key + "\"");
+    }
+    return nlohmann::json{ { "revision", aCore.Revision(key) } };
+  });
+}
+
+nlohmann::json
+ConfigSync::Impl::Status() const
+{
+  return Ask([&](const ConfigCore& aCore) {
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto& [id, record] : aCore.Roster()) {
+      entries.push_back(nlohmann::json::parse(record.Serialize()));
+    }
+    return nlohmann::json{ { "id", settings_.id_ },
+                           { "incarnation", aCore.Registration().Incarnation() },
+                           { "fleet_revision", aCore.Revision(kFleetKey) },
+                           { "profiles_revision", aCore.Revision(kProfilesKey) },
+                           { "member", aCore.IsMember() },
+                           { "observer", aCore.IsObserver() },
+                           { "store_reachable", aCore.StoreReachable() },
+                           { "may_dispatch", clock_.Now() < aCore.DispatchUntil() },
+                           { "entries", entries } };
+  });
+}
+
+void
+ConfigSync::Impl::Leave()
+{
+  LeaveMembers();
+  const std::optional<std::string> lease =
+    Ask([](const ConfigCore& aCore) { return aCore.Registration().Lease(); });
+  if (lease) {
+    // Revoking the lease deletes the entry record. If it fails, the lease lapses by itself.
+    CallStoreVoid([&]() { return store_.RevokeLease(*lease); });
+  }
+}
+
+void
+ConfigSync::Impl::LeaveMembers()
+{
+  // No dispatch from here on, even if the write's answer is lost.
+  const uint64_t inForce = Tell([](ConfigCore& aCore) {
+    aCore.Leave();
+    return aCore.Revision(kFleetKey);
+  });
+  if (inForce == 0) {
+    return;
+  }
+  const auto edit = [&](FleetMap& aFleet) {
+    auto self = aFleet.members_.find(settings_.id_);
+    if (self == aFleet.members_.end() ||
+        !SameProcess(self->second.incarnation_, settings_.process_)) {
+      return false;
+    }
+    aFleet.members_.erase(self);
+    return true;
+  };
+  const auto outcome = CallStore<StoredFleet>([&]() { return writer_.Apply(edit, inForce); });
+  const char* cause = outcome.value_ ? "graceful stop" : CodeName(outcome.code_);
+  events_.Record(outcome.value_ ? "member.left" : "member.leave_failed", cause, {});
+}
+}
--- /dev/null
+++ b/src/service_view_p.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "confirm_message_p.h"
+#include "sardinespoke/outage_rule.h"
+#include "sardinespoke/view_lease.h"
+
+namespace sardinespoke {
+
+/// This daemon's view of one platform service (store or host list) and its access to it.
+struct ServiceView
+{
+  explicit ServiceView(std::chrono::milliseconds aLimit)
+    : lease_(aLimit)
+    , outage_(aLimit)
+  {
+  }
+
+  ViewLease lease_;
+  OutageRule outage_;
+  bool reachable_ = true; ///< Whether the latest call succeeded; true before the first call.
+  std::optional<TimePoint> lastContact_; ///< When the latest successful call was answered.
+
+  void OnSuccess(TimePoint aNow)
+  {
+    reachable_ = true;
+    lastContact_ = aNow;
+  }
+
+  bool Fresh(TimePoint aNow, std::chrono::milliseconds aLimit) const
+  {
+    return lease_.ConfirmedAt() && aNow - *lease_.ConfirmedAt() < aLimit;
+  }
+
+  /// @returns Until when the view permits dispatching, by its lease or by the all-peers rule.
+  TimePoint ValidUntil(const std::set<std::string>& aOthers) const;
+
+  /// @returns What to tell a peer. Ages are rounded up, so that a peer never counts too long.
+  ServiceReport Report(TimePoint aNow) const;
+
+  /// Takes what a peer said about its own access.
+  void OnReport(const std::string& aPeer,
+                const ServiceReport& aReport,
+                TimePoint aSentAt,
+                TimePoint aNow);
+};
+
+}
