Add the peer link over nng

Cause: config sync, demand exchange and request ids call other entry hosts.

A request that arrives a second time gets the first reply again. Wrong messages are refused and counted.

Ruled out: the decoder without a depth limit; it recurses once for each level, and 1 MB of nested arrays would exhaust the stack.

--- /dev/null
+++ b/src/cbor_codec.cpp
@@ -0,0 +1,66 @@
+#include "cbor_codec_p.h"
+
+namespace sardinespoke {
+
+namespace {
+
+using DomParser = nlohmann::detail::json_sax_dom_parser<nlohmann::json>;
+
+/// Builds the value and ends the parse at the depth limit.
+class DepthLimitedParser : public DomParser
+{
+public:
+  explicit DepthLimitedParser(nlohmann::json& aRoot)
+    : DomParser(aRoot, false)
+  {
+  }
+
+  // NOLINTBEGIN(readability-identifier-naming): names that the library calls.
+  bool start_object(std::size_t aElements)
+  {
+    return ++depth_ <= kMaxMessageDepth && DomParser::start_object(aElements);
+  }
+
+  bool start_array(std::size_t aElements)
+  {
+    return ++depth_ <= kMaxMessageDepth && DomParser::start_array(aElements);
+  }
+
+  bool end_object()
+  {
+    --depth_;
+    return DomParser::end_object();
+  }
+
+  bool end_array()
+  {
+    --depth_;
+    return DomParser::end_array();
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  size_t depth_ = 0;
+};
+
+}
+
+std::optional<nlohmann::json>
+DecodeCbor(const uint8_t* aData, size_t aSize)
+{
+  nlohmann::json value;
+  DepthLimitedParser parser(value);
+  try {
+    const bool whole = nlohmann::json::sax_parse(
+      aData, aData + aSize, &parser, nlohmann::json::input_format_t::cbor);
+    if (whole && !parser.is_errored()) {
+      return value;
+    }
+  } catch (const std::exception&) {
+    // A declared length beyond what can be allocated.
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/nng_peer_link.cpp
@@ -0,0 +1,393 @@
+#include "sardinespoke/nng_peer_link.h"
+
+#include "cbor_codec_p.h"
+#include "nng_peer_link_impl_p.h"
+
+#include <nng/protocol/reqrep0/rep.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <random>
+
+namespace sardinespoke {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// Far above every call's timeout: a context is closed before nng would send again by itself.
+constexpr nng_duration kResendMilliseconds = 60000;
+static_assert(NngPeerLink::kMaxTimeout.count() < kResendMilliseconds);
+// A peer that was replaced listens again soon; nng's default of 100 ms without a rise is kept short
+// enough to reconnect within one Confirm interval.
+constexpr nng_duration kReconnectMinMilliseconds = 20;
+constexpr nng_duration kReconnectMaxMilliseconds = 250;
+constexpr size_t kMaxPeers = 64; // Bounds the sockets of peers that were replaced.
+
+auto
+Fail(PeerError::Code aCode, const std::string& aMessage)
+{
+  return leaf::new_error(PeerError{ aCode, aMessage });
+}
+
+/// An nng_aio that is waited for.
+class WaitingAio
+{
+public:
+  explicit WaitingAio(nng_duration aTimeout)
+  {
+    if (nng_aio_alloc(&aio_, nullptr, nullptr) == 0) {
+      nng_aio_set_timeout(aio_, aTimeout);
+    }
+  }
+  WaitingAio(const WaitingAio&) = delete;
+  WaitingAio& operator=(const WaitingAio&) = delete;
+  ~WaitingAio()
+  {
+    if (aio_) {
+      nng_aio_free(aio_);
+    }
+  }
+
+  nng_aio* Get() const { return aio_; }
+
+  int Wait() const
+  {
+    nng_aio_wait(aio_);
+    return nng_aio_result(aio_);
+  }
+
+private:
+  nng_aio* aio_ = nullptr;
+};
+
+int
+Send(nng_ctx aContext, const std::vector<uint8_t>& aBytes, nng_duration aTimeout)
+{
+  const WaitingAio aio(aTimeout);
+  nng_msg* message = nullptr;
+  if (!aio.Get() || nng_msg_alloc(&message, 0) != 0) {
+    return NNG_ENOMEM;
+  }
+  if (nng_msg_append(message, aBytes.data(), aBytes.size()) != 0) {
+    nng_msg_free(message);
+    return NNG_ENOMEM;
+  }
+  nng_aio_set_msg(aio.Get(), message);
+  nng_ctx_send(aContext, aio.Get());
+  const int result = aio.Wait();
+  if (result != 0) {
+    nng_msg_free(message);
+  }
+  return result;
+}
+
+int
+Receive(nng_ctx aContext, std::vector<uint8_t>& aBytes, nng_duration aTimeout)
+{
+  const WaitingAio aio(aTimeout);
+  if (!aio.Get()) {
+    return NNG_ENOMEM;
+  }
+  nng_ctx_recv(aContext, aio.Get());
+  const int result = aio.Wait();
+  if (result != 0) {
+    return result;
+  }
+  nng_msg* message = nng_aio_get_msg(aio.Get());
+  const auto* body = static_cast<const uint8_t*>(nng_msg_body(message));
+  aBytes.assign(body, body + nng_msg_len(message));
+  nng_msg_free(message);
+  return 0;
+}
+
+std::string
+RandomPrefix()
+{
+  std::random_device device;
+  return std::to_string((uint64_t{ device() } << 32) | device()) + ".";
+}
+
+json
+Refusal(PeerError::Code aCode, const std::string& aMessage)
+{
+  return { { "error", CodeName(aCode) }, { "message", aMessage } };
+}
+
+}
+
+NngPeerLink::NngPeerLink(PeerLinkSettings aSettings)
+  : impl_(std::make_unique<Impl>(std::move(aSettings)))
+{
+}
+
+NngPeerLink::~NngPeerLink()
+{
+  impl_->Stop();
+}
+
+leaf::result<void>
+NngPeerLink::Init()
+{
+  return impl_->Start();
+}
+
+void
+NngPeerLink::Shutdown()
+{
+  impl_->Stop();
+}
+
+leaf::result<json>
+NngPeerLink::Call(const std::string& aAddress, const json& aMessage, milliseconds aTimeout)
+{
+  return impl_->Call(aAddress, aMessage, aTimeout);
+}
+
+void
+NngPeerLink::Handle(const std::string& aType, Handler aHandler)
+{
+  impl_->SetHandler(aType, std::move(aHandler));
+}
+
+std::string
+NngPeerLink::Address() const
+{
+  return impl_->Address();
+}
+
+const PeerLinkCounters&
+NngPeerLink::Counters() const
+{
+  return impl_->Counters();
+}
+
+NngPeerLink::Impl::Impl(PeerLinkSettings aSettings)
+  : settings_(std::move(aSettings))
+  , noncePrefix_(RandomPrefix())
+{
+}
+
+leaf::result<void>
+NngPeerLink::Impl::Start()
+{
+  if (nng_rep0_open(&server_) != 0) {
+    return Fail(PeerError::Code::Unreachable, "nng socket could not be opened");
+  }
+  nng_socket_set_size(server_, NNG_OPT_RECVMAXSZ, settings_.maxBytes_);
+  nng_listener listener = NNG_LISTENER_INITIALIZER;
+  const int result = nng_listen(server_, ("tcp://" + settings_.listen_).c_str(), &listener, 0);
+  if (result != 0) {
+    return Fail(PeerError::Code::Unreachable, settings_.listen_ + ": " + nng_strerror(result));
+  }
+  int port = 0;
+  nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
+  address_ = settings_.listen_.substr(0, settings_.listen_.rfind(':') + 1) + std::to_string(port);
+  for (size_t count = 0; count < settings_.contexts_; ++count) {
+    nng_ctx context = NNG_CTX_INITIALIZER;
+    if (nng_ctx_open(&context, server_) != 0) {
+      return Fail(PeerError::Code::Unreachable, "nng context could not be opened");
+    }
+    contexts_.push_back(context);
+    threads_.emplace_back([this, context]() { Serve(context); });
+  }
+  return {};
+}
+
+void
+NngPeerLink::Impl::Stop()
+{
+  std::map<std::string, nng_socket> peers;
+  {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+    peers.swap(peers_);
+  }
+  for (const auto& [address, socket] : peers) {
+    nng_close(socket);
+  }
+  for (const nng_ctx context : contexts_) {
+    nng_ctx_close(context);
+  }
+  contexts_.clear();
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+  if (nng_socket_id(server_) > 0) {
+    nng_close(server_);
+    server_ = NNG_SOCKET_INITIALIZER;
+  }
+}
+
+void
+NngPeerLink::Impl::SetHandler(const std::string& aType, Handler aHandler)
+{
+  handlers_[aType] = std::move(aHandler);
+}
+
+void
+NngPeerLink::Impl::Serve(nng_ctx aContext)
+{
+  std::vector<uint8_t> request;
+  for (;;) {
+    const int received = Receive(aContext, request, NNG_DURATION_INFINITE);
+    if (received == NNG_ECLOSED || received == NNG_ECANCELED) {
+      return;
+    }
+    if (received != 0) {
+      continue;
+    }
+    const std::vector<uint8_t> reply = Answer(request.data(), request.size());
+    counters_.bytesSent_ += reply.size();
+    if (Send(aContext, reply, NNG_DURATION_INFINITE) == NNG_ECLOSED) {
+      return;
+    }
+  }
+}
+
+std::vector<uint8_t>
+NngPeerLink::Impl::Answer(const uint8_t* aData, size_t aSize)
+{
+  const std::optional<json> envelope = DecodeCbor(aData, aSize);
+  const bool valid = envelope && envelope->is_object() && envelope->contains("nonce") &&
+                     envelope->at("nonce").is_string() && envelope->contains("body") &&
+                     envelope->at("body").is_object();
+  if (!valid) {
+    ++counters_.malformed_;
+    return json::to_cbor(Refusal(PeerError::Code::Malformed, "not a message"));
+  }
+  const std::string nonce = envelope->at("nonce").get<std::string>();
+  std::optional<std::vector<uint8_t>> kept;
+  const ReplyCache::Seen seen = replies_.Begin(nonce, kept);
+  if (seen != ReplyCache::Seen::New) {
+    ++counters_.repeated_;
+    return kept ? *kept
+                : json::to_cbor(Refusal(PeerError::Code::Refused, "the message arrived before"));
+  }
+  std::vector<uint8_t> reply = Dispatch(envelope->at("body"));
+  replies_.Finish(nonce, reply);
+  return reply;
+}
+
+std::vector<uint8_t>
+NngPeerLink::Impl::Dispatch(const json& aRequest)
+{
+  const json reply = leaf::try_handle_all(
+    [&]() -> leaf::result<json> {
+      BOOST_LEAF_AUTO(body, RunHandler(aRequest));
+      ++counters_.served_;
+      return json{ { "body", std::move(body) } };
+    },
+    [&](const PeerError& aError) {
+      ++counters_.refused_;
+      return Refusal(aError.code_, aError.message_);
+    },
+    [&](leaf::catch_<json::exception> aError) {
+      ++counters_.malformed_;
+      return Refusal(PeerError::Code::Malformed, aError.matched.what());
+    },
+    [&]() {
+      ++counters_.refused_;
+      return Refusal(PeerError::Code::Refused, "the handler failed");
+    });
+  return json::to_cbor(reply);
+}
+
+leaf::result<json>
+NngPeerLink::Impl::RunHandler(const json& aRequest)
+{
+  auto handler = handlers_.find(aRequest.at("type").get<std::string>());
+  if (handler == handlers_.end()) {
+    ++counters_.unknown_;
+    return Fail(PeerError::Code::Refused, "unknown message type");
+  }
+  return handler->second(aRequest);
+}
+
+leaf::result<json>
+NngPeerLink::Impl::Call(const std::string& aAddress, const json& aMessage, milliseconds aTimeout)
+{
+  BOOST_LEAF_AUTO(socket, PeerSocket(aAddress));
+  nng_ctx context = NNG_CTX_INITIALIZER;
+  if (nng_ctx_open(&context, socket) != 0) {
+    return Fail(PeerError::Code::Unreachable, "nng context could not be opened");
+  }
+  const std::vector<uint8_t> request =
+    json::to_cbor(json{ { "nonce", NextNonce() }, { "body", aMessage } });
+  leaf::result<std::vector<uint8_t>> bytes =
+    Exchange(context, request, std::min(aTimeout, kMaxTimeout));
+  nng_ctx_close(context);
+  if (!bytes) {
+    ++counters_.callsFailed_;
+    return bytes.error();
+  }
+  std::optional<json> reply = DecodeCbor(bytes->data(), bytes->size());
+  if (!reply || !reply->is_object()) {
+    return Fail(PeerError::Code::Malformed, aAddress + ": the reply is not a message");
+  }
+  if (auto body = reply->find("body"); body != reply->end()) {
+    return std::move(*body);
+  }
+  return Fail(PeerError::Code::Refused, aAddress + ": " + reply->value("message", "refused"));
+}
+
+leaf::result<std::vector<uint8_t>>
+NngPeerLink::Impl::Exchange(nng_ctx aContext,
+                            const std::vector<uint8_t>& aRequest,
+                            milliseconds aTimeout)
+{
+  const auto start = std::chrono::steady_clock::now();
+  int result = Send(aContext, aRequest, static_cast<nng_duration>(aTimeout.count()));
+  if (result != 0) {
+    return Fail(PeerError::Code::Unreachable, nng_strerror(result));
+  }
+  counters_.bytesSent_ += aRequest.size();
+  const auto spent = std::chrono::ceil<milliseconds>(std::chrono::steady_clock::now() - start);
+  const milliseconds left = std::max(aTimeout - spent, milliseconds(1));
+  std::vector<uint8_t> reply;
+  result = Receive(aContext, reply, static_cast<nng_duration>(left.count()));
+  if (result != 0) {
+    return Fail(PeerError::Code::Timeout, nng_strerror(result));
+  }
+  return reply;
+}
+
+leaf::result<nng_socket>
+NngPeerLink::Impl::PeerSocket(const std::string& aAddress)
+{
+  const std::lock_guard lock(mutex_);
+  if (stopped_) {
+    return Fail(PeerError::Code::Unreachable, "the link is stopped");
+  }
+  auto found = peers_.find(aAddress);
+  if (found != peers_.end()) {
+    return found->second;
+  }
+  if (peers_.size() >= kMaxPeers) {
+    nng_close(peers_.begin()->second);
+    peers_.erase(peers_.begin());
+  }
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  if (nng_req0_open(&socket) != 0) {
+    return Fail(PeerError::Code::Unreachable, "nng socket could not be opened");
+  }
+  nng_socket_set_ms(socket, NNG_OPT_REQ_RESENDTIME, kResendMilliseconds);
+  nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kReconnectMinMilliseconds);
+  nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kReconnectMaxMilliseconds);
+  nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, settings_.maxBytes_);
+  const int result = nng_dial(socket, ("tcp://" + aAddress).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+  if (result != 0) {
+    nng_close(socket);
+    return Fail(PeerError::Code::Unreachable, aAddress + ": " + nng_strerror(result));
+  }
+  peers_[aAddress] = socket;
+  return socket;
+}
+
+std::string
+NngPeerLink::Impl::NextNonce()
+{
+  return noncePrefix_ + std::to_string(++nonce_);
+}
+
+}
--- /dev/null
+++ b/src/nng_peer_link_impl_p.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "reply_cache_p.h"
+#include "sardinespoke/nng_peer_link.h"
+
+#include <map>
+#include <mutex>
+#include <nng/nng.h>
+#include <thread>
+#include <vector>
+
+namespace sardinespoke {
+
+/// The nng sockets and threads of a peer link.
+class NngPeerLink::Impl
+{
+public:
+  explicit Impl(PeerLinkSettings aSettings);
+
+  leaf::result<void> Start();
+  void Stop();
+  leaf::result<nlohmann::json> Call(const std::string& aAddress,
+                                    const nlohmann::json& aMessage,
+                                    std::chrono::milliseconds aTimeout);
+  void SetHandler(const std::string& aType, Handler aHandler);
+  std::string Address() const { return address_; }
+  const PeerLinkCounters& Counters() const { return counters_; }
+
+private:
+  void Serve(nng_ctx aContext);
+  std::vector<uint8_t> Answer(const uint8_t* aData, size_t aSize);
+  std::vector<uint8_t> Dispatch(const nlohmann::json& aRequest);
+  leaf::result<nlohmann::json> RunHandler(const nlohmann::json& aRequest);
+  leaf::result<nng_socket> PeerSocket(const std::string& aAddress);
+  leaf::result<std::vector<uint8_t>> Exchange(nng_ctx aContext,
+                                              const std::vector<uint8_t>& aRequest,
+                                              std::chrono::milliseconds aTimeout);
+  std::string NextNonce();
+
+  const PeerLinkSettings settings_;
+  const std::string noncePrefix_;
+  std::string address_;
+  PeerLinkCounters counters_;
+  ReplyCache replies_;
+  std::map<std::string, Handler> handlers_;
+  nng_socket server_ = NNG_SOCKET_INITIALIZER;
+  std::vector<nng_ctx> contexts_;
+  std::vector<std::thread> threads_;
+  std::mutex mutex_; ///< Guards peers_ and stopped_.
+  std::map<std::string, nng_socket> peers_;
+  bool stopped_ = false;
+  std::atomic<uint64_t> nonce_{ 0 };
+};
+
+}
--- /dev/null
+++ b/tests/nng_peer_link_test.cpp
@@ -0,0 +1,138 @@
+#include "sardinespoke/nng_peer_link.h"
+
+#include "cbor_codec_p.h"
+
+#include <gtest/gtest.h>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <thread>
+
+namespace sardinespoke {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{ 2000 };
+
+PeerError::Code
+CodeOf(const std::function<leaf::result<json>()>& aCall)
+{
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<PeerError::Code> {
+      BOOST_LEAF_CHECK(aCall());
+      return PeerError::Code::Count;
+    },
+    [](const PeerError& aError) { return aError.code_; },
+    []() { return PeerError::Code::Count; });
+}
+
+class NngPeerLinkTest : public ::testing::Test
+{
+protected:
+  NngPeerLinkTest()
+    : server_(PeerLinkSettings{ .listen_ = "127.0.0.1:0" })
+    , client_(PeerLinkSettings{ .listen_ = "127.0.0.1:0" })
+  {
+    server_.Handle("Echo", [this](const json& aMessage) -> leaf::result<json> {
+      ++handled_;
+      return json{ { "text", aMessage.at("text") } };
+    });
+    server_.Handle("Slow", [](const json&) -> leaf::result<json> {
+      std::this_thread::sleep_for(milliseconds(300));
+      return json::object();
+    });
+    EXPECT_TRUE(server_.Init());
+    EXPECT_TRUE(client_.Init());
+  }
+
+  leaf::result<json> Call(const json& aMessage, milliseconds aTimeout = kTimeout)
+  {
+    return client_.Call(server_.Address(), aMessage, aTimeout);
+  }
+
+  /// Sends raw bytes as a peer that does not follow the format.
+  json SendRaw(const std::vector<uint8_t>& aBytes) const
+  {
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    nng_req0_open(&socket);
+    nng_dial(socket, ("tcp://" + server_.Address()).c_str(), nullptr, 0);
+    nng_send(socket, const_cast<uint8_t*>(aBytes.data()), aBytes.size(), 0);
+    char* reply = nullptr;
+    size_t size = 0;
+    EXPECT_EQ(nng_recv(socket, static_cast<void*>(&reply), &size, NNG_FLAG_ALLOC), 0);
+    json result = json::from_cbor(reply, reply + size);
+    nng_free(reply, size);
+    nng_close(socket);
+    return result;
+  }
+
+  std::atomic<int> handled_{ 0 };
+  NngPeerLink server_;
+  NngPeerLink client_;
+};
+
+// Guards against one slow message holding up all others.
+TEST_F(NngPeerLinkTest, HandlesMessagesInParallel)
+{
+  std::thread slow([&]() { EXPECT_TRUE(Call({ { "type", "Slow" } })); });
+  const auto start = std::chrono::steady_clock::now();
+  auto reply = Call({ { "type", "Echo" }, { "text", "a" } });
+  EXPECT_TRUE(reply && reply.value()["text"] == "a");
+  EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(250));
+  slow.join();
+}
+
+// Guards against a wrong message that has an effect, ends the process or goes uncounted.
+TEST_F(NngPeerLinkTest, RefusesAndCountsWrongMessages)
+{
+  EXPECT_EQ(CodeOf([&]() { return Call({ { "type", "Nothing" } }); }), PeerError::Code::Refused);
+  EXPECT_EQ(CodeOf([&]() { return Call({ { "type", "Echo" } }); }), PeerError::Code::Refused);
+  EXPECT_EQ(server_.Counters().unknown_, 1U);
+  EXPECT_EQ(server_.Counters().malformed_, 1U);
+  EXPECT_TRUE(SendRaw({ 0xff, 0x00 }).contains("error"));
+  EXPECT_TRUE(SendRaw(std::vector<uint8_t>(1 << 20, 0x81)).contains("error"));
+  EXPECT_TRUE(SendRaw({ 0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff }).contains("error"));
+  EXPECT_EQ(server_.Counters().malformed_, 4U);
+}
+
+// Guards against a request that nng sends again being handled twice.
+TEST_F(NngPeerLinkTest, RepeatedRequestGetsTheFirstReply)
+{
+  const std::vector<uint8_t> bytes =
+    json::to_cbor(json{ { "nonce", "n1" }, { "body", { { "type", "Echo" }, { "text", "x" } } } });
+  const json first = SendRaw(bytes);
+  EXPECT_EQ(SendRaw(bytes), first);
+  EXPECT_EQ(handled_, 1);
+  EXPECT_EQ(server_.Counters().repeated_, 1U);
+}
+
+// Guards against a message whose effect is possible being reported as one that was never sent.
+TEST_F(NngPeerLinkTest, TellsUnreachableFromTimeout)
+{
+  EXPECT_EQ(CodeOf([&]() {
+              return Call({ { "type", "Slow" } }, milliseconds(100));
+            }),
+            PeerError::Code::Timeout);
+  const std::string address = server_.Address();
+  server_.Shutdown();
+  EXPECT_EQ(CodeOf([&]() {
+              return client_.Call(address, { { "type", "Echo" } }, milliseconds(100));
+            }),
+            PeerError::Code::Unreachable);
+}
+
+// Guards against a peer that stays unreachable after its process was replaced.
+TEST_F(NngPeerLinkTest, ReconnectsAfterARestart)
+{
+  EXPECT_TRUE(Call({ { "type", "Echo" }, { "text", "a" } }));
+  const std::string address = server_.Address();
+  server_.Shutdown();
+  NngPeerLink next(PeerLinkSettings{ .listen_ = address });
+  next.Handle("Echo", [](const json&) -> leaf::result<json> { return json::object(); });
+  ASSERT_TRUE(next.Init());
+  EXPECT_TRUE(client_.Call(address, { { "type", "Echo" } }, kTimeout));
+}
+
+}
+}
