--- /dev/null
+++ b/standins/platform_json.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "memory_platform.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sardinespoke {
+
+/// Conversions between the platform's types and the JSON of its protocol. The readers throw
+/// exceptions of the JSON library or std::invalid_argument for input that is not acceptable.
+nlohmann::json
+ToJson(const KeyValueItem& aItem);
+nlohmann::json
+ToJson(const std::vector<KeyValueItem>& aItems);
+nlohmann::json
+ToJson(const ListedHost& aHost);
+nlohmann::json
+ToJson(const HostPower& aPower);
+nlohmann::json
+ToJson(const PlatformCalls& aCalls);
+
+/// Reads a host as it appears in the host list; "state" may be absent and means "live".
+ListedHost
+ReadListedHost(const nlohmann::json& aJson);
+
+/// Sets one switch of a set of faults.
+/// @param aName Name of the switch, such as "store_down".
+/// @returns False if there is no switch of this name.
+bool
+SetFault(PlatformFaults& aFaults, const std::string& aName, const nlohmann::json& aValue);
+
+}
--- a/tests/memory_platform_test.cpp
+++ b/tests/memory_platform_test.cpp
@@ -1,6 +1,7 @@
 #include "memory_platform.h"
 #include "platform_view.h"
 #include "sardinespoke/manual_clock.h"
+#include "store_code.h"
 
 #include <gtest/gtest.h>
 
@@ -12,20 +13,6 @@
 using namespace std::chrono_literals;
 using Code = StoreError::Code;
 
-/// @returns The error code of a call, or Count if it succeeded.
-template<typename Call>
-Code
-CodeOf(const Call& aCall)
-{
-  return leaf::try_handle_all(
-    [&]() -> leaf::result<Code> {
-      BOOST_LEAF_CHECK(aCall());
-      return Code::Count;
-    },
-    [](const StoreError& aError) { return aError.code_; },
-    [] { return Code::Malformed; });
-}
-
 class MemoryPlatformTest : public ::testing::Test
 {
 protected:
