Add the HTTP client for the platform

Cause: the key-value store, host list and host control are reached over HTTP, and callers must know whether a failed write may have taken effect. Change: PlatformClient implements the three interfaces. HttpPool keeps libcurl handles, one per concurrent caller and with one connection each. Nothing sent or status 503 is Unreachable; any other missing or unreadable answer to a write is OutcomeUnknown. A socket callback refuses a second connection once bytes of a write were sent. Ruled out: trusting libcurl not to repeat a write: with the guard removed, the new test saw the PUT sent twice (3 requests in place of 2) and reported as done.

--- /dev/null
+++ b/include/sardinespoke/platform_client.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "sardinespoke/host_control.h"
+#include "sardinespoke/host_list.h"
+#include "sardinespoke/key_value_store.h"
+
+#include <memory>
+
+namespace sardinespoke {
+
+class HttpPool;
+struct HttpAnswer;
+struct HttpRequest;
+
+/// Settings of a PlatformClient.
+struct PlatformClientOptions
+{
+  std::string baseUrl_;    ///< Such as "http://127.0.0.1:8100", without a slash at the end.
+  std::string clientName_; ///< Entry host id; sent as the header Sardinespoke-Client.
+  std::chrono::milliseconds connectTimeout_{ 300 };
+  /// Limit for one call; a watch may take this much longer than its wait.
+  std::chrono::milliseconds callTimeout_{ 1000 };
+};
+
+/// The platform's services over HTTP (docs/design.md, 5.5). Thread-safe; each concurrent call uses
+/// a connection of its own. A call is never repeated after its first byte was sent, except reads.
+///
+/// StoreError::Unreachable means that a write had no effect: nothing was sent, or the service
+/// answered 503. Every other failure without a readable answer is StoreError::OutcomeUnknown.
+class PlatformClient final
+  : public KeyValueStoreI
+  , public HostListI
+  , public HostControlI
+{
+public:
+  explicit PlatformClient(PlatformClientOptions aOptions);
+  ~PlatformClient() override;
+
+  leaf::result<KeyValueItem> Get(const std::string& aKey) override;
+  leaf::result<uint64_t> Put(const std::string& aKey,
+                             const std::string& aValue,
+                             uint64_t aIfVersion,
+                             const std::optional<std::string>& aLease) override;
+  leaf::result<void> Delete(const std::string& aKey, uint64_t aIfVersion) override;
+  leaf::result<KeyValueRange> Range(const std::string& aPrefix) override;
+  leaf::result<KeyValueChanges> Watch(const std::string& aPrefix,
+                                      uint64_t aAfter,
+                                      std::chrono::milliseconds aWait) override;
+  leaf::result<std::string> GrantLease(std::chrono::milliseconds aTtl) override;
+  leaf::result<void> RenewLease(const std::string& aLease) override;
+  leaf::result<void> RevokeLease(const std::string& aLease) override;
+  leaf::result<HostListSnapshot> Fetch() override;
+  leaf::result<void> Reboot(const std::string& aHost) override;
+  leaf::result<HostPower> Power(const std::string& aHost) override;
+
+private:
+  /// @param aNotFound Meaning of status 404 for this call.
+  leaf::result<HttpAnswer> Call(HttpRequest aRequest, StoreError::Code aNotFound);
+  std::string KeyUrl(const std::string& aKey) const;
+
+  const PlatformClientOptions options_;
+  std::unique_ptr<HttpPool> pool_;
+};
+
+}
--- /dev/null
+++ b/tests/platform_client_test.cpp
@@ -0,0 +1,167 @@
+#include "sardinespoke/platform_client.h"
+
+#include "platform_server.h"
+#include "sardinespoke/steady_clock.h"
+#include "scripted_server.h"
+#include "store_code.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <thread>
+
+namespace sardinespoke {
+namespace {
+
+using namespace std::chrono_literals;
+using Code = StoreError::Code;
+
+class PlatformClientTest : public ::testing::Test
+{
+protected:
+  void SetUp() override { ASSERT_TRUE(server_.Init("127.0.0.1", 0)); }
+
+  PlatformClientOptions Options(const std::string& aName) const
+  {
+    return { "http://127.0.0.1:" + std::to_string(server_.Port()), aName, 300ms, 2000ms };
+  }
+
+  SteadyClock clock_;
+  MemoryPlatform platform_{ clock_ };
+  PlatformServer server_{ platform_ };
+};
+
+// Guards against keys and values that change on their way through URLs and JSON.
+TEST_F(PlatformClientTest, KeysAndValuesArriveUnchanged)
+{
+  PlatformClient client(Options("a"));
+  const std::string key = "sardinespoke/entry/a b%2F?&=+#../\u00e4";
+  const std::string value = "{\"x\": \"\u00e4\\n\"}";
+  const uint64_t version = client.Put(key, value, 0, {}).value();
+  EXPECT_EQ(platform_.Get(key).value().value_, value);
+  const KeyValueItem item = client.Get(key).value();
+  EXPECT_EQ(item.key_, key);
+  EXPECT_EQ(item.value_, value);
+  EXPECT_EQ(item.version_, version);
+  const KeyValueRange range = client.Range("sardinespoke/entry/a b%2F?&").value();
+  EXPECT_EQ(range.items_.size(), 1U);
+  ASSERT_TRUE(client.Delete(key, version));
+  const KeyValueChanges changes = client.Watch("sardinespoke/", range.sequence_, 60s).value();
+  EXPECT_EQ(changes.deleted_, std::vector<std::string>{ key });
+  EXPECT_EQ(changes.sequence_, range.sequence_ + 1);
+}
+
+// Guards against an error of the protocol that is reported as another one.
+TEST_F(PlatformClientTest, StatusesBecomeErrors)
+{
+  PlatformClient client(Options("a"));
+  EXPECT_EQ(CodeOf([&] { return client.Get("a"); }), Code::NotFound);
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 7, {}); }), Code::Conflict);
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, "gone"); }), Code::LeaseLapsed);
+  EXPECT_EQ(CodeOf([&] { return client.Delete("a", 1); }), Code::Conflict);
+  EXPECT_EQ(CodeOf([&] { return client.Watch("", 99, 0ms); }), Code::SequenceLost);
+  EXPECT_EQ(CodeOf([&] { return client.RenewLease("gone"); }), Code::LeaseLapsed);
+  EXPECT_EQ(CodeOf([&] { return client.Reboot("gone"); }), Code::NotFound);
+  const std::string large(MemoryPlatform::kMaxValueBytes + 1, 'x');
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", large, 0, {}); }), Code::TooLarge);
+  const std::string largest(MemoryPlatform::kMaxValueBytes, 'x');
+  EXPECT_TRUE(client.Put("a", largest, 0, {}));
+}
+
+// Guards against leases, host list and host control that do not reach the platform.
+TEST_F(PlatformClientTest, LeasesAndHostsReachThePlatform)
+{
+  PlatformClient client(Options("a"));
+  const std::string lease = client.GrantLease(1h).value();
+  ASSERT_TRUE(client.Put("a", "1", 0, lease));
+  ASSERT_TRUE(client.RenewLease(lease));
+  ASSERT_TRUE(client.RevokeLease(lease));
+  EXPECT_EQ(CodeOf([&] { return platform_.Get("a"); }), Code::NotFound);
+  platform_.AddHost({ "h1", "127.0.0.1:1", "r1", "z1", "g1", true });
+  const ListedHost host = client.Fetch().value().hosts_.at(0);
+  EXPECT_EQ(host.id_ + host.address_ + host.rack_ + host.zone_ + host.region_,
+            "h1127.0.0.1:1r1z1g1");
+  EXPECT_TRUE(host.leaving_);
+  ASSERT_TRUE(client.Reboot("h1"));
+  EXPECT_EQ(client.Power("h1").value().state_, HostPower::State::Rebooting);
+}
+
+// Guards against a write without effect reported as possibly done, and the reverse.
+TEST_F(PlatformClientTest, UnreachableAndOutcomeUnknownAreDistinct)
+{
+  PlatformClient client(Options("a"));
+  platform_.ChangeFaults([](PlatformFaults& aFaults) { aFaults.storeDown_ = true; });
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::Unreachable);
+  platform_.SetFaults({});
+  platform_.ChangeFaults([](PlatformFaults& aFaults) { aFaults.loseWriteAnswers_ = 1; });
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::OutcomeUnknown);
+  EXPECT_EQ(client.Get("a").value().value_, "1");
+  platform_.ChangeFaults([](PlatformFaults& aFaults) { aFaults.cutOffClients_ = { "a" }; });
+  EXPECT_EQ(CodeOf([&] { return client.Put("b", "1", 0, {}); }), Code::OutcomeUnknown);
+  EXPECT_EQ(CodeOf([&] { return platform_.Get("b"); }), Code::NotFound);
+  server_.Shutdown();
+  EXPECT_EQ(CodeOf([&] { return client.Put("c", "1", 0, {}); }), Code::Unreachable);
+}
+
+// Guards against a timeout that is reported as a write without effect.
+TEST_F(PlatformClientTest, TimedOutWriteHasUnknownOutcome)
+{
+  PlatformClientOptions options = Options("a");
+  options.callTimeout_ = 50ms;
+  PlatformClient client(options);
+  platform_.ChangeFaults([](PlatformFaults& aFaults) { aFaults.slow_ = 300ms; });
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::OutcomeUnknown);
+  platform_.SetFaults({});
+  server_.Shutdown(); // Waits until the delayed call has finished.
+  EXPECT_EQ(platform_.Get("a").value().value_, "1");
+}
+
+// Guards against a waiting watch that holds up other calls of the same client.
+TEST_F(PlatformClientTest, WaitingWatchesBlockNothing)
+{
+  PlatformClient client(Options("a"));
+  std::array<std::thread, 4> watchers;
+  for (std::thread& watcher : watchers) {
+    watcher =
+      std::thread([&] { EXPECT_EQ(client.Watch("a", 0, 60s).value().items_.at(0).value_, "1"); });
+  }
+  while (platform_.Calls().watches_ < 4) {
+    std::this_thread::yield();
+  }
+  EXPECT_TRUE(client.Put("b", "1", 0, {}));
+  EXPECT_TRUE(client.Put("a", "1", 0, {}));
+  for (std::thread& watcher : watchers) {
+    watcher.join();
+  }
+  EXPECT_EQ(platform_.Calls().watches_, 4U);
+}
+
+// Guards against libcurl sending a write again when the server closed the kept connection.
+TEST(PlatformClientConnections, WriteIsSentOnce)
+{
+  const std::string reply = ScriptedServer::Reply(200, R"({"version": 1})");
+  ScriptedServer server({ reply, "", reply });
+  PlatformClient client({ server.Url(), "a", 300ms, 2000ms });
+  ASSERT_TRUE(client.Put("a", "1", 0, {}));
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "2", 1, {}); }), Code::OutcomeUnknown);
+  EXPECT_EQ(server.Requests(), 2U);
+}
+
+// Guards against an unreadable answer to a write that is reported as "no effect" or as success.
+TEST(PlatformClientConnections, UnreadableAnswersLeaveWritesUnknown)
+{
+  ScriptedServer server({ ScriptedServer::Reply(200, "<html>"),
+                          ScriptedServer::Reply(500, ""),
+                          ScriptedServer::Reply(200, R"({"version": "x"})"),
+                          ScriptedServer::Reply(200, R"({"key": "a"})"),
+                          "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"version\": 1}" });
+  PlatformClient client({ server.Url(), "a", 300ms, 200ms });
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::OutcomeUnknown);
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::OutcomeUnknown);
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::OutcomeUnknown);
+  EXPECT_EQ(CodeOf([&] { return client.Get("a"); }), Code::Malformed);
+  EXPECT_EQ(CodeOf([&] { return client.Put("a", "1", 0, {}); }), Code::OutcomeUnknown);
+}
+
+}
+}
