--- a/include/sardinespoke/profile.h
+++ b/include/sardinespoke/profile.h
@@ -29,6 +29,8 @@
   std::chrono::milliseconds rebootLimit_{
     600000
   }; ///< After this a rebooting host counts as failed.
+
+  bool operator==(const MaintenanceRules&) const = default;
 };
 
 /// A named profile: what a team may hold, how urgent its work is, how its hosts may be maintained.
@@ -43,6 +45,8 @@
   std::chrono::milliseconds runLimit_{ 30000 };  ///< Longest run of one attempt.
   uint32_t queueLength_ = 1000;                  ///< Most requests queued per entry host.
   MaintenanceRules maintenance_;
+
+  bool operator==(const Profile&) const = default;
 };
 
 }
--- a/include/sardinespoke/profile_set.h
+++ b/include/sardinespoke/profile_set.h
@@ -18,6 +18,8 @@
   uint32_t slotsPerHost_ = 8;
   uint32_t connectionsPerHost_ = 64;
   bool spare_ = false; ///< The pool that spare hosts are taken from and returned to.
+
+  bool operator==(const PoolRules&) const = default;
 };
 
 /// A service that callers name; it runs in one pool under one profile.
@@ -26,6 +28,8 @@
   std::string name_;
   std::string pool_;
   std::string profile_;
+
+  bool operator==(const Service&) const = default;
 };
 
 /// One accepted change of the configuration.
@@ -36,6 +40,8 @@
   std::string author_;
   std::string summary_;
   std::string acceptedAt_; ///< Wall-clock time in ISO 8601; for people only, never compared.
+
+  bool operator==(const ChangeRecord&) const = default;
 };
 
 /// The configuration document `config/profiles`. Immutable once published.
@@ -52,12 +58,20 @@
 
   /// Parses and validates a document.
   /// @param aText JSON text.
-  /// @param aFleetSlots Slots of the whole fleet; 0 skips the checks against the fleet.
+  /// @param aFleetSlots Slots of the whole fleet; 0 skips the checks against the fleet. "revision"
+  /// and "history" may be absent, as in a document that an operator wrote.
   /// Errors: ConfigError with the path of the field.
   static leaf::result<ProfileSet> Parse(const std::string& aText, uint64_t aFleetSlots);
 
   /// @returns The document as JSON text; Parse() of it gives an equal set.
   std::string Serialize() const;
+
+  /// Checks the floors and entitlements of the pools against the hosts they have.
+  /// @param aPoolHosts Hosts per pool in any state; a pool that is not named has none.
+  /// Errors: ConfigError with the path of the field.
+  leaf::result<void> CheckPools(const std::map<std::string, uint32_t>& aPoolHosts) const;
+
+  bool operator==(const ProfileSet&) const = default;
 };
 
 }
--- /dev/null
+++ b/src/strict_json.cpp
@@ -0,0 +1,133 @@
+#include "profile_json_p.h"
+
+#include <optional>
+#include <set>
+
+namespace sardinespoke {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kMaxDepth = 16;      // A valid document has 5 levels.
+constexpr size_t kMaxShownValue = 80; // Characters of a value in a message.
+
+/// Follows the parser and notes the first duplicated key or the first value that is nested too
+/// deep.
+class DuplicateFinder
+{
+public:
+  explicit DuplicateFinder(std::string aPath)
+    : root_(std::move(aPath))
+  {
+  }
+
+  /// @returns Whether the parser should keep the value.
+  bool Keep(Json::parse_event_t aEvent, const Json& aValue)
+  {
+    switch (aEvent) {
+      case Json::parse_event_t::object_start:
+      case Json::parse_event_t::array_start:
+        open_.emplace_back();
+        CheckDepth();
+        return open_.size() <= kMaxDepth;
+      case Json::parse_event_t::key:
+        NoteKey(aValue.get<std::string>());
+        return true;
+      case Json::parse_event_t::object_end:
+      case Json::parse_event_t::array_end:
+        open_.pop_back();
+        NextElement();
+        return true;
+      default:
+        NextElement();
+        return true;
+    }
+  }
+
+  const std::optional<ConfigError>& Error() const { return error_; }
+
+private:
+  struct Level
+  {
+    std::set<std::string> keys_;
+    std::string key_;
+    size_t index_ = 0;
+  };
+
+  void NoteKey(const std::string& aKey)
+  {
+    Level& level = open_.back();
+    level.key_ = aKey;
+    if (level.keys_.insert(aKey).second || error_) {
+      return;
+    }
+    error_ = ConfigError{ ConfigError::Code::Schema,
+                          Path(),
+                          "found the key twice in one object; expected it once" };
+  }
+
+  void NextElement()
+  {
+    if (!open_.empty()) {
+      ++open_.back().index_;
+    }
+  }
+
+  void CheckDepth()
+  {
+    if (open_.size() <= kMaxDepth || error_) {
+      return;
+    }
+    error_ = ConfigError{ ConfigError::Code::Schema,
+                          root_,
+                          "found more than " + std::to_string(kMaxDepth) +
+                            " levels of nesting; expected at most that" };
+  }
+
+  std::string Path() const
+  {
+    Json::json_pointer path;
+    for (const Level& level : open_) {
+      path /= level.keys_.empty() ? std::to_string(level.index_) : level.key_;
+    }
+    return root_ + path.to_string();
+  }
+
+  const std::string root_;
+  std::vector<Level> open_;
+  std::optional<ConfigError> error_;
+};
+
+}
+
+leaf::result<Json>
+ParseStrict(const std::string& aText, const std::string& aPath)
+{
+  DuplicateFinder finder(aPath);
+  Json value;
+  try {
+    value = Json::parse(aText, [&](int, Json::parse_event_t aEvent, const Json& aValue) {
+      return finder.Keep(aEvent, aValue);
+    });
+  } catch (const Json::exception& exception) {
+    return leaf::new_error(ConfigError{ ConfigError::Code::NotJson, aPath, exception.what() });
+  }
+  if (finder.Error()) {
+    return leaf::new_error(*finder.Error());
+  }
+  return value;
+}
+
+std::string
+Shorten(const Json& aValue)
+{
+  std::string text = aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (text.size() > kMaxShownValue) {
+    text.resize(kMaxShownValue);
+    text += "...";
+  }
+  return text;
+}
+
+}
