Give a team the entitlement that other entry hosts leave unused

An entry host had only its proportional part of an entitlement; Poisson noise of one entry host exceeded it although the team was below its entitlement in total, and reports of peaks shrank the parts further.

Change: reports carry smoothed demand, with a jump for real changes; short work is served as entitled while the other entry hosts' reports leave entitlement unused. Long work keeps to the parts that add up to the entitlement, because seven entry hosts that take the same unused part within one exchange could not give it back.

--- a/include/sardinespoke/slot_shares.h
+++ b/include/sardinespoke/slot_shares.h
@@ -23,7 +23,10 @@
 /// One entry host's part of what a profile may hold in a pool.
 struct ProfilePart
 {
-  uint32_t entitled_ = 0;  ///< Part of the entitlement.
+  uint32_t entitled_ = 0; ///< Part of the entitlement.
+  /// Entitlement that the other entry hosts' reports leave unused; at least entitled_. Unlike
+  /// entitled_, it may add up to more than the entitlement while reports are under way.
+  uint32_t unusedEntitled_ = 0;
   uint32_t allocated_ = 0; ///< Part of the fair share of the demand reported.
   uint32_t max_ = 0;       ///< Part of the maximum.
 };
--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "pool_scheduler_p.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sardinespoke {
 
@@ -159,6 +160,15 @@
   }
 }
 
+void
+PoolScheduler::SampleDemand()
+{
+  for (auto& [name, profile] : profiles_) {
+    profile.sampledDemand_ += queue_.Length(name) + profile.running_;
+    ++profile.samples_;
+  }
+}
+
 void
 PoolScheduler::TakeDemand(std::map<std::string, uint32_t>& aReport)
 {
@@ -211,12 +221,16 @@
   if (front == nullptr || aProfile.running_ >= aProfile.part_.max_) {
     return kNoTier;
   }
+  const bool isLong = IsLong(aCosts, front->item_.kind_);
   if (aProfile.running_ < aProfile.part_.entitled_) {
     return kEntitledTier;
   }
-  if (IsLong(aCosts, front->item_.kind_) && !MayBorrowLong(aProfile)) {
+  if (isLong && !MayBorrowLong(aProfile)) {
     return kNoTier;
   }
+  if (!isLong && aProfile.running_ < aProfile.part_.unusedEntitled_) {
+    return kEntitledTier;
+  }
   if (aProfile.running_ < aProfile.part_.allocated_) {
     return kAllocatedTier;
   }
@@ -240,20 +254,21 @@
 void
 PoolScheduler::UpdateReport(ProfileState& aProfile)
 {
-  const uint32_t peak = aProfile.peakDemand_;
-  if (peak > aProfile.reported_ * kRaiseReport) {
-    aProfile.reported_ = peak;
-  }
-  if (peak >= aProfile.reported_ * kLowerReport) {
-    aProfile.lowReports_ = 0;
-    aProfile.lowPeak_ = 0;
+  const double interval = aProfile.samples_ == 0
+                            ? aProfile.peakDemand_
+                            : static_cast<double>(aProfile.sampledDemand_) / aProfile.samples_;
+  aProfile.sampledDemand_ = 0;
+  aProfile.samples_ = 0;
+  const double change = interval - aProfile.demand_;
+  const bool jump = std::abs(change) > kDemandJump * std::sqrt(aProfile.demand_ + 1);
+  aProfile.demand_ += jump ? change : kDemandGain * change;
+  if (aProfile.peakDemand_ == 0 && aProfile.demand_ < 0.5) {
+    aProfile.reported_ = 0;
     return;
   }
-  aProfile.lowPeak_ = std::max(aProfile.lowPeak_, peak);
-  if (++aProfile.lowReports_ >= kLowReports) {
-    aProfile.reported_ = aProfile.lowPeak_;
-    aProfile.lowReports_ = 0;
-    aProfile.lowPeak_ = 0;
+  const double difference = std::abs(aProfile.demand_ - aProfile.reported_);
+  if (aProfile.reported_ == 0 || difference > std::max(1.0, kReportStep * aProfile.reported_)) {
+    aProfile.reported_ = static_cast<uint32_t>(std::ceil(aProfile.demand_));
   }
 }
 
--- a/src/pool_scheduler_p.h
+++ b/src/pool_scheduler_p.h
@@ -26,12 +26,15 @@
 /// A worker that refused for lack of a slot is not asked again for this long.
 constexpr std::chrono::milliseconds kFullBackoff{ 10 };
 
-/// A report is raised at once when demand grows by more than a tenth, and lowered only after demand
-/// was below 0.7 of it for kLowReports reports. Each change moves slots between entry hosts, and a
-/// moved slot is refused by the worker until the last request of its former holder has ended.
-constexpr double kRaiseReport = 1.1;
-constexpr double kLowerReport = 0.7;
-constexpr uint32_t kLowReports = 10;
+/// Demand is smoothed with this weight of the newest interval, unless it differs by more than
+/// kDemandJump standard deviations of a Poisson number; then it is taken over at once.
+constexpr double kDemandGain = 0.2;
+constexpr double kDemandJump = 3;
+
+/// A report changes only when demand differs from it by this part and at least 1. Each change moves
+/// slots between entry hosts, and a moved slot is refused by the worker until the last request of
+/// its former holder has ended.
+constexpr double kReportStep = 0.15;
 
 /// The scheduling state of one pool at one entry host.
 class PoolScheduler
@@ -43,10 +46,11 @@
     ProfilePart part_;
     uint32_t running_ = 0;
     uint32_t longRunning_ = 0;
-    uint32_t peakDemand_ = 0; ///< Most queued and running since the last report.
-    uint32_t reported_ = 0;   ///< Demand in the last report.
-    uint32_t lowReports_ = 0; ///< Reports in a row whose peak was far below reported_.
-    uint32_t lowPeak_ = 0;    ///< Greatest peak of these.
+    uint32_t peakDemand_ = 0;    ///< Most queued and running since the last report.
+    uint64_t sampledDemand_ = 0; ///< Sum of the samples since the last report.
+    uint32_t samples_ = 0;
+    double demand_ = 0;     ///< Smoothed.
+    uint32_t reported_ = 0; ///< Demand in the last report.
   };
 
   struct WorkerState
@@ -91,7 +95,10 @@
 
   void MarkFull(const std::string& aHost, TimePoint aNow);
 
-  /// Adds the peak demand of each profile to a report and starts the next peak.
+  /// Samples the demand; called several times between reports.
+  void SampleDemand();
+
+  /// Adds the smoothed demand of each profile to a report.
   void TakeDemand(std::map<std::string, uint32_t>& aReport);
 
   const PoolRules& Rules() const { return rules_; }
--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -168,6 +168,7 @@
         Refuse(gone.ticket_, AdmissionError::Code::Cancelled, "the caller has gone");
       }
       RemoveFailingWorkers(*pool, aNow);
+      pool->SampleDemand();
     }
     Dispatch(*pool, aNow);
   }
--- a/src/slot_shares.cpp
+++ b/src/slot_shares.cpp
@@ -3,6 +3,7 @@
 #include "sardinespoke/fair_share.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace sardinespoke {
@@ -69,10 +70,8 @@
     std::vector<std::vector<uint64_t>> weights;
     for (const Profile& profile : pool_.profiles_) {
       weights.push_back(DemandWeights(profile.name_));
-      uint64_t demand = 0;
-      for (const uint64_t weight : weights.back()) {
-        demand += weight;
-      }
+      const uint64_t demand =
+        std::accumulate(weights.back().begin(), weights.back().end(), uint64_t{ 0 });
       const auto bounded = static_cast<uint32_t>(std::min<uint64_t>(demand, UINT32_MAX));
       claims.push_back(
         { profile.name_, bounded, profile.entitledSlots_, profile.maxSlots_, profile.urgency_ });
@@ -85,6 +84,9 @@
         entrySlots_[host] += parts[host];
       }
       allocated += shares[i];
+      const uint64_t others =
+        std::accumulate(weights[i].begin(), weights[i].end(), uint64_t{ 0 }) - weights[i][self_];
+      const uint64_t entitled = claims[i].entitledSlots_;
       // One is added to each weight, so that an entry host whose demand for this profile has just
       // begun can start a part of it before the next exchange.
       for (uint64_t& weight : weights[i]) {
@@ -93,6 +95,8 @@
       ProfilePart& part = result_.profiles_[claims[i].profile_];
       part.allocated_ = parts[self_];
       part.entitled_ = ProportionalParts(claims[i].entitledSlots_, weights[i])[self_];
+      part.unusedEntitled_ =
+        std::max(part.entitled_, static_cast<uint32_t>(entitled > others ? entitled - others : 0));
       const uint32_t most = std::max(claims[i].maxSlots_, claims[i].entitledSlots_);
       part.max_ = ProportionalParts(most, weights[i])[self_];
     }
--- a/tools/sardinespoke-measure/flood_scenario.h
+++ b/tools/sardinespoke-measure/flood_scenario.h
@@ -82,14 +82,14 @@
 /// The outcome of one run.
 struct FloodResult
 {
-  std::vector<QueueResult> queues_; /// Part of the slots held after measureFrom_, from the grant to
-                                    /// the answer of work that ran. The
+  std::vector<QueueResult> queues_;
+  /// Part of the slots held after measureFrom_, from the grant to the answer of work that ran. The
   /// network delay counts as held, because nobody else can use the slot meanwhile.
   double utilisation_ = 0;
   double workerBusy_ = 0;     ///< Part of the slots that ran work after measureFrom_.
   uint64_t slotsRefused_ = 0; ///< Attempts that a worker refused for lack of a slot.
-  double lastUseOfFaulty_ =
-    0; ///< Seconds from the fault to the last request sent, probes excluded.
+  /// Seconds from the fault to the last request sent to the worker, probes excluded.
+  double lastUseOfFaulty_ = 0;
   uint64_t workersRemoved_ = 0;
 };
 
