Ask a full worker again after a quarter of the run time

Cause: a moved slot was asked for every 10 ms until its former holder's request ended.

Change: the pause after a refusal is a quarter of the learned run time, 10 to 250 ms.

--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -153,10 +153,12 @@
 }
 
 void
-PoolScheduler::MarkFull(const std::string& aHost, TimePoint aNow)
+PoolScheduler::MarkFull(const std::string& aHost, std::chrono::nanoseconds aCost, TimePoint aNow)
 {
   if (const auto worker = workers_.find(aHost); worker != workers_.end()) {
-    worker->second.fullUntil_ = aNow + kFullBackoff;
+    const std::chrono::nanoseconds least = kMinFullBackoff;
+    const std::chrono::nanoseconds most = kMaxFullBackoff;
+    worker->second.fullUntil_ = aNow + std::clamp(aCost / 4, least, most);
   }
 }
 
--- a/src/pool_scheduler_p.h
+++ b/src/pool_scheduler_p.h
@@ -23,8 +23,10 @@
 /// Part of the slots that long work may borrow when all slots are covered by entitlements.
 constexpr uint32_t kLongReserveDivisor = 8;
 
-/// A worker that refused for lack of a slot is not asked again for this long.
-constexpr std::chrono::milliseconds kFullBackoff{ 10 };
+/// A worker that refused for lack of a slot is not asked again for a quarter of the expected run
+/// time, within these limits: the slot is free when a request of another entry host has ended.
+constexpr std::chrono::milliseconds kMinFullBackoff{ 10 };
+constexpr std::chrono::milliseconds kMaxFullBackoff{ 250 };
 
 /// Demand is smoothed with this weight of the newest interval, unless it differs by more than
 /// kDemandJump standard deviations of a Poisson number; then it is taken over at once.
@@ -93,7 +95,9 @@
                             Placement& aPlacement,
                             TimePoint aNow);
 
-  void MarkFull(const std::string& aHost, TimePoint aNow);
+  /// Notes that a worker refused for lack of a slot.
+  /// @param aCost Expected run time of the work.
+  void MarkFull(const std::string& aHost, std::chrono::nanoseconds aCost, TimePoint aNow);
 
   /// Samples the demand; called several times between reports.
   void SampleDemand();
--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -324,7 +324,7 @@
       break;
     case AttemptResult::SlotsRefused:
       ++counters_.slotsRefused_;
-      aPool.MarkFull(aRunning.host_, aNow);
+      aPool.MarkFull(aRunning.host_, costs_.Mean(aRunning.kind_), aNow);
       breaker.OnNoVerdict(aGrant);
       break;
     case AttemptResult::Cancelled:
