--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -168,6 +168,7 @@
         Refuse(gone.ticket_, AdmissionError::Code::Cancelled, "the caller has gone");
       }
       RemoveFailingWorkers(*pool, aNow);
+      pool->SampleDemand();
     }
     Dispatch(*pool, aNow);
   }
@@ -323,7 +324,7 @@
       break;
     case AttemptResult::SlotsRefused:
       ++counters_.slotsRefused_;
-      aPool.MarkFull(aRunning.host_, aNow);
+      aPool.MarkFull(aRunning.host_, costs_.Mean(aRunning.kind_), aNow);
       breaker.OnNoVerdict(aGrant);
       break;
     case AttemptResult::Cancelled:
