--- a/include/sardinespoke/planner_core.h
+++ b/include/sardinespoke/planner_core.h
@@ -77,8 +77,11 @@
   /// @param aChangeId Unique id for the document, if one is written.
   PlannerStep Decide(const PlannerObservation& aSeen, const std::string& aChangeId);
 
-  /// @returns The first document, made of the listed hosts, if there is anything to distribute.
-  std::optional<FleetMap> FirstDocument(const HostListSnapshot& aList,
+  /// @param aWithoutHosts The stored document, or an empty one; its member list is kept.
+  /// @returns The first document with hosts, made of the listed ones, if there is anything to
+  /// distribute.
+  std::optional<FleetMap> FirstDocument(const FleetMap& aWithoutHosts,
+                                        const HostListSnapshot& aList,
                                         const ProfileSet& aProfiles,
                                         const std::string& aChangeId) const;
 
--- a/include/sardinespoke/planner_duty.h
+++ b/include/sardinespoke/planner_duty.h
@@ -75,7 +75,7 @@
                          const ConfigView& aView,
                          const StoredFleet& aStored,
                          TimePoint aReadAt);
-  Outcome StartFleet(const PlannerObservation& aSeen);
+  Outcome StartFleet(const PlannerObservation& aSeen, const StoredFleet& aStored);
   Outcome WriteBack(const FleetMap& aInForce, const StoredFleet& aStored);
   Outcome Save(const FleetMap& aFleet, uint64_t aVersion, Outcome aDone);
   bool Gather(PlannerObservation& aSeen, const ConfigView& aView);
--- a/include/sardinespoke/settings.h
+++ b/include/sardinespoke/settings.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sardinespoke {
 
@@ -28,6 +29,7 @@
   Endpoint admin_;
   Endpoint peer_;
   Endpoint platform_;
+  std::vector<std::string> seedPeers_; ///< "ip:port" of peers to ask when the store is down.
   std::string keyPrefix_ = "sardinespoke/";
   uint64_t maxBodyBytes_ = 1 << 20;
   uint64_t maxAnswerBytes_ = 8 << 20;
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -97,7 +97,10 @@
   if (!root.isEnabledFor(level)) {
     return;
   }
-  auto line = aFields.is_object() ? aFields : nlohmann::json{ { "detail", aFields } };
+  auto line = aFields.is_object() ? aFields : nlohmann::json::object();
+  if (!aFields.is_object() && !aFields.is_null()) {
+    line["detail"] = aFields;
+  }
   line["event"] = aEvent;
   root.forcedLog(level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
--- a/src/planner_duty.cpp
+++ b/src/planner_duty.cpp
@@ -154,8 +154,9 @@
   if (behind) {
     return Outcome::Waiting;
   }
-  if (!readable) {
-    return StartFleet(aSeen);
+  // Entry hosts may have joined before any host was listed, so the document can exist without hosts.
+  if (!readable || fleet.hosts_.empty()) {
+    return StartFleet(aSeen, aStored);
   }
   aSeen.fleet_ = fleet;
   last_ = fleet;
@@ -176,18 +177,18 @@
 }
 
 PlannerDuty::Outcome
-PlannerDuty::StartFleet(const PlannerObservation& aSeen)
+PlannerDuty::StartFleet(const PlannerObservation& aSeen, const StoredFleet& aStored)
 {
   if (!aSeen.list_) {
     return Outcome::Waiting;
   }
   const std::optional<FleetMap> first =
-    core_.FirstDocument(*aSeen.list_, aSeen.profiles_, NextChangeId());
+    core_.FirstDocument(aStored.fleet_, *aSeen.list_, aSeen.profiles_, NextChangeId());
   if (!first) {
     return Outcome::Waiting;
   }
-  Record("fleet.created", "no fleet document exists", { { "hosts", first->hosts_.size() } });
-  return Save(*first, 0, Outcome::Written);
+  Record("fleet.created", "the fleet document lists no host", { { "hosts", first->hosts_.size() } });
+  return Save(*first, aStored.version_, Outcome::Written);
 }
 
 PlannerDuty::Outcome
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -30,6 +30,11 @@
     "admin": {"$ref": "#/definitions/endpoint"},
     "peer": {"$ref": "#/definitions/endpoint"},
     "platform": {"$ref": "#/definitions/endpoint"},
+    "seed_peers": {
+      "type": "array",
+      "maxItems": 32,
+      "items": {"type": "string", "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"}
+    },
     "key_prefix": {"type": "string", "pattern": "^[a-z0-9-]+/$"},
     "limits": {
       "type": "object",
@@ -129,6 +134,7 @@
   settings.peer_ = EndpointOf(document.at("peer"));
   settings.platform_ = EndpointOf(document.at("platform"));
   settings.keyPrefix_ = document.value("key_prefix", settings.keyPrefix_);
+  settings.seedPeers_ = document.value("seed_peers", settings.seedPeers_);
   if (document.contains("limits")) {
     ReadLimits(document.at("limits"), settings);
   }
--- a/tools/sardinespokectl/cli.h
+++ b/tools/sardinespokectl/cli.h
@@ -76,6 +76,10 @@
 
   ExitCode MaintenanceAction(const char* aAction);
 
+  /// @returns The revision that an edit is based on: the option, the file's own, or the current
+  /// one.
+  uint64_t BaseRevision(const nlohmann::json& aContent) const;
+
   /// Waits until every live entry host has the revision in force; prints who has not.
   ExitCode WaitInForce(uint64_t aRevision) const;
 
--- a/tools/sardinespokectl/cli_profile.cpp
+++ b/tools/sardinespokectl/cli_profile.cpp
@@ -107,9 +107,7 @@
     path += "/" + content.value("name", std::string());
   }
   path += "?change_id=" + changeId + "&author=" + options_.author_;
-  if (options_.baseRevision_ != 0) {
-    path += "&base_revision=" + std::to_string(options_.baseRevision_);
-  }
+  path += "&base_revision=" + std::to_string(BaseRevision(content));
 
   const auto answer = client_.Call("PUT", path, text);
   if (answer.status_ == 0 && answer.sent_) {
@@ -131,6 +129,21 @@
   return options_.noWait_ ? ExitCode::Done : WaitInForce(revision);
 }
 
+uint64_t
+Cli::BaseRevision(const nlohmann::json& aContent) const
+{
+  if (options_.baseRevision_ != 0) {
+    return options_.baseRevision_;
+  }
+  // A document written by "profile get" carries the revision that the operator edited.
+  const auto revision = aContent.is_object() ? aContent.find("revision") : aContent.end();
+  if (revision != aContent.end() && revision->is_number_unsigned()) {
+    return revision->get<uint64_t>();
+  }
+  const auto status = client_.Call("GET", "/v1/status");
+  return status.body_.is_object() ? status.body_.value("profiles_revision", uint64_t{ 0 }) : 0;
+}
+
 ExitCode
 Cli::WaitInForce(uint64_t aRevision) const
 {
