Smooth demand reports over two seconds and bound them

The log of the reports showed that noise of small demands moved the parts of entry hosts between 46 and 57 slots, and that flooding queues reported 456 to 727 under even load, because a queue bounded by its deadline grows with the slots it gets.

Change: gain 0.05 instead of 0.2 with a jump at four standard deviations; samples are bounded by what the profile may hold.

--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -166,7 +166,11 @@
 PoolScheduler::SampleDemand()
 {
   for (auto& [name, profile] : profiles_) {
-    profile.sampledDemand_ += queue_.Length(name) + profile.running_;
+    // More than the profile may hold tells the others nothing, and a queue bounded by its deadline
+    // grows with the slots it gets, so that without this bound an early advantage would last.
+    const uint32_t most = std::max(profile.rules_.maxSlots_, profile.rules_.entitledSlots_);
+    const auto queued = static_cast<uint32_t>(queue_.Length(name));
+    profile.sampledDemand_ += std::min(queued + profile.running_, most);
     ++profile.samples_;
   }
 }
@@ -269,7 +273,7 @@
     return;
   }
   const double difference = std::abs(aProfile.demand_ - aProfile.reported_);
-  if (aProfile.reported_ == 0 || difference > std::max(1.0, kReportStep * aProfile.reported_)) {
+  if (aProfile.reported_ == 0 || difference > std::max(2.0, kReportStep * aProfile.reported_)) {
     aProfile.reported_ = static_cast<uint32_t>(std::ceil(aProfile.demand_));
   }
 }
--- a/src/pool_scheduler_p.h
+++ b/src/pool_scheduler_p.h
@@ -30,10 +30,10 @@
 
 /// Demand is smoothed with this weight of the newest interval, unless it differs by more than
 /// kDemandJump standard deviations of a Poisson number; then it is taken over at once.
-constexpr double kDemandGain = 0.2;
-constexpr double kDemandJump = 3;
+constexpr double kDemandGain = 0.05;
+constexpr double kDemandJump = 4;
 
-/// A report changes only when demand differs from it by this part and at least 1. Each change moves
+/// A report changes only when demand differs from it by this part and at least 2. Each change moves
 /// slots between entry hosts, and a moved slot is refused by the worker until the last request of
 /// its former holder has ended.
 constexpr double kReportStep = 0.15;
