Make the round robin quantum relative to the least weight

Cause: a queue of weight 80 got a credit of 80 times the greatest cost per round, so that one team sent bursts of about 80 requests before the next was served.

Change: weights count relative to the least weight of the candidates.

Conclusion: kept for fairness between the teams; the wait under flood is mostly the time until one of the entry host's slots is free (about 340 a second end for 260 arrivals of other teams).

--- a/src/admission_queue.cpp
+++ b/src/admission_queue.cpp
@@ -92,8 +92,10 @@
   // A quantum of the greatest head cost lets every candidate send at least one request per round,
   // so that the choice ends within two rounds.
   std::chrono::nanoseconds quantum{ 1 };
+  uint32_t leastWeight = UINT32_MAX;
   for (const auto& [profile, weight] : aCandidates) {
     quantum = std::max(quantum, queues_[profile].items_.front().cost_);
+    leastWeight = std::min(leastWeight, std::max(weight, 1U));
   }
   size_t next = 0;
   while (next < aCandidates.size() && aCandidates[next].first < lastServed_) {
@@ -106,7 +108,7 @@
       lastServed_ = profile;
       return next % aCandidates.size();
     }
-    queue.deficit_ += quantum * std::max(weight, 1U);
+    queue.deficit_ += quantum * std::max(weight, 1U) / leastWeight;
   }
 }
 
