Judge failing workers by a likelihood ratio

Cause: a kind of which 30% fails everywhere removed up to three workers (target 0), because three failures in a row on one worker happen by chance.

Change: evidence is the log likelihood ratio between a worker that fails 95% and the failure rate of the same kind on the other workers.

--- a/src/fault_attribution.cpp
+++ b/src/fault_attribution.cpp
@@ -1,6 +1,7 @@
 #include "sardinespoke/fault_attribution.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace sardinespoke {
@@ -38,7 +39,7 @@
     }
   }
 
-  ByWorker evidence;
+  std::map<std::string, double> evidence;
   for (const auto& [kind, byWorker] : sums) {
     Results all;
     for (const auto& [worker, results] : byWorker) {
@@ -46,19 +47,14 @@
       all.failed_ += results.failed_;
     }
     for (const auto& [worker, results] : byWorker) {
-      evidence[worker].ok_ += results.ok_;
-      const uint32_t okElsewhere = all.ok_ - results.ok_;
-      const uint32_t failedElsewhere = all.failed_ - results.failed_;
-      if (okElsewhere > failedElsewhere) {
-        evidence[worker].failed_ += results.failed_;
-      }
+      evidence[worker] += Evidence(results, all);
     }
   }
 
-  std::vector<std::pair<uint32_t, std::string>> failing;
-  for (const auto& [worker, results] : evidence) {
-    if (results.failed_ >= kMinEvidence && results.failed_ > results.ok_) {
-      failing.emplace_back(results.failed_, worker);
+  std::vector<std::pair<double, std::string>> failing;
+  for (const auto& [worker, strength] : evidence) {
+    if (strength > kBlameEvidence) {
+      failing.emplace_back(strength, worker);
     }
   }
   std::sort(failing.rbegin(), failing.rend());
@@ -70,6 +66,17 @@
   return workers;
 }
 
+double
+FaultAttribution::Evidence(const Results& aHere, const Results& aAll)
+{
+  // One failure and one success are added, so that a few results elsewhere are not taken as proof.
+  const double failedElsewhere = aAll.failed_ - aHere.failed_ + 1.0;
+  const double okElsewhere = aAll.ok_ - aHere.ok_ + 1.0;
+  const double expected = failedElsewhere / (failedElsewhere + okElsewhere);
+  return aHere.failed_ * std::log(kFailingRate / expected) +
+         aHere.ok_ * std::log((1 - kFailingRate) / (1 - expected));
+}
+
 void
 FaultAttribution::Forget(const std::string& aWorker)
 {
