--- a/standins/fake_peer_network.cpp
+++ b/standins/fake_peer_network.cpp
@@ -10,6 +10,20 @@
   return leaf::new_error(PeerError{ aCode, aMessage });
 }
 
+nlohmann::json
+AgreeingReply(const std::string& aId, const nlohmann::json& aMessage)
+{
+  return { { "id", aId },
+           { "profiles_revision", aMessage.at("profiles_revision") },
+           { "fleet_revision", aMessage.at("fleet_revision") },
+           { "store", { { "reachable", false } } },
+           { "list", { { "reachable", false } } },
+           { "roster_digest", aMessage.at("roster_digest") },
+           { "leaving_digest", aMessage.at("leaving_digest") },
+           { "may_sponsor", false },
+           { "hybrid_time", 0 } };
+}
+
 }
 
 class FakePeerNetwork::Link final : public PeerLinkI
@@ -108,6 +122,9 @@
   const std::string type = aMessage.at("type").get<std::string>();
   ++calls_[type];
   auto node = handlers_.find(aTo);
+  if (silentAgrees_ && type == "Confirm" && Blocked(aFrom, aTo)) {
+    return AgreeingReply(aTo.substr(aTo.find(':') + 1), aMessage);
+  }
   if (node == handlers_.end() || Blocked(aFrom, aTo)) {
     return Fail(PeerError::Code::Unreachable, aTo + " is not reachable");
   }
--- a/standins/fake_peer_network.h
+++ b/standins/fake_peer_network.h
@@ -41,6 +41,8 @@
   {
     delay_ = std::move(aDelay);
   }
+  /// Answers Confirm on behalf of nodes that can't be reached, as if they had no store either.
+  void SetSilentAgrees(bool aAgrees) { silentAgrees_ = aAgrees; }
   void SetReplyFilter(ReplyFilter aFilter) { filter_ = std::move(aFilter); }
 
   /// @returns Bytes of CBOR that a node has sent, requests and replies.
@@ -65,6 +67,7 @@
   std::function<void(const std::string&)> delay_;
   ReplyFilter filter_;
   bool twice_ = false;
+  bool silentAgrees_ = false;
   int loseReplies_ = 0;
 };
 
