--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -70,6 +70,11 @@
   [ "$members" = "$entry_count" ]
 }
 
+# Whether the spare pool and at least one other pool have hosts.
+hosts_distributed() {
+  [ "$(ctl --json pool | python3 -c 'import json,sys; print(len(json.load(sys.stdin)) > 1)')" = True ]
+}
+
 start_entry() { # INDEX
   write_settings "$1"
   start_program "entry-$1.log" "$build_dir/sardinespoked" --settings "$run_dir/entry-$1.json"
@@ -95,4 +100,5 @@
   ctl --author setup profile apply "examples/$deployment.profiles.json" >"$run_dir/apply.log" 2>&1 ||
     { cat "$run_dir/apply.log" >&2; return 1; }
   wait_until 30 all_members
+  wait_until 30 hosts_distributed
 }
--- a/src/planner_duty.cpp
+++ b/src/planner_duty.cpp
@@ -154,7 +154,8 @@
   if (behind) {
     return Outcome::Waiting;
   }
-  // Entry hosts may have joined before any host was listed, so the document can exist without hosts.
+  // Entry hosts may have joined before any host was listed, so the document can exist without
+  // hosts.
   if (!readable || fleet.hosts_.empty()) {
     return StartFleet(aSeen, aStored);
   }
@@ -187,7 +188,8 @@
   if (!first) {
     return Outcome::Waiting;
   }
-  Record("fleet.created", "the fleet document lists no host", { { "hosts", first->hosts_.size() } });
+  Record(
+    "fleet.created", "the fleet document lists no host", { { "hosts", first->hosts_.size() } });
   return Save(*first, aStored.version_, Outcome::Written);
 }
 
--- a/standins/planner_rig.cpp
+++ b/standins/planner_rig.cpp
@@ -176,6 +176,13 @@
     planners_.push_back(std::make_unique<PlannerDuty>(
       settings, *store_, platform_, *control_, *inputs_.back(), clock_, nullptr));
   }
+  if (shape_.membersFirst_) {
+    static_cast<void>(editor_.Edit(0, [&](FleetMap& aFleet) -> leaf::result<void> {
+      const auto& entry = entries_.front();
+      aFleet.members_[entry.id_] = { entry.id_, entry.incarnation_, 1, 0 };
+      return {};
+    }));
+  }
   Run(std::chrono::seconds(8)); // The first document, the members and their first acknowledgement.
 }
 
--- a/standins/planner_rig.h
+++ b/standins/planner_rig.h
@@ -29,6 +29,7 @@
   std::chrono::milliseconds rebootTime_{ 60000 };
   std::chrono::milliseconds runTime_{ 3000 }; ///< Longest run of a request.
   PlannerOptions options_;
+  bool membersFirst_ = false; ///< An entry host joins before the first step of a planner.
 };
 
 /// Deliberate errors outside the product that the checks must find.
--- a/tests/planner_duty_test.cpp
+++ b/tests/planner_duty_test.cpp
@@ -44,6 +44,21 @@
   EXPECT_EQ(rig.Fleet().members_.size(), 3U);
 }
 
+// Guards against all hosts in the spare pool when an entry host joins before the planner's first
+// step and so creates a document without hosts.
+TEST(PlannerDuty, HostsAreDistributedAlsoWhenMembersCameFirst)
+{
+  RigShape shape;
+  shape.membersFirst_ = true;
+  PlannerRig rig(shape, 1);
+  std::map<std::string, size_t> sizes;
+  for (const auto& [id, host] : rig.Fleet().hosts_) {
+    ++sizes[host.pool_];
+  }
+  EXPECT_EQ(sizes.size(), 5U);
+  EXPECT_EQ(rig.Fleet().members_.size(), 3U);
+}
+
 // Guards against a roll-out that skips hosts, never ends, breaks a budget or reboots a busy host.
 TEST(PlannerDuty, RolloutMaintainsEveryHostOnce)
 {
