--- /dev/null
+++ b/standins/trivial_dispatcher.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "sardinespoke/dispatcher.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// Dispatcher for measurements of the gateway alone: one pool for all services, the least loaded
+/// worker first, no fairness and no view.
+class TrivialDispatcher final : public DispatcherI
+{
+public:
+  TrivialDispatcher(std::vector<std::string> aAddresses,
+                    uint32_t aSlots,
+                    std::chrono::milliseconds aRunLimit);
+
+  leaf::result<Grant> Acquire(const WorkItem& aItem) override;
+  bool MayStart(const Grant& aGrant) override;
+  void Release(const Grant& aGrant,
+               AttemptResult aResult,
+               std::chrono::nanoseconds aRunTime) override;
+
+private:
+  /// @returns The worker with the most free slots, or the number of workers if all are full.
+  size_t Pick(const std::string& aAvoid);
+
+  const std::vector<std::string> addresses_;
+  const uint32_t slots_;
+  const std::chrono::milliseconds runLimit_;
+  std::mutex mutex_;
+  std::condition_variable freed_;
+  std::vector<uint32_t> used_;
+  std::map<uint64_t, size_t> grants_;
+  size_t next_ = 0; ///< Where the search starts, so that equal workers take turns.
+  uint64_t nextId_ = 1;
+};
+
+}
