--- a/src/request_runner.cpp
+++ b/src/request_runner.cpp
@@ -273,7 +273,9 @@
     Capture<BackendAnswer>([&] { return backends_.Send(request); },
                            BackendError{ BackendError::Code::Incomplete, "unknown failure" });
   const auto runTime = firstByte ? clock_.Now() - *firstByte : TimePoint::duration::zero();
-  guard.SetResult(ToAttemptResult(outcome, *aCancelled), runTime);
+  // Non-idempotent work that was sent is never cut, so its failure is the backend server's.
+  const bool cut = *aCancelled && (aRequest.idempotent_ || !firstByte);
+  guard.SetResult(ToAttemptResult(outcome, cut), runTime);
   return outcome;
 }
 
