Detect failing workers by a CUSUM test

Cause: a worker that began to fail was in use for 2.0 to 2.4 s, because its successes of the last 5 to 10 s counted against the evidence; with failures as slow as successes this would have grown towards 10 s.

Change: the evidence is a running sum that never falls below zero, with the current failure rate of the kind on the other workers. A probe with work that fails everywhere leaves the breaker half-open. Results of workers that left the pool are forgotten.

--- a/src/fault_attribution.cpp
+++ b/src/fault_attribution.cpp
@@ -6,103 +6,129 @@
 
 namespace sardinespoke {
 
+namespace {
+
+// No rate is taken as certain: one more or one less result must not decide alone.
+constexpr double kLeastRate = 0.01;
+constexpr double kGreatestRate = 0.99;
+
+}
+
 void
 FaultAttribution::Record(const std::string& aWorker,
                          const std::string& aKind,
                          bool aOk,
                          TimePoint aNow)
 {
-  Rotate(aNow);
-  ByKind& window = windows_[0];
-  if (window.size() >= kMaxKinds && !window.contains(aKind)) {
+  KindRates* kind = FindKind(aKind, aNow);
+  if (kind == nullptr) {
     return;
   }
-  Results& results = window[aKind][aWorker];
-  ++(aOk ? results.ok_ : results.failed_);
-  newFailure_ = newFailure_ || !aOk;
+  kind->lastSeen_ = aNow;
+  const auto [rate, added] = kind->byWorker_.try_emplace(aWorker, 0);
+  if (kind->byWorker_.size() > 1) {
+    const double elsewhere = RateElsewhere(*kind, aWorker);
+    const double expected = std::clamp(elsewhere, kLeastRate, kGreatestRate);
+    const double change =
+      aOk ? std::log((1 - kFailingRate) / (1 - expected)) : std::log(kFailingRate / expected);
+    double& evidence = evidence_[aWorker];
+    evidence = std::max(evidence + change, 0.0);
+  }
+  const double result = aOk ? 0 : 1;
+  const double change = (added ? 1 : kRateGain) * (result - rate->second);
+  rate->second += change;
+  kind->sum_ += change;
 }
 
 std::vector<std::string>
-FaultAttribution::FailingWorkers(TimePoint aNow)
+FaultAttribution::FailingWorkers() const
 {
-  Rotate(aNow);
-  if (!newFailure_) {
-    return {};
-  }
-  newFailure_ = false;
-  ByKind sums = windows_[0];
-  for (const auto& [kind, byWorker] : windows_[1]) {
-    for (const auto& [worker, results] : byWorker) {
-      Results& sum = sums[kind][worker];
-      sum.ok_ += results.ok_;
-      sum.failed_ += results.failed_;
-    }
-  }
-
-  std::map<std::string, double> evidence;
-  for (const auto& [kind, byWorker] : sums) {
-    Results all;
-    for (const auto& [worker, results] : byWorker) {
-      all.ok_ += results.ok_;
-      all.failed_ += results.failed_;
-    }
-    for (const auto& [worker, results] : byWorker) {
-      evidence[worker] += Evidence(results, all);
-    }
-  }
-
   std::vector<std::pair<double, std::string>> failing;
-  for (const auto& [worker, strength] : evidence) {
-    if (strength > kBlameEvidence) {
-      failing.emplace_back(strength, worker);
+  for (const auto& [worker, evidence] : evidence_) {
+    if (evidence > kBlameEvidence) {
+      failing.emplace_back(evidence, worker);
     }
   }
   std::sort(failing.rbegin(), failing.rend());
   std::vector<std::string> workers;
   workers.reserve(failing.size());
-  for (auto& [count, worker] : failing) {
+  for (auto& [evidence, worker] : failing) {
     workers.push_back(std::move(worker));
   }
   return workers;
 }
 
-double
-FaultAttribution::Evidence(const Results& aHere, const Results& aAll)
+void
+FaultAttribution::Forget(const std::string& aWorker)
 {
-  // One failure and one success are added, so that a few results elsewhere are not taken as proof.
-  const double failedElsewhere = aAll.failed_ - aHere.failed_ + 1.0;
-  const double okElsewhere = aAll.ok_ - aHere.ok_ + 1.0;
-  const double expected = failedElsewhere / (failedElsewhere + okElsewhere);
-  return aHere.failed_ * std::log(kFailingRate / expected) +
-         aHere.ok_ * std::log((1 - kFailingRate) / (1 - expected));
+  evidence_.erase(aWorker);
+  for (auto& [name, kind] : kinds_) {
+    const auto rate = kind.byWorker_.find(aWorker);
+    if (rate == kind.byWorker_.end()) {
+      continue;
+    }
+    kind.sum_ -= rate->second;
+    kind.byWorker_.erase(rate);
+  }
 }
 
 void
-FaultAttribution::Forget(const std::string& aWorker)
+FaultAttribution::KeepOnly(const std::set<std::string>& aWorkers)
 {
-  for (ByKind& window : windows_) {
-    for (auto& [kind, byWorker] : window) {
-      byWorker.erase(aWorker);
+  std::set<std::string> gone;
+  for (const auto& [worker, evidence] : evidence_) {
+    gone.insert(worker);
+  }
+  for (const auto& [name, kind] : kinds_) {
+    for (const auto& [worker, rate] : kind.byWorker_) {
+      gone.insert(worker);
+    }
+  }
+  for (const std::string& worker : gone) {
+    if (!aWorkers.contains(worker)) {
+      Forget(worker);
     }
   }
 }
 
+bool
+FaultAttribution::FailsElsewhere(const std::string& aWorker, const std::string& aKind) const
+{
+  const auto kind = kinds_.find(aKind);
+  return kind != kinds_.end() && RateElsewhere(kind->second, aWorker) > 0.5;
+}
+
 size_t
 FaultAttribution::RemovalCap(size_t aPoolWorkers)
 {
   return std::max<size_t>(aPoolWorkers / 10, 1);
 }
 
-void
-FaultAttribution::Rotate(TimePoint aNow)
+double
+FaultAttribution::RateElsewhere(const KindRates& aKind, const std::string& aWorker)
 {
-  if (aNow < windowStart_ + kWindow) {
-    return;
+  const auto own = aKind.byWorker_.find(aWorker);
+  const bool known = own != aKind.byWorker_.end();
+  const size_t others = aKind.byWorker_.size() - (known ? 1 : 0);
+  if (others == 0) {
+    return 0;
+  }
+  return (aKind.sum_ - (known ? own->second : 0)) / static_cast<double>(others);
+}
+
+FaultAttribution::KindRates*
+FaultAttribution::FindKind(const std::string& aKind, TimePoint aNow)
+{
+  const auto found = kinds_.find(aKind);
+  if (found != kinds_.end()) {
+    return &found->second;
+  }
+  if (kinds_.size() >= kMaxKinds) {
+    std::erase_if(kinds_, [&](const auto& aEntry) {
+      return aNow - aEntry.second.lastSeen_ > kForgetKindAfter;
+    });
   }
-  const bool adjacent = aNow < windowStart_ + 2 * kWindow;
-  windows_[1] = adjacent ? std::move(windows_[0]) : ByKind();
-  windows_[0].clear();
-  windowStart_ = aNow;
+  return kinds_.size() < kMaxKinds ? &kinds_[aKind] : nullptr;
 }
 
 }
--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -243,6 +243,13 @@
       pool->second->AddWorker(host);
     }
   }
+  for (const auto& [name, pool] : pools_) {
+    std::set<std::string> workers;
+    for (const auto& [id, worker] : pool->Workers()) {
+      workers.insert(id);
+    }
+    pool->Faults().KeepOnly(workers);
+  }
   std::erase_if(breakers_,
                 [&](const auto& aEntry) { return !view_->fleet_->hosts_.contains(aEntry.first); });
   for (const auto& [id, running] : running_) {
@@ -315,7 +322,8 @@
     case AttemptResult::ServerError:
     case AttemptResult::Incomplete:
     case AttemptResult::Timeout:
-      if (wasClosed) {
+      // A probe with work that fails everywhere tells nothing about the server.
+      if (wasClosed || aPool.Faults().FailsElsewhere(aRunning.host_, aRunning.kind_)) {
         breaker.OnNoVerdict(aGrant);
       } else {
         breaker.OnFailure(aGrant, aNow);
@@ -350,7 +358,7 @@
     }
   }
   const size_t cap = FaultAttribution::RemovalCap(aPool.Workers().size());
-  for (const std::string& host : aPool.Faults().FailingWorkers(aNow)) {
+  for (const std::string& host : aPool.Faults().FailingWorkers()) {
     if (removed >= cap) {
       return;
     }
--- a/tools/sardinespoke-measure/flood_measures.cpp
+++ b/tools/sardinespoke-measure/flood_measures.cpp
@@ -206,12 +206,15 @@
   reporter.Write("fault.failing_worker_in_use", result.lastUseOfFaulty_, "s", "<= 10");
 
   FloodScenario poison = BaseScenario(aDeployment, aSeed);
-  poison.poison_ = { 0, 0.3, true };
+  poison.poison_ = { 0, 0.3, true, milliseconds(0) };
   const auto removedOwn = static_cast<double>(RunScenario(poison, product).workersRemoved_);
   reporter.Write("fault.removed_by_impossible_job", removedOwn, "workers", "= 0");
   poison.poison_.ownKind_ = false;
   const auto removedMixed = static_cast<double>(RunScenario(poison, product).workersRemoved_);
   reporter.Write("fault.removed_by_mixed_kind", removedMixed, "workers", "= 0");
+  poison.poison_ = { 0, 1, false, milliseconds(10000) };
+  const auto removedLate = static_cast<double>(RunScenario(poison, product).workersRemoved_);
+  reporter.Write("fault.removed_by_kind_turned_bad", removedLate, "workers", "= 0");
 }
 
 }
--- a/tools/sardinespoke-measure/flood_scenario.h
+++ b/tools/sardinespoke-measure/flood_scenario.h
@@ -40,6 +40,7 @@
   size_t queue_ = 0;
   double part_ = 0;      ///< Of the queue's requests; 0 = none.
   bool ownKind_ = false; ///< Whether it has a kind of its own.
+  std::chrono::milliseconds begin_{ 0 };
 };
 
 /// The input of one run.
--- a/tools/sardinespoke-measure/flood_simulation.cpp
+++ b/tools/sardinespoke-measure/flood_simulation.cpp
@@ -148,7 +148,8 @@
   const std::chrono::duration<double> run(std::exponential_distribution<>()(random_, rate));
   request.run_ = std::chrono::duration_cast<std::chrono::nanoseconds>(run);
   const bool poisoned = unit(random_) < scenario_.poison_.part_;
-  request.poisoned_ = poisoned && aQueue == scenario_.poison_.queue_;
+  request.poisoned_ =
+    poisoned && aQueue == scenario_.poison_.queue_ && Elapsed() >= scenario_.poison_.begin_;
   if (request.poisoned_ && scenario_.poison_.ownKind_) {
     request.policy_.kind_ += "/poison";
   }
