Add request ids and claims over the peer link

Change: RequestIdTable keeps the states of the ids that this daemon issued, bounded by 65,536 ids, 10 minutes, 16 KiB an answer and 16 MiB in all. Each attempt has a nonce; a claim or result that arrives twice or late has no second effect, and an attempt that gave its claim back cannot get it again.

Ruled out: giving up a claim at the first lost reply; the id would stay claimed by an attempt that does not know of it.

--- /dev/null
+++ b/include/sardinespoke/request_ids.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "sardinespoke/clock.h"
+#include "sardinespoke/request_claims.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// A request id `<issuer entry host>.<issuer process>.<counter>`.
+struct RequestId
+{
+  std::string issuer_;
+  std::string process_;
+  uint64_t counter_ = 0;
+
+  /// @returns The parts; empty if the text has another form.
+  static std::optional<RequestId> Parse(const std::string& aText);
+  std::string Text() const;
+};
+
+/// Bounds of a RequestIdTable.
+struct RequestIdLimits
+{
+  size_t maxIds_ = 65536;
+  std::chrono::milliseconds maxAge_{ 600000 };
+  size_t maxAnswerBytes_ = 16 << 10; ///< Longer answers are not kept.
+  size_t maxTotalBytes_ = 16 << 20;  ///< Of all kept answers; the oldest are dropped first.
+};
+
+/// States of the request ids that one daemon issued (docs/design.md, 5.3). Pure.
+///
+/// An attempt is named by a nonce, so that a claim or a result that arrives twice or late has no
+/// second effect.
+class RequestIdTable
+{
+public:
+  RequestIdTable(std::string aIssuer, std::string aProcess, RequestIdLimits aLimits = {});
+
+  std::vector<std::string> Issue(uint32_t aCount, TimePoint aNow);
+
+  ClaimReply Claim(const RequestId& aId, const std::string& aNonce, TimePoint aNow);
+
+  /// Has no effect unless the attempt holds the claim, except that the attempt cannot claim later.
+  void Finish(const RequestId& aId,
+              const std::string& aNonce,
+              ClaimResult aResult,
+              const std::optional<BackendAnswer>& aAnswer,
+              TimePoint aNow);
+
+  size_t Size() const { return entries_.size(); }
+  size_t AnswerBytes() const { return answerBytes_; }
+
+private:
+  enum class State
+  {
+    Unclaimed, ///< Issued, or reported as not run.
+    Claimed,
+    Finished,
+    Unknown,
+    Count
+  };
+
+  struct Entry
+  {
+    TimePoint issuedAt_;
+    State state_ = State::Unclaimed;
+    std::string nonce_;    ///< Attempt that holds or held the claim.
+    std::string released_; ///< Latest attempt that ended without having run.
+    std::optional<BackendAnswer> answer_;
+  };
+
+  /// @returns The entry; null if it was never issued, evicted or has expired.
+  Entry* Find(const RequestId& aId);
+  void Expire(TimePoint aNow);
+  void EvictOldest();
+  void KeepAnswer(Entry& aEntry, uint64_t aCounter, const BackendAnswer& aAnswer);
+  void DropAnswer(Entry& aEntry);
+
+  const std::string issuer_;
+  const std::string process_;
+  const RequestIdLimits limits_;
+  std::deque<Entry> entries_;     ///< By counter, without gaps.
+  uint64_t firstCounter_ = 1;     ///< Counter of entries_.front().
+  std::deque<uint64_t> answered_; ///< Counters with a kept answer, oldest first.
+  size_t answerBytes_ = 0;
+};
+
+/// @returns Bytes that a kept answer takes.
+size_t
+AnswerSize(const BackendAnswer& aAnswer);
+
+}
