Add the demand exchange

Cause: the slot shares need the demand of all entry hosts, within 15 KB/s of control traffic for each node.

Change: every 200 ms one message to each peer with the entries that differ most from what the peer has acknowledged, then a part of the rest as a refresh. A token bucket counts all control traffic of the daemon. Peers not heard from for 1 s are left out.

Ruled out: one shared record of what was sent; after a lost message that peer would be wrong until the next refresh.

--- /dev/null
+++ b/src/demand_exchange.cpp
@@ -0,0 +1,304 @@
+#include "sardinespoke/demand_exchange.h"
+
+#include "demand_selection_p.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace sardinespoke {
+
+namespace {
+
+using nlohmann::json;
+
+// Bytes of a Demand message without entries, and of the reply that the peer sends.
+constexpr size_t kMessageBytes = 160;
+// Most that a daemon may send at once after a time without traffic.
+constexpr std::chrono::seconds kBurst{ 1 };
+
+}
+
+/// State and thread of the exchange.
+class DemandExchange::Impl
+{
+public:
+  Impl(const DemandExchangeSettings& aSettings,
+       PeerLinkI& aPeers,
+       const ClockI& aClock,
+       DemandSurroundings aSurroundings)
+    : settings_(aSettings)
+    , peers_(aPeers)
+    , clock_(aClock)
+    , surroundings_(std::move(aSurroundings))
+    , nextAt_(aClock.Now())
+    , refilledAt_(aClock.Now())
+  {
+    peers_.Handle("Demand", [this](const json& aMessage) { return OnDemand(aMessage); });
+  }
+
+  void Start()
+  {
+    thread_ = std::thread([this]() { ThreadMain(); });
+  }
+
+  void Stop()
+  {
+    {
+      const std::lock_guard lock(mutex_);
+      stop_ = true;
+      wake_.notify_all();
+    }
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  void Step()
+  {
+    if (clock_.Now() < nextAt_) {
+      return;
+    }
+    nextAt_ = clock_.Now() + settings_.interval_;
+    Refill();
+    const std::vector<DemandPeer> peers = surroundings_.peers_();
+    ForgetOthers(peers);
+    for (const DemandPeer& peer : peers) {
+      PeerState& state = sent_[peer.id_];
+      if (clock_.Now() < state.retryAt_) {
+        continue;
+      }
+      Send(peer, state, Share(peers.size()));
+    }
+  }
+
+  void Publish(DemandReport aReport)
+  {
+    const std::lock_guard lock(mutex_);
+    own_ = std::move(aReport);
+    own_.entryHost_ = settings_.id_;
+    table_.reset();
+  }
+
+  std::shared_ptr<const DemandTable> Table()
+  {
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = clock_.Now();
+    if (!table_ || now >= tableUntil_) {
+      BuildTable(now);
+    }
+    return table_;
+  }
+
+private:
+  struct PeerState
+  {
+    PeerDemand demand_;
+    uint64_t sequence_ = 0;
+    TimePoint retryAt_;
+  };
+
+  struct Heard
+  {
+    std::string process_;
+    uint64_t sequence_ = 0;
+    DemandEntries entries_;
+    TimePoint at_;
+  };
+
+  void ThreadMain()
+  {
+    std::unique_lock lock(mutex_);
+    while (!stop_) {
+      lock.unlock();
+      Step();
+      lock.lock();
+      wake_.wait_for(lock, std::max<TimePoint::duration>(nextAt_ - clock_.Now(), kShortestWait));
+    }
+  }
+
+  /// Adds the allowance of the time passed and takes off everything that was sent in it.
+  void Refill()
+  {
+    const TimePoint now = clock_.Now();
+    const double seconds = std::chrono::duration<double>(now - refilledAt_).count();
+    const uint64_t sent = surroundings_.bytesSent_();
+    const double rate = settings_.bytesPerSecond_;
+    allowance_ += rate * seconds - static_cast<double>(sent - bytesSeen_);
+    // The debt is bounded, so that one large document does not stop the exchange for long.
+    allowance_ = std::clamp(allowance_, -rate * kBurst.count(), rate * kBurst.count());
+    refilledAt_ = now;
+    bytesSeen_ = sent;
+  }
+
+  /// @returns Bytes for the entries of one message. Without an allowance only the head is sent: it
+  /// keeps the peers from taking this daemon for gone.
+  size_t Share(size_t aPeers) const
+  {
+    const double interval = std::chrono::duration<double>(settings_.interval_).count();
+    // Half of the allowance at most, the rest is left for the other messages.
+    const double budget = std::min(allowance_ / 2, settings_.bytesPerSecond_ * interval);
+    const double share = budget / static_cast<double>(aPeers) - kMessageBytes;
+    return share > 0 ? static_cast<size_t>(share) : 0;
+  }
+
+  void ForgetOthers(const std::vector<DemandPeer>& aPeers)
+  {
+    std::erase_if(sent_, [&](const auto& aState) {
+      return std::none_of(aPeers.begin(), aPeers.end(), [&](const DemandPeer& aPeer) {
+        return aPeer.id_ == aState.first;
+      });
+    });
+  }
+
+  void Send(const DemandPeer& aPeer, PeerState& aState, size_t aMaxBytes)
+  {
+    DemandSelection selection;
+    if (aMaxBytes > 0) {
+      const std::lock_guard lock(mutex_);
+      selection = aState.demand_.Select(own_.byProfile_, aMaxBytes);
+    }
+    const json message{ { "type", "Demand" },
+                        { "sender", settings_.id_ },
+                        { "incarnation", settings_.process_ },
+                        { "sequence", ++aState.sequence_ },
+                        { "demand", selection.entries_ } };
+    const std::optional<bool> knewSender = leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<bool>> {
+        BOOST_LEAF_AUTO(reply, peers_.Call(aPeer.address_, message, settings_.peerTimeout_));
+        return reply.at("known").get<bool>();
+      },
+      [](leaf::catch_<json::exception>) { return std::optional<bool>(); },
+      []() { return std::optional<bool>(); });
+    if (!knewSender) {
+      aState.retryAt_ = clock_.Now() + settings_.retryAfter_;
+      return;
+    }
+    if (!*knewSender) {
+      aState.demand_.Reset();
+    }
+    aState.demand_.OnReceived(selection);
+  }
+
+  leaf::result<json> OnDemand(const json& aMessage)
+  {
+    const std::string sender = aMessage.at("sender").get<std::string>();
+    const std::string process = aMessage.at("incarnation").get<std::string>();
+    const uint64_t sequence = aMessage.at("sequence").get<uint64_t>();
+    const DemandEntries entries = aMessage.at("demand").get<DemandEntries>();
+    if (!surroundings_.known_(sender)) {
+      return leaf::new_error(
+        PeerError{ PeerError::Code::Refused, "unknown sender \"" + sender + "\"" });
+    }
+    const std::lock_guard lock(mutex_);
+    Heard& heard = heard_[sender];
+    const bool known = heard.process_ == process;
+    if (!known) {
+      heard = Heard{ process, 0, {}, {} };
+    }
+    if (sequence <= heard.sequence_) {
+      return json{ { "known", known } };
+    }
+    heard.sequence_ = sequence;
+    heard.at_ = clock_.Now();
+    for (const auto& [profile, value] : entries) {
+      if (value == 0) {
+        heard.entries_.erase(profile);
+        continue;
+      }
+      heard.entries_[profile] = value;
+    }
+    table_.reset();
+    return json{ { "known", known } };
+  }
+
+  void BuildTable(TimePoint aNow)
+  {
+    auto table = std::make_shared<DemandTable>();
+    tableUntil_ = TimePoint::max();
+    table->byEntryHost_[settings_.id_] = own_;
+    for (const auto& [id, heard] : heard_) {
+      const TimePoint until = heard.at_ + settings_.silenceLimit_;
+      if (aNow >= until) {
+        continue;
+      }
+      tableUntil_ = std::min(tableUntil_, until);
+      table->byEntryHost_[id] = { id, heard.entries_ };
+    }
+    // What was heard long ago is dropped; the sender starts again when it is told so.
+    std::erase_if(heard_, [&](const auto& aHeard) {
+      return aNow - aHeard.second.at_ >= kForgetFactor * settings_.silenceLimit_;
+    });
+    table_ = std::move(table);
+  }
+
+  static constexpr int kForgetFactor = 30;
+  static constexpr std::chrono::milliseconds kShortestWait{ 1 };
+
+  const DemandExchangeSettings settings_;
+  PeerLinkI& peers_;
+  const ClockI& clock_;
+  const DemandSurroundings surroundings_;
+
+  // Used by the sending thread only.
+  TimePoint nextAt_;
+  TimePoint refilledAt_;
+  uint64_t bytesSeen_ = 0;
+  double allowance_ = 0;
+  std::map<std::string, PeerState> sent_;
+
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::thread thread_;
+  bool stop_ = false;
+  DemandReport own_;
+  std::map<std::string, Heard> heard_;
+  std::shared_ptr<const DemandTable> table_;
+  TimePoint tableUntil_;
+};
+
+DemandExchange::DemandExchange(const DemandExchangeSettings& aSettings,
+                               PeerLinkI& aPeers,
+                               const ClockI& aClock,
+                               DemandSurroundings aSurroundings)
+  : impl_(std::make_unique<Impl>(aSettings, aPeers, aClock, std::move(aSurroundings)))
+{
+}
+
+DemandExchange::~DemandExchange()
+{
+  impl_->Stop();
+}
+
+void
+DemandExchange::Init()
+{
+  impl_->Start();
+}
+
+void
+DemandExchange::Shutdown()
+{
+  impl_->Stop();
+}
+
+void
+DemandExchange::Step()
+{
+  impl_->Step();
+}
+
+void
+DemandExchange::Publish(DemandReport aReport)
+{
+  impl_->Publish(std::move(aReport));
+}
+
+std::shared_ptr<const DemandTable>
+DemandExchange::Table() const
+{
+  return impl_->Table();
+}
+
+}
