--- a/tests/process/platform_process_test.cpp
+++ b/tests/process/platform_process_test.cpp
@@ -97,8 +97,8 @@
   const std::string line = process.ReadLine();
   const std::string kStart = "listening on 127.0.0.1:";
   ASSERT_EQ(line.substr(0, kStart.size()), kStart);
-  PlatformClient client(
-    { "http://127.0.0.1:" + line.substr(kStart.size()), "test", 300ms, 2000ms });
+  const std::string url = "http://127.0.0.1:" + line.substr(kStart.size());
+  PlatformClient client({ url, "test", 300ms, 2000ms });
   EXPECT_EQ(client.Fetch().value().hosts_.size(), 50U);
   EXPECT_TRUE(client.Put("a", "1", 0, {}));
   std::thread watcher([&] { static_cast<void>(client.Watch("b", 0, 60s)); });
