Test a kept connection that receives bytes nobody asked for

Change: the server of the test sends the second answer later, while the connection is kept.

Conclusion: the check of kept connections is needed and now tested.

--- a/tests/curl_backend_link_test.cpp
+++ b/tests/curl_backend_link_test.cpp
@@ -51,7 +51,7 @@
 Code
 CodeFor(const std::string& aBytes, const std::string& aMethod = "POST")
 {
-  RawServer server([&](const std::string&, size_t) { return RawReply{ aBytes, true, {} }; });
+  RawServer server([&](const std::string&, size_t) { return RawReply{ aBytes, true }; });
   CurlLinkSettings settings;
   settings.maxAnswerBytes_ = 100;
   CurlBackendLink link(settings);
@@ -65,7 +65,7 @@
 TEST(CurlBackendLink, DoesNotRepeatARequestOnAKeptConnection)
 {
   RawServer server([](const std::string&, size_t aIndex) {
-    return aIndex == 0 ? RawReply{ RawAnswer("first"), false, {} } : RawReply{ "", true, {} };
+    return aIndex == 0 ? RawReply{ RawAnswer("first"), false } : RawReply{ "", true };
   });
   CurlBackendLink link({});
   ASSERT_TRUE(Call(link, Post(server.Address())).answer_);
@@ -81,7 +81,7 @@
   std::atomic<bool> hold{ true };
   RawServer server([&](const std::string&, size_t aIndex) {
     return aIndex == 0 ? RawReply{ RawAnswer("late"), false, [&] { return hold.load(); } }
-                       : RawReply{ RawAnswer("second"), false, {} };
+                       : RawReply{ RawAnswer("second"), false };
   });
   CurlBackendLink link({});
   BackendRequest request = Post(server.Address());
@@ -99,8 +99,8 @@
 TEST(CurlBackendLink, DropsAConnectionWithUnrequestedBytes)
 {
   RawServer server([](const std::string&, size_t aIndex) {
-    return aIndex == 0 ? RawReply{ RawAnswer("one") + RawAnswer("not-asked-for"), false, {} }
-                       : RawReply{ RawAnswer("two"), false, {} };
+    return aIndex == 0 ? RawReply{ RawAnswer("one") + RawAnswer("not-asked-for"), false }
+                       : RawReply{ RawAnswer("two"), false };
   });
   CurlBackendLink link({});
   ASSERT_TRUE(Call(link, Post(server.Address())).answer_);
@@ -109,6 +109,30 @@
   EXPECT_EQ(second.answer_->body_, "two");
 }
 
+// Guards against the same when the bytes come while the connection is kept.
+TEST(CurlBackendLink, DropsAKeptConnectionThatReceivesBytes)
+{
+  std::atomic<bool> hold{ true };
+  RawServer server([&](const std::string&, size_t aIndex) {
+    RawReply reply{ RawAnswer(aIndex == 0 ? "one" : "two"), false };
+    if (aIndex == 0) {
+      reply.extra_ = RawAnswer("not-asked-for");
+      reply.extraWhile_ = [&] { return hold.load(); };
+    }
+    return reply;
+  });
+  CurlBackendLink link({});
+  ASSERT_TRUE(Call(link, Post(server.Address())).answer_);
+  hold = false;
+  while (server.ExtrasSent() == 0) {
+    std::this_thread::yield();
+  }
+  const Sent second = Call(link, Post(server.Address()));
+  ASSERT_TRUE(second.answer_);
+  EXPECT_EQ(second.answer_->body_, "two");
+  EXPECT_EQ(server.Connections(), 2U);
+}
+
 // Guards against another request's answer being accepted when the server mixes answers up.
 TEST(CurlBackendLink, RefusesAnAnswerToAnotherAttempt)
 {
@@ -172,9 +196,7 @@
 // on a kept connection.
 TEST(CurlBackendLink, SendsNothingIfTheViewLapsed)
 {
-  RawServer server([](const std::string&, size_t) {
-    return RawReply{ RawAnswer("ok"), false, {} };
-  });
+  RawServer server([](const std::string&, size_t) { return RawReply{ RawAnswer("ok"), false }; });
   CurlBackendLink link({});
   BackendRequest request = Post(server.Address());
   request.mayStart_ = [] { return false; };
@@ -218,9 +240,7 @@
 // Guards against headers that libcurl adds by itself and against lost empty fields.
 TEST(CurlBackendLink, SendsExactlyTheGivenHeaders)
 {
-  RawServer server([](const std::string&, size_t) {
-    return RawReply{ RawAnswer("ok"), false, {} };
-  });
+  RawServer server([](const std::string&, size_t) { return RawReply{ RawAnswer("ok"), false }; });
   CurlBackendLink link({});
   BackendRequest request = Post(server.Address());
   request.path_ = "/a/../b?x={1}";
@@ -235,9 +255,7 @@
 // Guards against a connection per request, which would cost more than the request itself.
 TEST(CurlBackendLink, ReusesConnections)
 {
-  RawServer server([](const std::string&, size_t) {
-    return RawReply{ RawAnswer("ok"), false, {} };
-  });
+  RawServer server([](const std::string&, size_t) { return RawReply{ RawAnswer("ok"), false }; });
   CurlBackendLink link({});
   for (const char* method : { "POST", "GET", "POST", "DELETE", "GET" }) {
     BackendRequest request = Post(server.Address());
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -199,7 +199,7 @@
 TEST_F(GatewayTest, AnActedOnRequestIsUnknownAndRunsOnce)
 {
   RawServer server([](const std::string&, size_t aIndex) {
-    return aIndex == 0 ? RawReply{ RawAnswer("first"), false, {} } : RawReply{ "", true, {} };
+    return aIndex == 0 ? RawReply{ RawAnswer("first"), false } : RawReply{ "", true };
   });
   CurlBackendLink link({});
   dispatcher_.address_ = server.Address();
--- a/tests/raw_server.cpp
+++ b/tests/raw_server.cpp
@@ -104,6 +104,14 @@
   }
 }
 
+void
+RawServer::WaitWhile(const std::function<bool()>& aCondition) const
+{
+  while (!stop_ && aCondition && aCondition()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 void
 RawServer::Serve(int aSocket)
 {
@@ -131,10 +139,13 @@
       requests_.push_back(request);
     }
     const RawReply reply = script_(request, index);
-    while (!stop_ && reply.holdWhile_ && reply.holdWhile_()) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
+    WaitWhile(reply.holdWhile_);
     SendAll(aSocket, reply.bytes_);
+    if (!reply.extra_.empty()) {
+      WaitWhile(reply.extraWhile_);
+      SendAll(aSocket, reply.extra_);
+      ++extrasSent_;
+    }
     if (reply.close_) {
       break;
     }
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -13,9 +13,11 @@
 /// What a RawServer does after it has read one request.
 struct RawReply
 {
-  std::string bytes_;
+  std::string bytes_{};
   bool close_ = false;
-  std::function<bool()> holdWhile_; ///< Polled; the reply is sent once it returns false.
+  std::function<bool()> holdWhile_{}; ///< Polled; the reply is sent once it returns false.
+  std::string extra_{};               ///< Sent after the reply, once extraWhile_ returns false.
+  std::function<bool()> extraWhile_{};
 };
 
 /// A server on 127.0.0.1 that answers with any bytes, also invalid HTTP.
@@ -31,16 +33,19 @@
   std::string Address() const;
   std::vector<std::string> Requests() const;
   size_t Connections() const { return connections_; }
+  size_t ExtrasSent() const { return extrasSent_; }
 
 private:
   void Accept();
   void Serve(int aSocket);
+  void WaitWhile(const std::function<bool()>& aCondition) const;
 
   Script script_;
   int listener_ = -1;
   uint16_t port_ = 0;
   std::atomic<bool> stop_{ false };
   std::atomic<size_t> connections_{ 0 };
+  std::atomic<size_t> extrasSent_{ 0 };
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::vector<std::thread> threads_;
