Distribute hosts also when a member created the fleet document

Cause: a joining member creates the document when there is none (fleet_writer), so the planner found a document without hosts and would have put every host into the spare pool. Change: a document without hosts is filled by the same distribution, keeping its members. The planner's struct is now FleetRead. Ruled out: refusing to join before the planner has written; a fresh deployment would then depend on the order in which threads start. Conclusion: a deployment starts whichever daemon writes first.

--- a/include/sardinespoke/fleet_store.h
+++ b/include/sardinespoke/fleet_store.h
@@ -8,7 +8,7 @@
 namespace sardinespoke {
 
 /// The fleet document as one read of the store found it.
-struct StoredFleet
+struct FleetRead
 {
   uint64_t version_ = 0; ///< Version for the next compare-and-swap; 0 if there is no document.
   FleetMap fleet_;
@@ -24,7 +24,7 @@
   FleetStore(KeyValueStoreI& aStore, std::string aKey);
 
   /// Errors: PlannerError (StoreDown).
-  leaf::result<StoredFleet> Read();
+  leaf::result<FleetRead> Read();
 
   /// Writes by one compare-and-swap. After a lost answer the document is read back.
   /// Errors: PlannerError (Conflict, StoreDown, OutcomeUnknown).
--- a/include/sardinespoke/planner_core.h
+++ b/include/sardinespoke/planner_core.h
@@ -77,8 +77,10 @@
   /// @param aChangeId Unique id for the document, if one is written.
   PlannerStep Decide(const PlannerObservation& aSeen, const std::string& aChangeId);
 
-  /// @returns The first document, made of the listed hosts, if there is anything to distribute.
-  std::optional<FleetMap> FirstDocument(const HostListSnapshot& aList,
+  /// @param aFleet A document without hosts; members may have joined already.
+  /// @returns The first document with hosts, made of the listed ones, if there are any.
+  std::optional<FleetMap> FirstDocument(const FleetMap& aFleet,
+                                        const HostListSnapshot& aList,
                                         const ProfileSet& aProfiles,
                                         const std::string& aChangeId) const;
 
--- a/include/sardinespoke/planner_duty.h
+++ b/include/sardinespoke/planner_duty.h
@@ -73,10 +73,10 @@
   Outcome StepAsHolder(const ConfigView& aView);
   Outcome StepOnDocument(PlannerObservation& aSeen,
                          const ConfigView& aView,
-                         const StoredFleet& aStored,
+                         const FleetRead& aStored,
                          TimePoint aReadAt);
-  Outcome StartFleet(const PlannerObservation& aSeen);
-  Outcome WriteBack(const FleetMap& aInForce, const StoredFleet& aStored);
+  Outcome StartFleet(const PlannerObservation& aSeen, const FleetRead& aStored);
+  Outcome WriteBack(const FleetMap& aInForce, const FleetRead& aStored);
   Outcome Save(const FleetMap& aFleet, uint64_t aVersion, Outcome aDone);
   bool Gather(PlannerObservation& aSeen, const ConfigView& aView);
   void Reboot(const std::vector<std::string>& aHosts, TimePoint aReadAt);
--- a/src/fleet_store.cpp
+++ b/src/fleet_store.cpp
@@ -20,10 +20,10 @@
 {
 }
 
-leaf::result<StoredFleet>
+leaf::result<FleetRead>
 FleetStore::Read()
 {
-  StoredFleet stored;
+  FleetRead stored;
   KeyValueItem item;
   BOOST_LEAF_CHECK(leaf::try_handle_some(
     [&]() -> leaf::result<void> {
@@ -83,7 +83,7 @@
 leaf::result<void>
 FleetStore::ReadBack(const FleetMap& aFleet)
 {
-  const leaf::result<StoredFleet> stored = Read();
+  const leaf::result<FleetRead> stored = Read();
   if (stored && stored->version_ != 0 && stored->fleet_.HasChange(aFleet.changeId_)) {
     return {};
   }
--- a/src/planner_core.cpp
+++ b/src/planner_core.cpp
@@ -101,7 +101,8 @@
 }
 
 std::optional<FleetMap>
-PlannerCore::FirstDocument(const HostListSnapshot& aList,
+PlannerCore::FirstDocument(const FleetMap& aFleet,
+                           const HostListSnapshot& aList,
                            const ProfileSet& aProfiles,
                            const std::string& aChangeId) const
 {
@@ -109,7 +110,7 @@
   if (pools.empty()) {
     return std::nullopt;
   }
-  FleetMap fleet;
+  FleetMap fleet = aFleet;
   fleet.BeginWrite(writer_, aChangeId);
   for (const ListedHost& host : aList.hosts_) {
     const auto pool = pools.find(host.id_);
--- a/src/planner_duty.cpp
+++ b/src/planner_duty.cpp
@@ -88,7 +88,7 @@
     return Outcome::Waiting;
   }
   const TimePoint readAt = clock_.Now();
-  const leaf::result<StoredFleet> stored = fleetStore_.Read();
+  const leaf::result<FleetRead> stored = fleetStore_.Read();
   if (!stored) {
     return Outcome::Failed;
   }
@@ -132,7 +132,7 @@
 PlannerDuty::Outcome
 PlannerDuty::StepOnDocument(PlannerObservation& aSeen,
                             const ConfigView& aView,
-                            const StoredFleet& aStored,
+                            const FleetRead& aStored,
                             TimePoint aReadAt)
 {
   const FleetMap* inForce = aView.fleet_.get();
@@ -154,8 +154,9 @@
   if (behind) {
     return Outcome::Waiting;
   }
-  if (!readable) {
-    return StartFleet(aSeen);
+  // A member may have created the document by joining.
+  if (fleet.hosts_.empty()) {
+    return StartFleet(aSeen, aStored);
   }
   aSeen.fleet_ = fleet;
   last_ = fleet;
@@ -176,22 +177,22 @@
 }
 
 PlannerDuty::Outcome
-PlannerDuty::StartFleet(const PlannerObservation& aSeen)
+PlannerDuty::StartFleet(const PlannerObservation& aSeen, const FleetRead& aStored)
 {
   if (!aSeen.list_) {
     return Outcome::Waiting;
   }
   const std::optional<FleetMap> first =
-    core_.FirstDocument(*aSeen.list_, aSeen.profiles_, NextChangeId());
+    core_.FirstDocument(aStored.fleet_, *aSeen.list_, aSeen.profiles_, NextChangeId());
   if (!first) {
     return Outcome::Waiting;
   }
-  Record("fleet.created", "no fleet document exists", { { "hosts", first->hosts_.size() } });
-  return Save(*first, 0, Outcome::Written);
+  Record("fleet.created", "the fleet document has no hosts", { { "hosts", first->hosts_.size() } });
+  return Save(*first, aStored.version_, Outcome::Written);
 }
 
 PlannerDuty::Outcome
-PlannerDuty::WriteBack(const FleetMap& aInForce, const StoredFleet& aStored)
+PlannerDuty::WriteBack(const FleetMap& aInForce, const FleetRead& aStored)
 {
   FleetMap fleet = aInForce;
   if (!aStored.malformed_.empty() || aStored.fleet_.revision_ == aInForce.revision_) {
