--- a/include/sardinespoke/planner_core.h
+++ b/include/sardinespoke/planner_core.h
@@ -77,10 +77,9 @@
   /// @param aChangeId Unique id for the document, if one is written.
   PlannerStep Decide(const PlannerObservation& aSeen, const std::string& aChangeId);
 
-  /// @param aWithoutHosts The stored document, or an empty one; its member list is kept.
-  /// @returns The first document with hosts, made of the listed ones, if there is anything to
-  /// distribute.
-  std::optional<FleetMap> FirstDocument(const FleetMap& aWithoutHosts,
+  /// @param aFleet A document without hosts; members may have joined already.
+  /// @returns The first document with hosts, made of the listed ones, if there are any.
+  std::optional<FleetMap> FirstDocument(const FleetMap& aFleet,
                                         const HostListSnapshot& aList,
                                         const ProfileSet& aProfiles,
                                         const std::string& aChangeId) const;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -12,10 +12,10 @@
 #include "sardinespoke/logging.h"
 #include "sardinespoke/metrics.h"
 #include "sardinespoke/nng_peer_link.h"
+#include "sardinespoke/peer_request_claims.h"
 #include "sardinespoke/planner_duty.h"
 #include "sardinespoke/platform_client.h"
 #include "sardinespoke/profile_editor.h"
-#include "sardinespoke/request_id_service.h"
 #include "sardinespoke/retry_budget.h"
 #include "sardinespoke/scheduler.h"
 #include "sardinespoke/steady_clock.h"
@@ -117,8 +117,8 @@
     , events_(settings_.id_ + "/" + process_)
     , peers_(PeerLinkSettings{ settings_.peer_.Text() })
     , config_(SyncSettings(settings_, process_), platform_, platform_, peers_, clock_, events_)
-    , exchange_(ExchangeSettings(), peers_, config_, clock_)
-    , claims_(RequestIdSettings{ settings_.id_, process_ }, peers_, config_, clock_)
+    , exchange_(ExchangeSettings(), peers_, clock_, Surroundings())
+    , claims_(settings_.id_, process_, peers_, clock_, Directory())
     , scheduler_({ settings_.id_, settings_.zone_, std::hash<std::string>{}(process_) },
                  config_,
                  exchange_,
@@ -210,6 +210,7 @@
     metrics_.Set("backend_transfers", static_cast<double>(links.transfers_));
     metrics_.Set("backend_connections_opened", static_cast<double>(links.connectionsOpened_));
     metrics_.Set("backend_repeats_stopped", static_cast<double>(links.secondConnectionsRefused_));
+    metrics_.Set("peer_bytes_sent", static_cast<double>(peers_.Counters().bytesSent_.load()));
     metrics_.Set("may_dispatch", config_.MayDispatch() ? 1 : 0);
     metrics_.Set("store_reachable", config_.StoreReachable() ? 1 : 0);
   }
@@ -219,11 +220,40 @@
   {
     DemandExchangeSettings settings;
     settings.id_ = settings_.id_;
-    settings.incarnation_ = process_;
-    settings.bytesPerSecond_ = settings_.controlBytesPerSecond_;
+    settings.process_ = process_;
+    settings.bytesPerSecond_ = static_cast<uint32_t>(settings_.controlBytesPerSecond_);
     return settings;
   }
 
+  std::vector<DemandPeer> LivePeers() const
+  {
+    std::vector<DemandPeer> peers;
+    for (const auto& [id, record] : config_.Roster()) {
+      if (id == settings_.id_) {
+        continue;
+      }
+      peers.push_back({ id, record.peer_ });
+    }
+    return peers;
+  }
+
+  DemandSurroundings Surroundings()
+  {
+    DemandSurroundings surroundings;
+    surroundings.peers_ = [this]() { return LivePeers(); };
+    surroundings.known_ = [this](const std::string& aId) { return config_.KnowsPeer(aId); };
+    surroundings.bytesSent_ = [this]() { return peers_.Counters().bytesSent_.load(); };
+    return surroundings;
+  }
+
+  PeerDirectory Directory()
+  {
+    PeerDirectory directory;
+    directory.address_ = [this](const std::string& aId) { return config_.PeerAddress(aId); };
+    directory.known_ = [this](const std::string& aId) { return config_.KnowsPeer(aId); };
+    return directory;
+  }
+
   GatewaySettings CallerSettings()
   {
     GatewaySettings settings;
@@ -302,7 +332,7 @@
   NngPeerLink peers_;
   ConfigSync config_;
   DemandExchange exchange_;
-  RequestIdService claims_;
+  PeerRequestClaims claims_;
   Scheduler scheduler_;
   CurlBackendLink backends_;
   RetryBudget retries_;
--- a/src/planner_duty.cpp
+++ b/src/planner_duty.cpp
@@ -88,7 +88,7 @@
     return Outcome::Waiting;
   }
   const TimePoint readAt = clock_.Now();
-  const leaf::result<StoredFleet> stored = fleetStore_.Read();
+  const leaf::result<FleetRead> stored = fleetStore_.Read();
   if (!stored) {
     return Outcome::Failed;
   }
@@ -132,7 +132,7 @@
 PlannerDuty::Outcome
 PlannerDuty::StepOnDocument(PlannerObservation& aSeen,
                             const ConfigView& aView,
-                            const StoredFleet& aStored,
+                            const FleetRead& aStored,
                             TimePoint aReadAt)
 {
   const FleetMap* inForce = aView.fleet_.get();
@@ -154,9 +154,8 @@
   if (behind) {
     return Outcome::Waiting;
   }
-  // Entry hosts may have joined before any host was listed, so the document can exist without
-  // hosts.
-  if (!readable || fleet.hosts_.empty()) {
+  // A member may have created the document by joining.
+  if (fleet.hosts_.empty()) {
     return StartFleet(aSeen, aStored);
   }
   aSeen.fleet_ = fleet;
@@ -178,7 +177,7 @@
 }
 
 PlannerDuty::Outcome
-PlannerDuty::StartFleet(const PlannerObservation& aSeen, const StoredFleet& aStored)
+PlannerDuty::StartFleet(const PlannerObservation& aSeen, const FleetRead& aStored)
 {
   if (!aSeen.list_) {
     return Outcome::Waiting;
@@ -188,13 +187,12 @@
   if (!first) {
     return Outcome::Waiting;
   }
-  Record(
-    "fleet.created", "the fleet document lists no host", { { "hosts", first->hosts_.size() } });
+  Record("fleet.created", "the fleet document has no hosts", { { "hosts", first->hosts_.size() } });
   return Save(*first, aStored.version_, Outcome::Written);
 }
 
 PlannerDuty::Outcome
-PlannerDuty::WriteBack(const FleetMap& aInForce, const StoredFleet& aStored)
+PlannerDuty::WriteBack(const FleetMap& aInForce, const FleetRead& aStored)
 {
   FleetMap fleet = aInForce;
   if (!aStored.malformed_.empty() || aStored.fleet_.revision_ == aInForce.revision_) {
