Make the flood test of the core strict

Cause: with a mutant that served entitled work in the same order as urgent work the test still passed, because the weights of the round robin gave the same split after 24 releases.

Change: the first 16 freed slots must all go to the entitled team. The mutant fails now.

--- a/tests/scheduler_core_test.cpp
+++ b/tests/scheduler_core_test.cpp
@@ -100,7 +100,7 @@
   EXPECT_EQ(Running("sales"), 32U);
   SubmitMany("births", 50);
   EXPECT_EQ(Running("births"), 0U);
-  for (int i = 0; i < 24; ++i) {
+  for (int i = 0; i < 16; ++i) {
     Finish("sales");
   }
   EXPECT_EQ(Running("births"), 16U);
