Measure roll-out time, spare hosts, moves and budget violations

Change: sardinespoke-measure has the group fleet. The roll-out bound uses the drain that the requests in flight really needed.

--- a/standins/planner_rig.cpp
+++ b/standins/planner_rig.cpp
@@ -416,6 +416,7 @@
     if (!started) {
       continue;
     }
+    NoteDrain(id);
     if (out[host.pool_] > shape_.rules_.maxUnavailableHosts_) {
       Violate("P1: " + std::to_string(out[host.pool_]) + " hosts of " + host.pool_ + " are out");
     }
@@ -425,6 +426,24 @@
   }
 }
 
+void
+PlannerRig::NoteDrain(const std::string& aHost)
+{
+  TimePoint last = clock_.Now();
+  for (const RigEntry& entry : entries_) {
+    const auto work = entry.inFlight_.find(aHost);
+    last = work == entry.inFlight_.end() ? last : std::max(last, work->second.end_);
+  }
+  ++drains_;
+  drainNeeded_ += last - clock_.Now();
+}
+
+std::chrono::nanoseconds
+PlannerRig::MeanDrainNeeded() const
+{
+  return drainNeeded_ / std::max<uint64_t>(1, drains_);
+}
+
 void
 PlannerRig::CheckReboot(const std::string& aHost)
 {
--- a/standins/planner_rig.h
+++ b/standins/planner_rig.h
@@ -106,6 +106,9 @@
   const std::vector<std::string>& Violations() const { return violations_; }
   uint64_t Writes() const { return writes_; }
   uint64_t Moves() const { return moves_; }
+  /// @returns Mean time from the start of a drain until the requests in flight had finished, which
+  /// no planner can undercut.
+  std::chrono::nanoseconds MeanDrainNeeded() const;
 
 private:
   class CheckedStore;
@@ -120,6 +123,7 @@
   bool IsOut(const std::string& aHost, const FleetMap& aBefore, const FleetMap& aAfter) const;
   void CheckWrite(const FleetMap& aBefore, const FleetMap& aAfter);
   void CheckBudgets(const FleetMap& aBefore, const FleetMap& aAfter);
+  void NoteDrain(const std::string& aHost);
   void CheckReboot(const std::string& aHost);
   void Violate(const std::string& aText);
 
@@ -147,6 +151,8 @@
   std::vector<std::string> violations_;
   uint64_t writes_ = 0;
   uint64_t moves_ = 0;
+  uint64_t drains_ = 0;
+  std::chrono::nanoseconds drainNeeded_{ 0 };
 };
 
 }
--- a/tools/sardinespoke-measure/measure_table.cpp
+++ b/tools/sardinespoke-measure/measure_table.cpp
@@ -1,5 +1,6 @@
 #include "measure_table.h"
 
+#include "fleet_measures.h"
 #include "flood_measures.h"
 
 namespace sardinespoke {
@@ -11,6 +12,7 @@
     { "flood", "what other work keeps during a flood; baselines included", RunFloodMeasures },
     { "entry", "capacity lost when one entry host sees most of the load", RunEntryMeasures },
     { "fault", "failing workers and work that can never run", RunFaultMeasures },
+    { "fleet", "roll-out time, spare hosts, host moves, budget violations", RunFleetMeasures },
   };
   return groups;
 }
