--- a/src/pool_mover.cpp
+++ b/src/pool_mover.cpp
@@ -84,12 +84,12 @@
   std::vector<double>& levels = shortages_[aPool].levels_;
   const double unmet = std::max(0.0, aLoad.demand_ - aLoad.capacity_);
   levels.resize(static_cast<size_t>(std::ceil(unmet)), 0.0);
-  double total = 0;
+  uint32_t due = 0;
   for (size_t i = 0; i < levels.size(); ++i) {
     levels[i] += std::min(1.0, unmet - static_cast<double>(i)) * aSeconds;
-    total += levels[i];
+    due += levels[i] > Seconds(cost_.RoundTrip()) ? 1 : 0;
   }
-  return std::min<uint32_t>(levels.size(), total / Seconds(cost_.RoundTrip()));
+  return due;
 }
 
 bool
