--- a/include/sardinespoke/curl_backend_link.h
+++ b/include/sardinespoke/curl_backend_link.h
@@ -23,8 +23,8 @@
   size_t maxAnswerBytes_ = 8 * 1024 * 1024;
   std::chrono::milliseconds connectTimeout_{ 1000 };
   std::chrono::milliseconds idleLimit_{ 60000 }; ///< Idle connections older than this are closed.
-  /// Longest delay until a cancelled transfer is cut.
-  std::chrono::milliseconds cancelPoll_{ 20 };
+  /// Longest delay until a cancelled transfer is cut. Every transfer in flight wakes up this often.
+  std::chrono::milliseconds cancelPoll_{ 50 };
 };
 
 /// Totals since the start.
--- a/src/curl_transfer.cpp
+++ b/src/curl_transfer.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr size_t kMaxAnswerHeaders = 200;
+constexpr std::chrono::milliseconds kLongestWait{ 1000 };
 constexpr char kAttemptHeader[] = "Sardinespoke-Attempt";
 constexpr char kRefusedHeader[] = "Sardinespoke-Refused";
 constexpr int kServiceUnavailable = 503;
@@ -160,6 +161,8 @@
   if (curl_multi_add_handle(multi_, easy_) != CURLM_OK) {
     return CURLE_FAILED_INIT;
   }
+  // libcurl itself wakes up for its own timeouts.
+  const auto wait = aRequest.cancelled_ ? settings_.cancelPoll_ : kLongestWait;
   CURLcode code = CURLE_FAILED_INIT;
   int running = 1;
   while (running > 0) {
@@ -172,7 +175,7 @@
       break;
     }
     if (running > 0) {
-      curl_multi_poll(multi_, nullptr, 0, static_cast<int>(settings_.cancelPoll_.count()), nullptr);
+      curl_multi_poll(multi_, nullptr, 0, static_cast<int>(wait.count()), nullptr);
     }
   }
   int left = 0;
