--- a/tests/process/load_tool_test.cpp
+++ b/tests/process/load_tool_test.cpp
@@ -27,6 +27,7 @@
     }
     aArgs[0] = std::string(BINARY_DIR) + "/" + aArgs[0];
     std::vector<char*> args;
+    args.reserve(aArgs.size() + 1);
     for (std::string& arg : aArgs) {
       args.push_back(arg.data());
     }
