Check P2, P6 and P8 under random faults, with mutants

Change: one run under random faults for each property: a host that moves between pools, a host that the list shows as leaving, edits with a store that returns with older documents. Mutants stand around the product. Unit tests of the view lease, the all-peers rule, the entry record and the event ring.

--- /dev/null
+++ b/tests/view_rules_test.cpp
@@ -0,0 +1,133 @@
+#include "sardinespoke/event_log_ring.h"
+#include "sardinespoke/manual_clock.h"
+#include "sardinespoke/membership.h"
+#include "sardinespoke/outage_rule.h"
+
+#include <gtest/gtest.h>
+
+namespace sardinespoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A process that is paused between a question and its answer.
+/// @param aCount Picks the time from which the confirmation counts.
+/// @returns Whether it may dispatch when it goes on.
+bool
+DispatchesAfterPause(const std::function<TimePoint(TimePoint aSent, TimePoint aAnswered)>& aCount)
+{
+  ManualClock clock;
+  ViewLease lease;
+  const TimePoint sent = clock.Now();
+  clock.Advance(milliseconds(60000));
+  lease.Confirm(aCount(sent, clock.Now()));
+  return lease.MayDispatch(clock.Now());
+}
+
+// Guards against a lease that counts from the answer: the pause before it would not be noticed.
+TEST(ViewLeaseTest, CountsFromWhenTheQuestionWasSent)
+{
+  EXPECT_FALSE(DispatchesAfterPause([](TimePoint aSent, TimePoint) { return aSent; }));
+  EXPECT_TRUE(DispatchesAfterPause([](TimePoint, TimePoint aAnswered) { return aAnswered; }))
+    << "the check does not notice the mutant";
+}
+
+// Guards against a view that gets younger on its way through peers, or older by a late answer.
+TEST(ViewLeaseTest, InheritsThePeersAgeAndNeverGoesBack)
+{
+  ManualClock clock;
+  ViewLease lease;
+  EXPECT_FALSE(lease.MayDispatch(clock.Now()));
+  lease.Inherit(clock.Now(), milliseconds(2000));
+  EXPECT_TRUE(lease.MayDispatch(clock.Now() + milliseconds(499)));
+  EXPECT_FALSE(lease.MayDispatch(clock.Now() + milliseconds(500)));
+  lease.Confirm(clock.Now() - milliseconds(2400));
+  EXPECT_TRUE(lease.MayDispatch(clock.Now() + milliseconds(499)));
+  lease.Inherit(clock.Now(), milliseconds(-5000));
+  EXPECT_FALSE(lease.MayDispatch(clock.Now() + milliseconds(2500)));
+}
+
+// Guards against serving on a frozen view while any member may know a newer one.
+TEST(OutageRuleTest, NeedsAFreshAnswerOfEveryOtherMember)
+{
+  const TimePoint now = ManualClock().Now();
+  const std::set<std::string> others{ "e2", "e3" };
+  OutageRule rule;
+  EXPECT_EQ(rule.ValidUntil({}, now), TimePoint::max()) << "alone in the member list";
+  EXPECT_EQ(rule.ValidUntil({}, std::nullopt), TimePoint::min()) << "never had a view";
+  rule.Answer("e2", { false, now, now });
+  EXPECT_EQ(rule.ValidUntil(others, now), TimePoint::min()) << "e3 has not answered";
+  rule.Answer("e3", { false, std::nullopt, now + milliseconds(300) });
+  EXPECT_EQ(rule.ValidUntil(others, now), now + kViewLimit);
+  rule.Answer("e3", { true, now, now });
+  EXPECT_EQ(rule.ValidUntil(others, now), TimePoint::min()) << "e3 reaches the store";
+}
+
+// Guards against a member whose access comes and goes: it renews its registration between two
+// answers, and by it the planner takes this daemon for stopped.
+TEST(OutageRuleTest, MemberThatReachedTheStoreLaterDoesNotCount)
+{
+  const TimePoint confirmed = ManualClock().Now();
+  OutageRule rule;
+  rule.Answer("e2", { false, confirmed + kViewLimit, confirmed + milliseconds(9000) });
+  EXPECT_GT(rule.ValidUntil({ "e2" }, confirmed), confirmed);
+  rule.Answer("e2",
+              { false, confirmed + kViewLimit + milliseconds(1), confirmed + milliseconds(9000) });
+  EXPECT_EQ(rule.ValidUntil({ "e2" }, confirmed), TimePoint::min());
+}
+
+// Guards against observers that are not members or not alive.
+TEST(MembershipTest, ObserversAreTheFirstLiveMembers)
+{
+  FleetMap fleet;
+  EntryRoster roster;
+  for (const char* id : { "e1", "e3", "e4", "e5" }) {
+    fleet.members_[id].id_ = id;
+  }
+  for (const char* id : { "e2", "e3", "e4", "e5" }) {
+    roster[id].id_ = id;
+  }
+  EXPECT_EQ(Observers(&fleet, roster), (std::vector<std::string>{ "e3", "e4" }));
+  EXPECT_TRUE(Observers(nullptr, roster).empty());
+}
+
+// Guards against an entry record that loses a field on its way, or is accepted without one.
+TEST(EntryRecordTest, SurvivesItsTextForm)
+{
+  const EntryRecord record{
+    "e1", "p-1", "c:1", "a:1", "p:1", "z1", true, 3, 4, { "h1" }, { "h2" }
+  };
+  const auto parse = [](const std::string& aText) {
+    return leaf::try_handle_all([&]() { return EntryRecord::Parse(aText); },
+                                []() { return EntryRecord{}; });
+  };
+  EXPECT_EQ(parse(record.Serialize()), record);
+  EXPECT_EQ(parse("[]").id_ + parse("{\"id\":\"e1\"}").id_ + parse("{").id_, "");
+}
+
+// Guards against events that sort before their cause, a clock taken along by one wrong peer, and a
+// log without a bound.
+TEST(EventLogRingTest, OrdersByHybridTimeAndIsBounded)
+{
+  uint64_t wall = 1000;
+  EventLogRing log("e1", [&]() { return wall; });
+  log.Record("a", "", {});
+  log.Observe(5000);
+  log.Record("b", "", {});
+  wall = 500;
+  log.Observe(wall + EventLogRing::kMaxAheadMicroseconds + 1);
+  log.Record("c", "", {});
+  std::vector<Event> events = log.After(1);
+  ASSERT_EQ(events.size(), 2U);
+  EXPECT_EQ(events[0].hybridTime_, 5001U);
+  EXPECT_EQ(events[1].hybridTime_, 5002U);
+  for (size_t count = 0; count < EventLogRing::kCapacity; ++count) {
+    log.Record("d", "", {});
+  }
+  events = log.After(0);
+  EXPECT_EQ(events.size(), EventLogRing::kCapacity);
+  EXPECT_EQ(events.front().sequence_, 4U);
+}
+
+}
+}
--- a/tests/view_safety_test.cpp
+++ b/tests/view_safety_test.cpp
@@ -1,204 +1,178 @@
-#include "move_planner.h"
-
-#include <random>
+#include "view_safety_fixture.h"
 
 namespace sardinespoke {
 namespace {
 
-/// A change to the product's surroundings that has the effect of a fault in the product.
-enum class Mutant
-{
-  None,
-  AgelessPeers, ///< The age of a peer's confirmation is ignored.
-  StoppedClock, ///< The dispatch check does not count the time in which the process was paused.
-  SilentAgrees, ///< A member without an answer counts as one that can't reach the store.
-};
-
-/// A clock that stands still for a paused process.
-class PausableClock final : public ClockI
-{
-public:
-  explicit PausableClock(const ClockI& aClock)
-    : clock_(aClock)
-  {
-  }
-  TimePoint Now() const override { return clock_.Now() - lost_; }
-  void Lose(milliseconds aTime) { lost_ += aTime; }
+using SafetyRun = std::function<int(uint32_t aSeed, Mutant aMutant)>;
 
-private:
-  const ClockI& clock_;
-  milliseconds lost_{ 0 };
-};
+constexpr uint32_t kSeeds = 8;
 
-/// Daemons under random faults while a planner moves a host and hosts leave.
-class ViewSafetyTest : public ClusterTest
+/// The properties, each checked with the product as it is and with mutants around it.
+class ViewPropertyTest : public ViewSafetyTest
 {
 protected:
-  static constexpr int kNodes = 5;
-
-  struct Result
+  /// P2: no daemon would use the host in a pool other than the one it serves by the documents.
+  int RunMoves(uint32_t aSeed, Mutant aMutant)
   {
-    int violations_ = 0; ///< Moments in which a daemon would use a host in the wrong pool.
-    int moves_ = 0;
-    double dispatching_ = 0; ///< Share of the time in which daemons may dispatch.
-  };
+    MovePlanner planner(platform_, clock_);
+    const auto usesWrongPool = [&](const ClusterNode& aNode) {
+      const auto view = aNode.sync_.Current();
+      const std::string& pool = planner.ServingPool();
+      if (pool.empty() || !aNode.sync_.MayDispatch() || !view->fleet_->hosts_.contains("h1")) {
+        return false;
+      }
+      const FleetHost& host = view->fleet_->hosts_.at("h1");
+      return host.state_ == HostState::Serving && host.pool_ != pool;
+    };
+    const int violations = RunFaults(
+      aSeed, aMutant, [&]() { planner.Step(); }, usesWrongPool);
+    EXPECT_GT(planner.Moves(), 0) << "seed " << aSeed;
+    return violations;
+  }
 
-  Result RunMoves(uint32_t aSeed, Mutant aMutant, milliseconds aTime)
+  /// P6: no daemon would use a host 3 s after the list has shown it as leaving.
+  int RunLeaving(uint32_t aSeed, Mutant aMutant)
   {
-    std::mt19937 random(aSeed);
-    Setup(aMutant);
-    MovePlanner planner(platform_, clock_);
-    Result result;
-    int checks = 0;
-    int allowed = 0;
-    for (milliseconds passed{ 0 }; passed < aTime; passed += kStep) {
-      Inject(random, passed < milliseconds(5000));
-      clock_.Advance(kStep);
-      planner.Step();
-      for (auto& [id, node] : nodes_) {
-        if (node->paused_) {
-          pausable_[id]->Lose(aMutant == Mutant::StoppedClock ? kStep : milliseconds(0));
-          continue;
-        }
-        ++checks;
-        allowed += node->sync_.MayDispatch() ? 1 : 0;
-        result.violations_ += UsesWrongPool(*node, planner.ServingPool()) ? 1 : 0;
-        node->sync_.Acknowledge(node->FleetRevision(), {});
-        node->sync_.Step();
-        result.violations_ += UsesWrongPool(*node, planner.ServingPool()) ? 1 : 0;
+    int steps = 0;
+    std::optional<TimePoint> leavingSince;
+    TimePoint seenBySomeone = clock_.Now();
+    ListedHost host;
+    host.id_ = "w1";
+    platform_.AddHost(host);
+    const auto world = [&]() {
+      if (++steps % 100 == 0) {
+        const bool leaving = steps % 200 == 0;
+        platform_.MarkLeaving("w1", leaving);
+        leavingSince = leaving ? std::optional(clock_.Now()) : std::nullopt;
       }
-    }
-    result.moves_ = planner.Moves();
-    result.dispatching_ = double(allowed) / checks;
-    return result;
+      // A list that no daemon reaches is an outage of the list, in which the views are frozen.
+      if (platform_.Faults().cutOffClients_.size() == nodes_.size()) {
+        seenBySomeone = clock_.Now();
+      }
+    };
+    return RunFaults(aSeed, aMutant, world, [&](const ClusterNode& aNode) {
+      const milliseconds limit(3000);
+      return leavingSince && clock_.Now() - *leavingSince > limit &&
+             clock_.Now() - seenBySomeone > limit && aNode.sync_.MayDispatch() &&
+             !aNode.Leaving("w1");
+    });
   }
 
-  /// Begins with an empty platform and without faults.
-  void Setup(Mutant aMutant)
+  /// P8: an accepted change never reverts, also when the store returns with an older document.
+  int RunEdits(uint32_t aSeed, Mutant aMutant)
   {
-    nodes_.clear();
-    platform_.SetFaults({});
-    platform_.RestartWith({});
-    PutProfiles(1);
-    for (int index = 1; index <= kNodes; ++index) {
-      const std::string id = "e" + std::to_string(index);
-      network_.Isolate(Address(id), false);
-      for (int other = 1; other < index; ++other) {
-        network_.Cut(Address(id), Address("e" + std::to_string(other)), false);
+    replaces_ = false;
+    int steps = 0;
+    uint64_t edits = 1;
+    PlatformSnapshot backup;
+    std::map<std::string, uint64_t> applied;
+    const auto world = [&]() {
+      ++steps;
+      if (steps % 50 == 0 && !platform_.Faults().storeDown_ && StoredEdit() == edits) {
+        PutProfiles(++edits);
       }
-      pausable_[id] = std::make_unique<PausableClock>(clock_);
-      nodes_[id] = std::make_unique<ClusterNode>(platform_, network_, *pausable_[id], Settings(id));
-    }
-    network_.SetReplyFilter([=](const auto&, const auto&, const auto&, nlohmann::json& aReply) {
-      for (const char* service : { "store", "list" }) {
-        if (!aReply.contains(service)) {
-          continue;
-        }
-        if (aMutant == Mutant::AgelessPeers && aReply[service].contains("age_us")) {
-          aReply[service]["age_us"] = 0;
+      if (steps % 500 == 300) {
+        backup = platform_.TakeSnapshot();
+      }
+      if (steps % 500 == 499) {
+        if (aMutant == Mutant::LowerRevision) {
+          backup[kProfiles] = WithRevision(backup[kProfiles], edits + 1);
         }
+        platform_.RestartWith(backup);
       }
+    };
+    const int violations = RunFaults(aSeed, aMutant, world, [&](const ClusterNode& aNode) {
+      const auto profiles = aNode.sync_.Current()->profiles_;
+      const uint64_t edit = profiles ? EditOf(*profiles) : 0;
+      const uint64_t before = std::exchange(applied[aNode.settings_.id_], edit);
+      return edit < before;
     });
-    network_.SetSilentAgrees(aMutant == Mutant::SilentAgrees);
+    EXPECT_GT(edits, 10U) << "seed " << aSeed;
+    return violations;
   }
 
-  static bool UsesWrongPool(const ClusterNode& aNode, const std::string& aPool)
+  /// @returns Number of the edit that made the document.
+  static uint64_t EditOf(const ProfileSet& aSet)
   {
-    const auto view = aNode.sync_.Current();
-    if (aPool.empty() || !aNode.sync_.MayDispatch() || !view->fleet_->hosts_.contains("h1")) {
-      return false;
-    }
-    const FleetHost& host = view->fleet_->hosts_.at("h1");
-    return host.state_ == HostState::Serving && host.pool_ != aPool;
+    return std::stoull(aSet.history_.back().changeId_.substr(1));
   }
 
-  /// Splits the daemons in two groups, one of them without a path to the store, or joins them
-  /// again.
-  void Split(std::mt19937& aRandom, bool aCut)
+  static ProfileSet ParseSet(const std::string& aText)
   {
-    std::map<std::string, bool> side;
-    for (const auto& [id, node] : nodes_) {
-      side[id] = std::uniform_int_distribution<int>(0, 1)(aRandom) == 1;
-      CutFromStore(id, aCut && side[id]);
-    }
-    for (const auto& [one, oneSide] : side) {
-      for (const auto& [other, otherSide] : side) {
-        network_.Cut(Address(one), Address(other), aCut && oneSide != otherSide);
-      }
-    }
+    return leaf::try_handle_all([&]() { return ProfileSet::Parse(aText, 0); },
+                                []() { return ProfileSet{}; });
   }
 
-  /// Starts and ends faults: store and links cut, processes paused or replaced, store down.
-  void Inject(std::mt19937& aRandom, bool aQuiet)
+  uint64_t StoredEdit() { return EditOf(ParseSet(platform_.TakeSnapshot().at(kProfiles))); }
+
+  static std::string WithRevision(const std::string& aText, uint64_t aRevision)
   {
-    const auto chance = [&](int aOneIn) {
-      return std::uniform_int_distribution<int>(1, aOneIn)(aRandom) == 1;
-    };
-    if (aQuiet) {
-      return;
+    ProfileSet set = ParseSet(aText);
+    set.revision_ = aRevision;
+    set.history_.back().revision_ = aRevision;
+    return set.Serialize();
+  }
+
+  static void ExpectHolds(const SafetyRun& aRun)
+  {
+    for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      EXPECT_EQ(aRun(seed, Mutant::None), 0) << "seed " << seed;
     }
-    for (auto& [id, node] : nodes_) {
-      const std::string address = Address(id);
-      if (chance(100)) {
-        CutFromStore(id, chance(3));
-      }
-      if (chance(100)) {
-        network_.Isolate(address, chance(4));
-      }
-      if (chance(40)) {
-        node->paused_ = chance(6);
-      }
-      if (chance(1500)) {
-        node = std::make_unique<ClusterNode>(platform_, network_, *pausable_[id], Settings(id));
+  }
+
+  static void ExpectNoticed(const SafetyRun& aRun, const std::vector<Mutant>& aMutants)
+  {
+    for (const Mutant mutant : aMutants) {
+      int violations = 0;
+      for (uint32_t seed = 1; seed <= kSeeds && violations == 0; ++seed) {
+        violations += aRun(seed, mutant);
       }
-    }
-    if (chance(120)) {
-      Split(aRandom, chance(2));
-    }
-    if (chance(100)) {
-      SetStoreDown(chance(5));
+      EXPECT_GT(violations, 0) << "mutant " << static_cast<int>(mutant);
     }
   }
 
-  std::map<std::string, std::unique_ptr<PausableClock>> pausable_;
+  const SafetyRun moves_ = [this](auto aSeed, auto aMutant) { return RunMoves(aSeed, aMutant); };
+  const SafetyRun leaving_ = [this](auto aSeed, auto aMutant) {
+    return RunLeaving(aSeed, aMutant);
+  };
+  const SafetyRun edits_ = [this](auto aSeed, auto aMutant) { return RunEdits(aSeed, aMutant); };
 };
 
-constexpr milliseconds kRunTime{ 300000 };
+// Guards against work of one pool sent to a host that serves another one by then (P2).
+TEST_F(ViewPropertyTest, MovesHold)
+{
+  ExpectHolds(moves_);
+}
 
-// Guards against a daemon that sends work of one pool to a host that serves another one by then
-// (P2).
-TEST_F(ViewSafetyTest, NoDaemonUsesAHostInItsOldPool)
+// Guards against a check of P2 that does not notice faults of the view lease and the outage rule.
+TEST_F(ViewPropertyTest, MovesNoticeMutants)
 {
-  int moves = 0;
-  for (uint32_t seed = 1; seed <= 12; ++seed) {
-    const Result result = RunMoves(seed, Mutant::None, kRunTime);
-    EXPECT_EQ(result.violations_, 0) << "seed " << seed;
-    moves += result.moves_;
-    RecordProperty("dispatching_" + std::to_string(seed), std::to_string(result.dispatching_));
-  }
-  EXPECT_GT(moves, 100);
+  ExpectNoticed(moves_, { Mutant::AgelessPeers, Mutant::StoppedClock, Mutant::SilentAgrees });
 }
 
-class ViewSafetyMutantTest
-  : public ViewSafetyTest
-  , public ::testing::WithParamInterface<Mutant>
-{};
+// Guards against new work for a host that is leaving (P6).
+TEST_F(ViewPropertyTest, LeavingHolds)
+{
+  ExpectHolds(leaving_);
+}
 
-// Guards against a check of P2 that would not notice a fault in the view lease or the outage rule.
-TEST_P(ViewSafetyMutantTest, IsNoticed)
+// Guards against a check of P6 that does not notice faults of the host list's view lease.
+TEST_F(ViewPropertyTest, LeavingNoticesMutants)
 {
-  int violations = 0;
-  for (uint32_t seed = 1; seed <= 12 && violations == 0; ++seed) {
-    violations += RunMoves(seed, GetParam(), kRunTime).violations_;
-  }
-  EXPECT_GT(violations, 0);
+  ExpectNoticed(leaving_, { Mutant::AgelessPeers, Mutant::StoppedClock, Mutant::SilentAgrees });
+}
+
+// Guards against an accepted change that reverts (P8).
+TEST_F(ViewPropertyTest, EditsHold)
+{
+  ExpectHolds(edits_);
 }
 
-INSTANTIATE_TEST_SUITE_P(,
-                         ViewSafetyMutantTest,
-                         ::testing::Values(Mutant::AgelessPeers,
-                                           Mutant::StoppedClock,
-                                           Mutant::SilentAgrees));
+// Guards against a check of P8 that does not notice a document of lower revision being applied.
+TEST_F(ViewPropertyTest, EditsNoticeMutants)
+{
+  ExpectNoticed(edits_, { Mutant::LowerRevision });
+}
 
 }
 }
