Add the demo and the measurement report

Cause: the two commands of the project have to show that the whole path works and what the policy achieves.

A host counts as maintained only after it serves again.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of this project. "make check" is what CI runs.
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build format lint test check demo clean
+.PHONY: all packages build format lint test check demo measure clean
 
 all: build
 
@@ -25,3 +25,10 @@
 
 clean:
 	rm -rf build
+
+demo: build
+	scripts/demo.sh
+
+# Policy measurements against the baselines, one JSON object per line, and a report with plots.
+measure: build
+	scripts/measure.sh
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -353,7 +353,10 @@
   int maintained = 0;
   for (const auto& [id, host] : fleet.hosts_) {
     ++byState[static_cast<size_t>(host.state_)];
-    if (fleet.rollout_.number_ != 0 && host.maintainedRollout_ == fleet.rollout_.number_) {
+    // A host carries the number of the roll-out from its drain on, so only a serving one is done.
+    const bool done =
+      host.state_ == HostState::Serving && host.maintainedRollout_ == fleet.rollout_.number_;
+    if (fleet.rollout_.number_ != 0 && done) {
       ++maintained;
     }
   }
