Look at recent results when a kind begins to fail everywhere

Change: the expected failure rate is the greater of the rates of the other workers and the failures among the last 32 results of the kind elsewhere.

--- a/include/sardinespoke/fault_attribution.h
+++ b/include/sardinespoke/fault_attribution.h
@@ -3,9 +3,11 @@
 #include "sardinespoke/clock.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardinespoke {
@@ -28,6 +30,8 @@
   /// Weight of the newest result in a worker's failure rate of a kind. It is large, so that a kind
   /// that begins to fail everywhere is seen after one or two results of each worker.
   static constexpr double kRateGain = 0.3;
+  /// Results of a kind that show at once when it begins to fail everywhere.
+  static constexpr size_t kRecentResults = 32;
   /// Kinds come from caller-supplied paths, so their number must be bounded; results of further
   /// kinds are not recorded until unused kinds are forgotten.
   static constexpr size_t kMaxKinds = 256;
@@ -57,7 +61,8 @@
   struct KindRates
   {
     std::map<std::string, double> byWorker_;
-    double sum_ = 0; ///< Over byWorker_.
+    double sum_ = 0;                                  ///< Over byWorker_.
+    std::deque<std::pair<std::string, bool>> recent_; ///< Worker and whether it failed.
     TimePoint lastSeen_;
   };
 
--- a/src/fault_attribution.cpp
+++ b/src/fault_attribution.cpp
@@ -34,6 +34,10 @@
     double& evidence = evidence_[aWorker];
     evidence = std::max(evidence + change, 0.0);
   }
+  kind->recent_.emplace_back(aWorker, !aOk);
+  if (kind->recent_.size() > kRecentResults) {
+    kind->recent_.pop_front();
+  }
   const double result = aOk ? 0 : 1;
   const double change = (added ? 1 : kRateGain) * (result - rate->second);
   rate->second += change;
@@ -113,7 +117,15 @@
   if (others == 0) {
     return 0;
   }
-  return (aKind.sum_ - (known ? own->second : 0)) / static_cast<double>(others);
+  const double byWorker = (aKind.sum_ - (known ? own->second : 0)) / static_cast<double>(others);
+  double failed = 0;
+  double results = 0;
+  for (const auto& [worker, fails] : aKind.recent_) {
+    const bool elsewhere = worker != aWorker;
+    results += elsewhere ? 1 : 0;
+    failed += elsewhere && fails ? 1 : 0;
+  }
+  return results == 0 ? byWorker : std::max(byWorker, failed / results);
 }
 
 FaultAttribution::KindRates*
