Estimate the cost of running work and treat unknown work as long

Cause: after a start all slots were lent to work of 25 s mean before its first request had ended, and the first requests to end are the shortest, so that the work looked short.

Change: whether work is long follows the slot time held divided by completions (Little's law), running requests included. Work of which nothing has completed counts as long. Tests of the core let the time pass that they report as run time, and teach a short cost where they expect all idle slots to be lent; a new test covers unknown work.

--- a/include/sardinespoke/cost_model.h
+++ b/include/sardinespoke/cost_model.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "sardinespoke/clock.h"
+
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -22,6 +26,18 @@
   /// one record.
   static constexpr size_t kMaxKinds = 4096;
 
+  /// Notes that a request has started.
+  void OnStart(const std::string& aKind, TimePoint aNow);
+
+  /// Notes that a request has ended.
+  /// @param aCompleted False if it ended for another reason than that its work was done.
+  void OnEnd(const std::string& aKind, bool aCompleted, TimePoint aNow);
+
+  /// @returns The mean run time by Little's law: time that slots were held, running requests
+  /// included, divided by completions. Unlike Mean(), it isn't misled by the shortest requests,
+  /// which end first after a start. Nothing before the first completion.
+  std::optional<Nanoseconds> HeldMean(const std::string& aKind, TimePoint aNow) const;
+
   /// Takes a measured run time into account.
   void Learn(const std::string& aKind, Nanoseconds aRunTime);
 
@@ -36,8 +52,17 @@
   {
     double mean_ = 0;     ///< Nanoseconds.
     double variance_ = 0; ///< Square nanoseconds.
+    bool learned_ = false;
+    uint32_t running_ = 0;
+    double held_ = 0;        ///< Slot-seconds, decaying.
+    double completions_ = 0; ///< Decaying.
+    TimePoint updated_;      ///< Of held_ and completions_.
   };
 
+  Estimate& FindOrAdd(const std::string& aKind);
+
+  /// Brings held_ and completions_ forward in time.
+  static void Advance(Estimate& aEstimate, TimePoint aNow);
   const Estimate* Find(const std::string& aKind) const;
 
   std::unordered_map<std::string, Estimate> kinds_;
--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -14,13 +14,17 @@
 
 /// @returns 0 for short work; for long work the probability that it runs longer than kReturnTime.
 double
-LongLoss(const CostModel& aCosts, const std::string& aKind)
+LongLoss(const CostModel& aCosts, const std::string& aKind, TimePoint aNow)
 {
-  if (aCosts.P95(aKind) <= kLongWork) {
+  const auto mean = aCosts.HeldMean(aKind, aNow);
+  if (!mean.has_value()) {
+    return 1; // Unknown work may be long.
+  }
+  if (*mean * kP95ByMean <= kLongWork) {
     return 0;
   }
-  const std::chrono::duration<double> mean = aCosts.Mean(aKind);
-  return std::exp(-std::chrono::duration<double>(kReturnTime) / mean);
+  const std::chrono::duration<double> returnTime = kReturnTime;
+  return std::exp(-returnTime / std::chrono::duration<double>(*mean));
 }
 
 }
@@ -152,7 +156,7 @@
   int bestTier = kNoTier;
   std::vector<std::pair<std::string, uint32_t>> best;
   for (const auto& [name, profile] : profiles_) {
-    const int tier = Tier(name, profile, aCosts);
+    const int tier = Tier(name, profile, aCosts, aNow);
     if (tier == kNoTier || tier > bestTier) {
       continue;
     }
@@ -172,7 +176,7 @@
   const size_t chosen = *aPlacement.Choose(candidates, avoid);
   match.host_ = workerList_[chosen]->host_;
   match.item_ = queue_.Pop(match.profile_);
-  match.loss_ = LongLoss(aCosts, match.item_.item_.kind_);
+  match.loss_ = LongLoss(aCosts, match.item_.item_.kind_, aNow);
   AddRunning(match.profile_, match.host_->id_, match.loss_);
   return match;
 }
@@ -246,13 +250,14 @@
 int
 PoolScheduler::Tier(const std::string& aName,
                     const ProfileState& aProfile,
-                    const CostModel& aCosts) const
+                    const CostModel& aCosts,
+                    TimePoint aNow) const
 {
   const QueuedItem* front = queue_.Front(aName);
   if (front == nullptr || aProfile.running_ >= aProfile.part_.max_) {
     return kNoTier;
   }
-  const double loss = LongLoss(aCosts, front->item_.kind_);
+  const double loss = LongLoss(aCosts, front->item_.kind_, aNow);
   if (aProfile.running_ < aProfile.part_.entitled_) {
     return kEntitledTier;
   }
--- a/src/pool_scheduler_p.h
+++ b/src/pool_scheduler_p.h
@@ -20,6 +20,9 @@
 /// urgent work has to start (2.6 s with queueing and hand-over).
 constexpr std::chrono::milliseconds kLongWork{ 1000 };
 
+/// 95th percentile by mean of an exponential distribution.
+constexpr int kP95ByMean = 3;
+
 /// A slot lent to long work counts as lost with the probability that it is not back after this
 /// time, for exponential run times. The rest of the 2.6 s is left for queueing.
 constexpr std::chrono::milliseconds kReturnTime{ 1500 };
@@ -123,7 +126,10 @@
 
 private:
   std::vector<PlacementCandidate> Candidates(const BreakerMap& aBreakers, TimePoint aNow) const;
-  int Tier(const std::string& aName, const ProfileState& aProfile, const CostModel& aCosts) const;
+  int Tier(const std::string& aName,
+           const ProfileState& aProfile,
+           const CostModel& aCosts,
+           TimePoint aNow) const;
   bool MayBorrowLong(const ProfileState& aProfile, double aLoss) const;
   /// @returns The table reduced to this pool's profiles.
   DemandTable OwnPart(const DemandTable& aTable) const;
--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -125,6 +125,7 @@
   const bool ran = aEvent.result_ == AttemptResult::Ok ||
                    aEvent.result_ == AttemptResult::ServerError ||
                    aEvent.result_ == AttemptResult::Timeout;
+  costs_.OnEnd(running.kind_, ran, aNow);
   if (ran) {
     costs_.Learn(running.kind_, aEvent.runTime_);
   }
@@ -300,6 +301,7 @@
     running_[id] = {
       grant.host_, grant.pool_, match->profile_, match->item_.item_.kind_, match->loss_
     };
+    costs_.OnStart(match->item_.item_.kind_, aNow);
     ++counters_.granted_;
     out_->push_back({ match->item_.ticket_, std::move(grant) });
   }
--- a/tests/scheduler_core_test.cpp
+++ b/tests/scheduler_core_test.cpp
@@ -76,6 +76,7 @@
   {
     for (int i = 0; i < 3; ++i) {
       Submit(aService);
+      now_ += aRunTime;
       Finish(aService, aRunTime);
     }
   }
@@ -110,10 +111,29 @@
 // Guards against idle slots while the only team with work is above its entitlement.
 TEST_F(SchedulerCoreTest, IdleSlotsAreLent)
 {
+  Teach("reports", milliseconds(100));
   SubmitMany("reports", 40);
   EXPECT_EQ(Running("reports"), 32U);
 }
 
+// Guards against work of unknown cost that takes all idle slots before its first request has ended,
+// and against the shortest requests, which end first, that make it look short.
+TEST_F(SchedulerCoreTest, UnknownWorkIsTreatedAsLong)
+{
+  SubmitMany("reports", 40);
+  EXPECT_EQ(Running("reports"), 8U + 32U / 8U);
+  now_ += milliseconds(500);
+  Finish("reports", milliseconds(500));
+  EXPECT_LE(Running("reports"), 8U + 32U / 8U);
+  now_ += milliseconds(1);
+  for (int i = 0; i < 200 && Running("reports") > 0; ++i) {
+    Finish("reports", milliseconds(1));
+    now_ += milliseconds(1);
+    Submit("reports");
+  }
+  EXPECT_EQ(Running("reports"), 32U);
+}
+
 // Guards against slots lent to long work, which an entitled team could not get back in time.
 TEST_F(SchedulerCoreTest, LongWorkBorrowsOnlyUpToTheReserve)
 {
@@ -165,6 +185,7 @@
 // Guards against queued or running work that is lost or counted twice when the view changes.
 TEST_F(SchedulerCoreTest, ViewChangeKeepsQueuedAndRunningWork)
 {
+  Teach("births", milliseconds(100));
   SubmitMany("births", 40);
   builder_.Pool("mill", 1);
   Step(ViewEvent{ builder_.Build() });
@@ -202,6 +223,7 @@
 // Guards against a worker that is asked again and again while it has no free slot.
 TEST_F(SchedulerCoreTest, FullWorkerIsLeftAloneForAWhile)
 {
+  Teach("births", milliseconds(100));
   Submit("births");
   const std::string full = grants_["births"].front().host_;
   Finish("births", milliseconds(0), AttemptResult::SlotsRefused);
