Make the unreachable test independent of a disconnect in progress

Cause: under the thread sanitizer 1 of 9 runs reported a timeout instead of "unreachable". The peer was shut down just before, and nng had taken the message for the connection that was closing. "Timeout" is the right answer then, because the bytes may have left.

Change: the test calls an address to which there never was a connection; there "unreachable" is the only right answer.

--- a/tests/nng_peer_link_test.cpp
+++ b/tests/nng_peer_link_test.cpp
@@ -114,10 +114,12 @@
               return Call({ { "type", "Slow" } }, milliseconds(100));
             }),
             PeerError::Code::Timeout);
-  const std::string address = server_.Address();
-  server_.Shutdown();
+  // A peer that was never connected: after a disconnect, bytes may still be on their way.
+  NngPeerLink gone(PeerLinkSettings{ .listen_ = "127.0.0.1:0" });
+  EXPECT_TRUE(gone.Init());
+  gone.Shutdown();
   EXPECT_EQ(CodeOf([&]() {
-              return client_.Call(address, { { "type", "Echo" } }, milliseconds(100));
+              return client_.Call(gone.Address(), { { "type", "Echo" } }, milliseconds(100));
             }),
             PeerError::Code::Unreachable);
 }
