Share one strict JSON parser and one schema class

Cause: settings and profiles each had their own duplicate-key finder and their own use of valijson, with different error texts.

Change: ParseStrict and JsonSchema serve both; settings errors now say what was found and what was expected. The settings tests expect the path of the unknown or repeated key itself instead of the enclosing object.

--- a/src/json_document.cpp
+++ b/src/json_document.cpp
@@ -1,108 +1,133 @@
 #include "json_document_p.h"
 
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
-
+#include <optional>
 #include <set>
-#include <vector>
 
 namespace sardinespoke {
 
 namespace {
 
-/// Follows the parser and notes the first key that occurs twice in one object.
-class DuplicateKeyFinder
+using Json = nlohmann::json;
+
+constexpr size_t kMaxDepth = 16;      // A valid document has 5 levels.
+constexpr size_t kMaxShownValue = 80; // Characters of a value in a message.
+
+/// Follows the parser and notes the first duplicated key or the first value that is nested too
+/// deep.
+class DuplicateFinder
 {
 public:
-  bool operator()(int /*aDepth*/, nlohmann::json::parse_event_t aEvent, nlohmann::json& aParsed)
+  explicit DuplicateFinder(std::string aPath)
+    : root_(std::move(aPath))
   {
-    if (aEvent == nlohmann::json::parse_event_t::object_start) {
-      openObjects_.emplace_back();
-    }
-    if (aEvent == nlohmann::json::parse_event_t::object_end && !openObjects_.empty()) {
-      openObjects_.pop_back();
-    }
-    if (aEvent == nlohmann::json::parse_event_t::key) {
-      const auto key = aParsed.get<std::string>();
-      const bool inserted = openObjects_.back().insert(key).second;
-      if (!inserted && duplicate_.empty()) {
-        duplicate_ = key;
-      }
+  }
+
+  /// @returns Whether the parser should keep the value.
+  bool Keep(Json::parse_event_t aEvent, const Json& aValue)
+  {
+    switch (aEvent) {
+      case Json::parse_event_t::object_start:
+      case Json::parse_event_t::array_start:
+        open_.emplace_back();
+        CheckDepth();
+        return open_.size() <= kMaxDepth;
+      case Json::parse_event_t::key:
+        NoteKey(aValue.get<std::string>());
+        return true;
+      case Json::parse_event_t::object_end:
+      case Json::parse_event_t::array_end:
+        open_.pop_back();
+        NextElement();
+        return true;
+      default:
+        NextElement();
+        return true;
     }
-    return true;
   }
 
-  const std::string& Duplicate() const { return duplicate_; }
+  const std::optional<ConfigError>& Error() const { return error_; }
 
 private:
-  std::vector<std::set<std::string>> openObjects_;
-  std::string duplicate_;
-};
+  struct Level
+  {
+    std::set<std::string> keys_;
+    std::string key_;
+    size_t index_ = 0;
+  };
 
-/// Builds the JSON pointer of a valijson error context such as <root>["a"]["b"].
-std::string
-PointerOf(const std::vector<std::string>& aContext)
-{
-  std::string pointer;
-  for (const auto& part : aContext) {
-    if (part == "<root>") {
-      continue;
+  void NoteKey(const std::string& aKey)
+  {
+    Level& level = open_.back();
+    level.key_ = aKey;
+    if (level.keys_.insert(aKey).second || error_) {
+      return;
+    }
+    error_ = ConfigError{ ConfigError::Code::Schema,
+                          Path(),
+                          "found the key twice in one object; expected it once" };
+  }
+
+  void NextElement()
+  {
+    if (!open_.empty()) {
+      ++open_.back().index_;
     }
-    const bool bracketed = part.size() >= 2 && part.front() == '[';
-    std::string name = bracketed ? part.substr(1, part.size() - 2) : part;
-    if (name.size() >= 2 && name.front() == '"') {
-      name = name.substr(1, name.size() - 2);
+  }
+
+  void CheckDepth()
+  {
+    if (open_.size() <= kMaxDepth || error_) {
+      return;
     }
-    pointer += "/" + name;
+    error_ = ConfigError{ ConfigError::Code::Schema,
+                          root_,
+                          "found more than " + std::to_string(kMaxDepth) +
+                            " levels of nesting; expected at most that" };
   }
-  return pointer.empty() ? "/" : pointer;
-}
+
+  std::string Path() const
+  {
+    Json::json_pointer path;
+    for (const Level& level : open_) {
+      path /= level.keys_.empty() ? std::to_string(level.index_) : level.key_;
+    }
+    return root_ + path.to_string();
+  }
+
+  const std::string root_;
+  std::vector<Level> open_;
+  std::optional<ConfigError> error_;
+};
 
 }
 
-leaf::result<nlohmann::json>
-ParseStrictJson(const std::string& aText)
+leaf::result<Json>
+ParseStrict(const std::string& aText, const std::string& aPath)
 {
-  DuplicateKeyFinder finder;
+  DuplicateFinder finder(aPath);
+  Json value;
   try {
-    auto document = nlohmann::json::parse(aText, std::ref(finder));
-    if (!finder.Duplicate().empty()) {
-      return leaf::new_error(ConfigError{
-        ConfigError::Code::NotJson, "/", "the key \"" + finder.Duplicate() + "\" occurs twice" });
-    }
-    return document;
-  } catch (const nlohmann::json::exception& failure) {
-    return leaf::new_error(ConfigError{ ConfigError::Code::NotJson, "/", failure.what() });
+    value = Json::parse(aText, [&](int, Json::parse_event_t aEvent, const Json& aValue) {
+      return finder.Keep(aEvent, aValue);
+    });
+  } catch (const Json::exception& exception) {
+    return leaf::new_error(ConfigError{ ConfigError::Code::NotJson, aPath, exception.what() });
   }
+  if (finder.Error()) {
+    return leaf::new_error(*finder.Error());
+  }
+  return value;
 }
 
-leaf::result<void>
-CheckSchema(const nlohmann::json& aDocument, const nlohmann::json& aSchema)
+std::string
+Shorten(const Json& aValue)
 {
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(aSchema), schema);
-  valijson::Validator validator;
-  valijson::ValidationResults results;
-  if (validator.validate(schema, valijson::adapters::NlohmannJsonAdapter(aDocument), &results)) {
-    return {};
-  }
-  // The errors are listed from the outermost to the innermost; the longest path names the field.
-  ConfigError error{ ConfigError::Code::Schema, "/", "the document does not match its schema" };
-  size_t longest = 0;
-  valijson::ValidationResults::Error found;
-  while (results.popError(found)) {
-    if (found.context.size() < longest) {
-      continue;
-    }
-    longest = found.context.size();
-    error.path_ = PointerOf(found.context);
-    error.message_ = found.description;
+  std::string text = aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
+  if (text.size() > kMaxShownValue) {
+    text.resize(kMaxShownValue);
+    text += "...";
   }
-  return leaf::new_error(error);
+  return text;
 }
 
 }
--- a/src/json_document_p.h
+++ b/src/json_document_p.h
@@ -8,14 +8,15 @@
 
 namespace sardinespoke {
 
-/// Parses JSON text and refuses duplicate keys, which most parsers accept silently.
-/// Errors: ConfigError::NotJson.
+/// Parses JSON text. Refuses duplicated keys, which would hide a part of what an operator wrote,
+/// and nesting deeper than any valid document.
+/// @param aPath Path of the parsed value within the document, for errors.
+/// Errors: ConfigError::NotJson, ConfigError::Schema.
 leaf::result<nlohmann::json>
-ParseStrictJson(const std::string& aText);
+ParseStrict(const std::string& aText, const std::string& aPath);
 
-/// Checks a document against a JSON Schema (draft 7).
-/// Errors: ConfigError::Schema with the path of the first offending field.
-leaf::result<void>
-CheckSchema(const nlohmann::json& aDocument, const nlohmann::json& aSchema);
+/// @returns The value as JSON text, shortened for messages.
+std::string
+Shorten(const nlohmann::json& aValue);
 
 }
--- a/src/profile_editor.cpp
+++ b/src/profile_editor.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/profile_editor.h"
 
+#include "json_document_p.h"
 #include "profile_json_p.h"
 #include "sardinespoke/profile_diff.h"
 
--- a/src/profile_json_p.h
+++ b/src/profile_json_p.h
@@ -6,13 +6,6 @@
 
 namespace sardinespoke {
 
-/// Parses JSON text. Refuses duplicated keys, which would hide a part of what an operator wrote,
-/// and nesting deeper than any valid document.
-/// @param aPath Path of the parsed value within the document, for errors.
-/// Errors: ConfigError::NotJson, ConfigError::Schema.
-leaf::result<nlohmann::json>
-ParseStrict(const std::string& aText, const std::string& aPath);
-
 /// Checks keys, types, units and names of a configuration document.
 /// Errors: ConfigError::Schema with the path of the field.
 leaf::result<void>
@@ -31,8 +24,4 @@
 nlohmann::json
 ToJson(const ProfileSet& aSet);
 
-/// @returns The value as JSON text, shortened for messages.
-std::string
-Shorten(const nlohmann::json& aValue);
-
 }
--- a/src/profile_set.cpp
+++ b/src/profile_set.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/profile_set.h"
 
+#include "json_document_p.h"
 #include "profile_fields_p.h"
 #include "profile_json_p.h"
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,63 +1,77 @@
 #include "sardinespoke/settings.h"
 
 #include "json_document_p.h"
+#include "json_schema_p.h"
 
 namespace sardinespoke {
 
 namespace {
 
-// JSON Schema of the settings file. Durations are integers in fields that end in "_ms".
-constexpr const char* kSchema = R"json({
-  "type": "object",
-  "additionalProperties": false,
-  "required": ["id", "zone", "region", "caller", "admin", "peer", "platform"],
-  "definitions": {
-    "endpoint": {
-      "type": "object",
-      "additionalProperties": false,
-      "required": ["address", "port"],
-      "properties": {
-        "address": {"type": "string", "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}$"},
-        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
-      }
-    }
-  },
-  "properties": {
-    "id": {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"},
-    "zone": {"type": "string", "minLength": 1},
-    "region": {"type": "string", "minLength": 1},
-    "caller": {"$ref": "#/definitions/endpoint"},
-    "admin": {"$ref": "#/definitions/endpoint"},
-    "peer": {"$ref": "#/definitions/endpoint"},
-    "platform": {"$ref": "#/definitions/endpoint"},
-    "seed_peers": {
-      "type": "array",
-      "maxItems": 32,
-      "items": {"type": "string", "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"}
-    },
-    "key_prefix": {"type": "string", "pattern": "^[a-z0-9-]+/$"},
-    "limits": {
-      "type": "object",
-      "additionalProperties": false,
-      "properties": {
-        "max_body_bytes": {"type": "integer", "minimum": 1024, "maximum": 1073741824},
-        "max_answer_bytes": {"type": "integer", "minimum": 1024, "maximum": 1073741824},
-        "max_caller_connections": {"type": "integer", "minimum": 1, "maximum": 20000},
-        "retry_percent": {"type": "integer", "minimum": 0, "maximum": 100},
-        "control_bytes_per_second": {"type": "integer", "minimum": 1000, "maximum": 10000000},
-        "stop_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
-        "stop_limit_ms": {"type": "integer", "minimum": 0, "maximum": 3600000}
-      }
-    },
-    "log": {
-      "type": "object",
-      "additionalProperties": false,
-      "properties": {
-        "level": {"enum": ["debug", "info", "warn", "error"]}
-      }
-    }
-  }
-})json";
+constexpr uint64_t kKibibyte = 1024;
+constexpr uint64_t kGibibyte = 1ULL << 30U;
+constexpr uint64_t kMaxPort = 65535;
+constexpr uint64_t kMaxCallerConnections = 20000;
+constexpr uint64_t kMinControlBytes = 1000;
+constexpr uint64_t kMaxControlBytes = 10000000;
+constexpr uint64_t kMaxStopGraceMs = 600000;
+constexpr uint64_t kMaxStopLimitMs = 3600000;
+constexpr size_t kMaxSeedPeers = 32;
+
+nlohmann::json
+EndpointSchema()
+{
+  return JsonSchema::ClosedObject(
+    { { "address",
+        JsonSchema::Pattern("^[0-9]{1,3}(\\.[0-9]{1,3}){3}$", "an IPv4 address as text") },
+      { "port", JsonSchema::Integer(1, kMaxPort, "the port") } },
+    { "address", "port" });
+}
+
+nlohmann::json
+LimitsSchema()
+{
+  return JsonSchema::ClosedObject(
+    { { "max_body_bytes", JsonSchema::Integer(kKibibyte, kGibibyte, "bytes") },
+      { "max_answer_bytes", JsonSchema::Integer(kKibibyte, kGibibyte, "bytes") },
+      { "max_caller_connections", JsonSchema::Integer(1, kMaxCallerConnections, "connections") },
+      { "retry_percent", JsonSchema::Integer(0, 100, "percent") },
+      { "control_bytes_per_second",
+        JsonSchema::Integer(kMinControlBytes, kMaxControlBytes, "bytes a second") },
+      { "stop_grace_ms", JsonSchema::Integer(0, kMaxStopGraceMs, "milliseconds") },
+      { "stop_limit_ms", JsonSchema::Integer(0, kMaxStopLimitMs, "milliseconds") } },
+    nlohmann::json::array());
+}
+
+const JsonSchema&
+Schema()
+{
+  static const JsonSchema kSchema(JsonSchema::ClosedObject(
+    { { "id",
+        JsonSchema::Pattern("^[a-z0-9][a-z0-9-]{0,62}$",
+                            "1 to 63 lower-case letters, digits and dashes") },
+      { "zone", JsonSchema::Pattern("^.+$", "the name of a data centre") },
+      { "region", JsonSchema::Pattern("^.+$", "the name of a region") },
+      { "caller", EndpointSchema() },
+      { "admin", EndpointSchema() },
+      { "peer", EndpointSchema() },
+      { "platform", EndpointSchema() },
+      { "seed_peers",
+        JsonSchema::List(JsonSchema::Pattern("^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$",
+                                             "\"address:port\" of a peer"),
+                         kMaxSeedPeers,
+                         "a list of at most " + std::to_string(kMaxSeedPeers) +
+                           " peer addresses") },
+      { "key_prefix",
+        JsonSchema::Pattern("^[a-z0-9-]+/$",
+                            "lower-case letters, digits and dashes, then a slash") },
+      { "limits", LimitsSchema() },
+      { "log",
+        JsonSchema::ClosedObject(
+          { { "level", JsonSchema::OneOf({ "debug", "info", "warn", "error" }) } },
+          nlohmann::json::array()) } },
+    { "id", "zone", "region", "caller", "admin", "peer", "platform" }));
+  return kSchema;
+}
 
 Endpoint
 EndpointOf(const nlohmann::json& aValue)
@@ -121,9 +135,8 @@
 leaf::result<Settings>
 Settings::Parse(const std::string& aText)
 {
-  static const auto schema = nlohmann::json::parse(kSchema);
-  BOOST_LEAF_AUTO(document, ParseStrictJson(aText));
-  BOOST_LEAF_CHECK(CheckSchema(document, schema));
+  BOOST_LEAF_AUTO(document, ParseStrict(aText, ""));
+  BOOST_LEAF_CHECK(Schema().Check(document));
 
   Settings settings;
   settings.id_ = document.at("id").get<std::string>();
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -53,8 +53,9 @@
   document["limits"]["stop_grace"] = 3;
   const auto error = ErrorOf(document.dump());
   EXPECT_EQ(error.code_, ConfigError::Code::Schema);
-  EXPECT_EQ(error.path_, "/limits");
-  EXPECT_NE(error.message_.find("stop_grace"), std::string::npos);
+  EXPECT_EQ(error.path_, "/limits/stop_grace");
+  EXPECT_NE(error.message_.find("unknown key"), std::string::npos);
+  EXPECT_NE(error.message_.find("stop_grace_ms"), std::string::npos);
 }
 
 // Guards against a duration given as text with a unit, which would be read as zero.
@@ -91,8 +92,9 @@
   EXPECT_EQ(ErrorOf("{").code_, ConfigError::Code::NotJson);
   EXPECT_EQ(ErrorOf("").code_, ConfigError::Code::NotJson);
   const auto error = ErrorOf(R"({"id": "a", "id": "b"})");
-  EXPECT_EQ(error.code_, ConfigError::Code::NotJson);
-  EXPECT_NE(error.message_.find("\"id\" occurs twice"), std::string::npos);
+  EXPECT_EQ(error.code_, ConfigError::Code::Schema);
+  EXPECT_EQ(error.path_, "/id");
+  EXPECT_NE(error.message_.find("twice"), std::string::npos);
 }
 
 // Guards against sample settings that the daemon refuses.
