Serve long work as entitled while others leave the entitlement unused

Change: long work that the reserve lets borrow is served first like short work, while the other entry hosts' reports leave its entitlement unused. The reserve still bounds what seven entry hosts can take at once.

--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -264,7 +264,7 @@
   if (loss > 0 && !MayBorrowLong(aProfile, loss)) {
     return kNoTier;
   }
-  if (loss == 0 && aProfile.running_ < aProfile.part_.unusedEntitled_) {
+  if (aProfile.running_ < aProfile.part_.unusedEntitled_) {
     return kEntitledTier;
   }
   if (aProfile.running_ < aProfile.part_.allocated_) {
