Let demand reports fall faster than they rise

After a short queue at one entry host its report stays high for seconds, takes entitlement from the team's other entry hosts, and their queues grow in turn.

Change: gain 0.1 for falling demand instead of 0.05.

Ruled out: a gain of 0.15.

--- a/src/pool_scheduler.cpp
+++ b/src/pool_scheduler.cpp
@@ -304,7 +304,8 @@
   aProfile.samples_ = 0;
   const double change = interval - aProfile.demand_;
   const bool jump = std::abs(change) > kDemandJump * std::sqrt(aProfile.demand_ + 1);
-  aProfile.demand_ += jump ? change : kDemandGain * change;
+  const double gain = change < 0 ? kDemandFallGain : kDemandGain;
+  aProfile.demand_ += jump ? change : gain * change;
   if (aProfile.peakDemand_ == 0 && aProfile.demand_ < 0.5) {
     aProfile.reported_ = 0;
     return;
--- a/src/pool_scheduler_p.h
+++ b/src/pool_scheduler_p.h
@@ -39,6 +39,11 @@
 /// Demand is smoothed with this weight of the newest interval, unless it differs by more than
 /// kDemandJump standard deviations of a Poisson number; then it is taken over at once.
 constexpr double kDemandGain = 0.05;
+
+/// Falling demand is followed faster: after a short queue at one entry host, a report that stays
+/// too high takes entitlement from the team's other entry hosts and makes their queues grow in
+/// turn.
+constexpr double kDemandFallGain = 0.1;
 constexpr double kDemandJump = 4;
 
 /// A report changes only when demand differs from it by this part and at least 2. Each change moves
