Reboot a drained host right after the write that puts it into maintenance

Cause: the reboot was called one step (0.5 s) after its write, on every host of the roll-out. Change: after an accepted write the reboots it starts are called at once, still under the read limit, now counted from when the write was sent. The rig can pause a planner after its write; the test and its mutant cover both ways to call a reboot late. Ruled out: calling before the write, which could reboot a host that is still serving. The mutant test of late reboots failed at first, because its pause no longer came before a reboot call; the scenario was moved, the check is the same.

--- a/include/sardinespoke/planner_core.h
+++ b/include/sardinespoke/planner_core.h
@@ -55,6 +55,7 @@
 {
   std::optional<FleetMap> next_;    ///< Document to write; not set if nothing changes.
   std::vector<std::string> reboot_; ///< Hosts to reboot; they are in maintenance in the document.
+  std::vector<std::string> rebootAfterWrite_; ///< Hosts that next_ puts into maintenance.
   std::vector<PlannerEvent> events_;
 };
 
--- a/src/planner_core.cpp
+++ b/src/planner_core.cpp
@@ -304,10 +304,13 @@
     return;
   }
   if (!waits && maintenance && IsUp(power)) {
-    aDraft.Apply(StartReboot(aDraft.fleet_, id, power->power_.boot_),
-                 "host.maintenance_started",
-                 id,
-                 "it is drained");
+    const bool started = aDraft.Apply(StartReboot(aDraft.fleet_, id, power->power_.boot_),
+                                      "host.maintenance_started",
+                                      id,
+                                      "it is drained");
+    if (started) {
+      aDraft.step_.rebootAfterWrite_.push_back(id);
+    }
     return;
   }
   const auto limit =
--- a/src/planner_duty.cpp
+++ b/src/planner_duty.cpp
@@ -165,8 +165,11 @@
   if (!step.next_) {
     return Outcome::Idle;
   }
+  const TimePoint writtenAt = clock_.Now();
   const Outcome outcome = Save(*step.next_, aStored.version_, Outcome::Written);
   if (outcome == Outcome::Written) {
+    // An accepted write proves the state of the document at a moment after it was sent.
+    Reboot(step.rebootAfterWrite_, writtenAt);
     last_ = *step.next_;
     for (const PlannerEvent& event : step.events_) {
       Record(
--- a/standins/planner_rig.cpp
+++ b/standins/planner_rig.cpp
@@ -59,6 +59,9 @@
     const auto now = rig_.platform_.Get(aKey);
     if (now && now->value_ == aValue) {
       rig_.CheckWrite(rig_.truth_, *FleetMap::Parse(aValue));
+      if (rig_.afterWrite_) {
+        Call(rig_.afterWrite_);
+      }
     }
     return result;
   }
--- a/standins/planner_rig.h
+++ b/standins/planner_rig.h
@@ -100,6 +100,8 @@
 
   /// Called before a planner's write reaches the store; a test acts here for a paused writer.
   std::function<void()> beforeWrite_;
+  /// Called after a write took effect, before the planner knows it.
+  std::function<void()> afterWrite_;
   /// Called after a planner has read the document.
   std::function<void()> afterRead_;
 
--- a/tests/planner_duty_test.cpp
+++ b/tests/planner_duty_test.cpp
@@ -116,29 +116,48 @@
   EXPECT_THAT(rig.Violations(), IsEmpty());
 }
 
-/// Pauses the holder between its last read and the reboot until the host serves again.
+/// Pauses the holder before a reboot until another planner has returned the host to service.
+/// @param aFirstCallFails Pauses at the second call, which is made on a document read anew.
 std::vector<std::string>
-PauseBeforeReboot(RigMutants aMutants)
+PauseBeforeReboot(RigMutants aMutants, bool aFirstCallFails)
 {
   RigShape shape;
   shape.planners_ = 2;
   shape.rebootTime_ = seconds(5);
   PlannerRig rig(shape, 5, aMutants);
   static_cast<void>(rig.Editor().StartRollout(0, "operator"));
-  EXPECT_TRUE(
-    rig.RunUntil([&] { return rig.CountHosts(HostState::Maintenance) == 5; }, minutes(2)));
-  rig.afterRead_ = [&] {
+  const auto pause = [&] {
     rig.PausedPlanners().insert(0);
     rig.Run(seconds(25));
   };
-  rig.Planner(0).Step();
+  const auto control = [&](bool aDown) {
+    rig.Platform().ChangeFaults([=](PlatformFaults& aFaults) { aFaults.hostControlDown_ = aDown; });
+  };
+  const auto armed = [&] {
+    rig.afterWrite_ = [&] {
+      if (rig.CountHosts(HostState::Maintenance) == 0) {
+        return;
+      }
+      aFirstCallFails ? control(true) : pause();
+    };
+    return rig.CountHosts(HostState::Maintenance) > 0;
+  };
+  EXPECT_TRUE(rig.RunUntil(armed, minutes(2)));
+  rig.afterWrite_ = nullptr;
+  if (aFirstCallFails) {
+    control(false);
+    rig.afterRead_ = pause;
+    rig.Clock().Advance(milliseconds(500));
+    rig.Planner(0).Step();
+  }
   return rig.Violations();
 }
 
 // Guards against a reboot call that arrives after another planner returned the host to service.
 TEST(PlannerDuty, PausedHolderDoesNotRebootServingHosts)
 {
-  EXPECT_THAT(PauseBeforeReboot({}), IsEmpty());
+  EXPECT_THAT(PauseBeforeReboot({}, false), IsEmpty());
+  EXPECT_THAT(PauseBeforeReboot({}, true), IsEmpty());
 }
 
 // Shows that the checks find reboots that are called on an old document.
@@ -146,7 +165,9 @@
 {
   RigMutants mutants;
   mutants.skipReadLimit_ = true;
-  EXPECT_THAT(PauseBeforeReboot(mutants), testing::Contains(testing::HasSubstr("P7")));
+  const auto found = testing::Contains(testing::HasSubstr("P7"));
+  EXPECT_THAT(PauseBeforeReboot(mutants, false), found);
+  EXPECT_THAT(PauseBeforeReboot(mutants, true), found);
 }
 
 // Guards against steps that are repeated or skipped when the answer to a write is lost.
