Halve the cost of the spare count and copy the fleet document less

Change: only pools with hosts in a rack are added to what is missing without a loss. The duty moves the document it has read and keeps a copy only when it changed. Ruled out: caching the decision between steps; failures and timers change it without a write.

--- a/include/sardinespoke/planner_duty.h
+++ b/include/sardinespoke/planner_duty.h
@@ -73,7 +73,7 @@
   Outcome StepAsHolder(const ConfigView& aView);
   Outcome StepOnDocument(PlannerObservation& aSeen,
                          const ConfigView& aView,
-                         const FleetRead& aStored,
+                         FleetRead& aStored,
                          TimePoint aReadAt);
   Outcome StartFleet(const PlannerObservation& aSeen, const FleetRead& aStored);
   Outcome WriteBack(const FleetMap& aInForce, const FleetRead& aStored);
--- a/src/planner_duty.cpp
+++ b/src/planner_duty.cpp
@@ -88,7 +88,7 @@
     return Outcome::Waiting;
   }
   const TimePoint readAt = clock_.Now();
-  const leaf::result<FleetRead> stored = fleetStore_.Read();
+  leaf::result<FleetRead> stored = fleetStore_.Read();
   if (!stored) {
     return Outcome::Failed;
   }
@@ -132,7 +132,7 @@
 PlannerDuty::Outcome
 PlannerDuty::StepOnDocument(PlannerObservation& aSeen,
                             const ConfigView& aView,
-                            const FleetRead& aStored,
+                            FleetRead& aStored,
                             TimePoint aReadAt)
 {
   const FleetMap* inForce = aView.fleet_.get();
@@ -158,8 +158,10 @@
   if (fleet.hosts_.empty()) {
     return StartFleet(aSeen, aStored);
   }
-  aSeen.fleet_ = fleet;
-  last_ = fleet;
+  if (last_.revision_ != fleet.revision_ || last_.changeId_ != fleet.changeId_) {
+    last_ = fleet;
+  }
+  aSeen.fleet_ = std::move(aStored.fleet_);
   PlannerStep step = core_.Decide(aSeen, NextChangeId());
   Reboot(step.reboot_, aReadAt);
   if (!step.next_) {
--- a/src/spare_planner.cpp
+++ b/src/spare_planner.cpp
@@ -3,7 +3,6 @@
 #include "sardinespoke/availability.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace sardinespoke {
@@ -23,24 +22,25 @@
 RackCounts
 Shortfalls(const std::map<std::string, RackCounts>& aPoolRacks, const RackCounts& aFloors)
 {
-  std::set<std::string> racks;
-  std::map<std::string, uint32_t> totals;
+  // Only pools with hosts in the rack change the shortfall that exists without a loss.
+  RackCounts added;
+  uint32_t present = 0;
   for (const auto& [pool, counts] : aPoolRacks) {
+    const uint32_t floor = CountAt(aFloors, pool);
+    const auto missing = [floor](uint32_t aHosts) { return floor > aHosts ? floor - aHosts : 0; };
+    uint32_t total = 0;
     for (const auto& [rack, hosts] : counts) {
-      racks.insert(rack);
-      totals[pool] += hosts;
+      total += hosts;
     }
-  }
-  RackCounts shortfalls;
-  for (const std::string& rack : racks) {
-    uint32_t& shortfall = shortfalls[rack];
-    for (const auto& [pool, counts] : aPoolRacks) {
-      const uint32_t left = totals[pool] - CountAt(counts, rack);
-      const uint32_t floor = CountAt(aFloors, pool);
-      shortfall += floor > left ? floor - left : 0;
+    present += missing(total);
+    for (const auto& [rack, hosts] : counts) {
+      added[rack] += missing(total - hosts) - missing(total);
     }
   }
-  return shortfalls;
+  for (auto& [rack, shortfall] : added) {
+    shortfall += present;
+  }
+  return added;
 }
 
 /// Most spare hosts a rack may hold when there are aHosts: the others must cover its loss.
