Run real processes under failure with checked histories

Cause: P3, P4, P5 and P7 were only shown by unit tests with fakes; nothing ran the daemons, the stand-in platform and the stand-in workers together and compared what callers were told with what workers ran.

Ruled out: starting sardinespoke-load as a process (its history would need a file and a second parser of its summary); waiting for the removal of an expired member in the P4/P5 test (the design bounds that only loosely; both leases expired is what the test needs).

--- /dev/null
+++ b/tests/process/request_proof_test.cpp
@@ -0,0 +1,180 @@
+#include "deployment.h"
+#include "proof_check.h"
+
+#include "record_client.h"
+#include "sardinespoke/curl_backend_link.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace sardinespoke {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t kSeed = 20261204;
+
+/// Every history must at least show that requests were answered.
+void
+ExpectNoViolation(const ProofResult& aResult)
+{
+  EXPECT_EQ(aResult.verdict_.violations_.size(), 0U) << aResult.Text();
+  EXPECT_GT(aResult.ok_, 500U) << aResult.Text();
+}
+
+/// The first worker that serves a pool.
+uint32_t
+WorkerIn(Deployment& aDeployment, const std::string& aPool)
+{
+  const auto fleet = aDeployment.StoredFleet();
+  for (const auto& [id, host] : fleet->hosts_) {
+    if (host.pool_ == aPool && host.state_ == HostState::Serving) {
+      return Deployment::WorkerOf(id);
+    }
+  }
+  return 0;
+}
+
+/// Waits until a worker has run something new, so that a fault on it acts on requests.
+bool
+WaitForRuns(Deployment& aDeployment, uint32_t aWorker, size_t aMore)
+{
+  const auto count = [&] {
+    const auto record = FetchRecord(aDeployment.ControlAddress());
+    size_t runs = 0;
+    for (const RunEntry& run : record ? record->runs_ : std::vector<RunEntry>()) {
+      runs += run.worker_ == aWorker ? 1 : 0;
+    }
+    return runs;
+  };
+  const size_t before = count();
+  return WaitUntil(5s, [&] { return count() >= before + aMore; });
+}
+
+/// P3: guards against partial answers, and answers of other requests, from workers that answer
+/// late, short, out of order or die half way.
+TEST(ProofP3, AnswersAreCompleteAndTheCallersOwn)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  BackgroundLoad load(deployment.Load(8s, kSeed));
+  FaultWindows windows;
+  windows.Open();
+  const uint32_t late = WorkerIn(deployment, "intake");
+  const uint32_t shorter = WorkerIn(deployment, "ledger");
+  const uint32_t disordered = WorkerIn(deployment, "routes");
+  const uint32_t dying = WorkerIn(deployment, "reports");
+  ASSERT_TRUE(deployment.WorkerFault(late, "late-answer"));
+  ASSERT_TRUE(deployment.WorkerFault(shorter, "short-body"));
+  ASSERT_TRUE(deployment.WorkerFault(disordered, "out-of-order"));
+  EXPECT_TRUE(WaitForRuns(deployment, disordered, 5));
+  for (int round = 0; round < 3 && load.Running(); ++round) {
+    ASSERT_TRUE(deployment.WorkerFault(dying, "none"));
+    WaitForRuns(deployment, dying, 1);
+    ASSERT_TRUE(deployment.WorkerFault(dying, "down"));
+  }
+  load.Wait();
+  windows.Close();
+  const ProofResult result = Check(load.History(), deployment.ControlAddress(), windows);
+  PrintFigures("P3", result.Text());
+  ExpectNoViolation(result);
+}
+
+/// Mutant of P3: workers that answer with the answer to the request before must turn the check red.
+TEST(ProofP3, MixedUpWorkersAreFound)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  for (uint32_t worker = 0; worker < Deployment::kWorkers; ++worker) {
+    ASSERT_TRUE(deployment.WorkerFault(worker, "mixed-up"));
+  }
+  BackgroundLoad load(deployment.Load(2s, kSeed));
+  load.Wait();
+  const ProofResult result = Check(load.History(), deployment.ControlAddress());
+  EXPECT_GT(result.Count(ViolationKind::WrongAnswer), 0U) << result.Text();
+}
+
+/// P4 and P5: guards against a request that ran although its caller was told that it did not, and
+/// against a second run of a non-idempotent request, while entry hosts are killed and frozen and
+/// workers close connections after acting.
+TEST(ProofP4P5, KilledAndFrozenEntryHosts)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  BackgroundLoad load(deployment.Load(12s, kSeed));
+  FaultWindows windows;
+  const uint32_t closing = WorkerIn(deployment, "ledger");
+  EXPECT_TRUE(WaitForRuns(deployment, closing, 20));
+  windows.Open();
+  ASSERT_TRUE(deployment.WorkerFault(closing, "close-after-acting"));
+  EXPECT_TRUE(WaitForRuns(deployment, closing, 1));
+  deployment.Entry(1).Signal(SIGSTOP);
+  deployment.Entry(2).Signal(SIGKILL);
+  deployment.Entry(2).Wait(5s);
+  // Both leases must expire, so that the frozen entry host resumes after the others went on.
+  EXPECT_TRUE(WaitUntil(8s, [&] {
+    const auto status = deployment.Admin(0, "GET", "/v1/status", "", 500ms);
+    return status.status_ == 200 && status.body_.at("entry_hosts").size() == 4;
+  }));
+  deployment.Entry(1).Signal(SIGCONT);
+  ASSERT_TRUE(deployment.WorkerFault(closing, "none"));
+  deployment.StartEntry(2);
+  EXPECT_TRUE(WaitUntil(20s, [&] { return deployment.AllServe(); }));
+  windows.Close();
+  // Requests outside the fault window, to count the unknown ones among them.
+  BackgroundLoad after(deployment.Load(3s, kSeed + 1));
+  load.Wait();
+  after.Wait();
+  auto history = load.History();
+  const auto more = after.History();
+  history.insert(history.end(), more.begin(), more.end());
+  const ProofResult result = Check(history, deployment.ControlAddress(), windows);
+  PrintFigures("P4P5", result.Text());
+  ExpectNoViolation(result);
+  EXPECT_GT(result.outside_, 500U) << result.Text();
+  EXPECT_LT(result.unknownOutside_ * 100, result.outside_) << result.Text();
+}
+
+/// Mutants of P4 and P5: a proxy in front of a worker that repeats a request, and an entry host
+/// that reports unknown outcomes as "not run", must turn the check red.
+TEST(ProofP4P5, RepeatedAndDeniedRunsAreFound)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  for (uint32_t worker = 0; worker < Deployment::kWorkers; worker += 2) {
+    ASSERT_TRUE(deployment.WorkerFault(worker, "close-after-acting"));
+  }
+  BackgroundLoad load(deployment.Load(2s, kSeed));
+  load.Wait();
+  auto history = load.History();
+  for (HistoryLine& line : history) {
+    line.type_ = line.type_ == HistoryType::Unknown ? HistoryType::NotRun : line.type_;
+  }
+  const auto denied = Check(history, deployment.ControlAddress());
+  EXPECT_GT(denied.Count(ViolationKind::NotRunButRan), 0U) << denied.Text();
+  EXPECT_EQ(denied.Count(ViolationKind::RanTwice), 0U) << denied.Text();
+
+  const auto once = std::find_if(history.begin(), history.end(), [](const HistoryLine& aLine) {
+    return aLine.type_ == HistoryType::Ok && !aLine.idempotent_;
+  });
+  ASSERT_NE(once, history.end());
+  CurlBackendLink proxy({});
+  BackendRequest repeated;
+  repeated.address_ = deployment.WorkerAddress(1);
+  repeated.method_ = "POST";
+  repeated.path_ = "/work?nonce=" + once->nonce_;
+  repeated.timeout_ = 2s;
+  EXPECT_TRUE(leaf::try_handle_all(
+    [&]() -> leaf::result<bool> {
+      BOOST_LEAF_CHECK(proxy.Send(repeated));
+      return true;
+    },
+    [] { return false; }));
+  const auto doubled = Check(load.History(), deployment.ControlAddress());
+  EXPECT_EQ(doubled.Count(ViolationKind::RanTwice), 1U) << doubled.Text();
+}
+
+}
+}
