Add sardinespoke-slopes and the measurement of real daemons

Cause: CAPACITY.md has to be made of measured slopes, and nothing measured them. Change: tools/sardinespoke-slopes measures bytes, processor time and memory of the modules at five sizes up to the two-year size and fits a line; scripts/measure_daemons.py starts the stand-in platform and real daemons on loopback. "make slopes" runs both. Ruled out: one size with a division by it, because most of these costs have an intercept.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of this project. "make check" is what CI runs.
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build format lint test check demo clean
+.PHONY: all packages build format lint test check demo slopes clean
 
 all: build
 
@@ -23,5 +23,10 @@
 
 check: packages format build lint test
 
+# Measures the slopes of docs/CAPACITY.md: modules in one process, then real daemons on loopback.
+slopes: build
+	build/sardinespoke-slopes
+	scripts/measure_daemons.py --build build
+
 clean:
 	rm -rf build
