Run scenario files against the decision modules

Change: a parser for sentences with placeholders, a small fake world (slot counters as workers, in-memory platform and network, manual clock) around the real SchedulerCore, DemandExchange, ConfigSync, PlannerInputs and PlannerDuty of each entry host, checks, and the first two scenarios. Ruled out: extending PlannerRig, whose entry hosts are fakes themselves.

--- /dev/null
+++ b/tests/scenario_language.cpp
@@ -0,0 +1,195 @@
+#include "scenario_language.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <sstream>
+
+namespace sardinespoke {
+
+namespace {
+
+struct Unit
+{
+  const char* name_;
+  double milliseconds_;
+};
+
+constexpr std::array<Unit, 4> kUnits{
+  { { "ms", 1 }, { "s", 1000 }, { "min", 60000 }, { "h", 3600000 } }
+};
+
+std::vector<std::string>
+SplitWords(const std::string& aText)
+{
+  std::istringstream stream(aText);
+  std::vector<std::string> words;
+  for (std::string word; stream >> word;) {
+    words.push_back(word);
+  }
+  return words;
+}
+
+std::optional<double>
+ToNumber(const std::string& aWord)
+{
+  double value = 0;
+  const auto [end, error] = std::from_chars(aWord.data(), aWord.data() + aWord.size(), value);
+  if (error != std::errc() || end != aWord.data() + aWord.size() || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/// Matches the words of a line with one form.
+class FormMatch
+{
+public:
+  FormMatch(const std::vector<std::string>& aWords, const std::string& aForm)
+    : words_(aWords)
+    , form_(SplitWords(aForm))
+  {
+    matched_ = Match();
+  }
+
+  bool matched_ = false;
+  size_t used_ = 0; ///< Words of the line that fit.
+  std::string expected_;
+  std::vector<ScenarioValue> values_;
+
+private:
+  bool Match()
+  {
+    for (const std::string& part : form_) {
+      expected_ = part;
+      if (part == "REST") {
+        return TakeRest();
+      }
+      if (!TakePart(part)) {
+        return false;
+      }
+    }
+    expected_ = "the end of the line";
+    return used_ == words_.size();
+  }
+
+  bool TakePart(const std::string& aPart)
+  {
+    if (used_ >= words_.size()) {
+      return false;
+    }
+    const std::string& word = words_[used_];
+    if (aPart == "NAME") {
+      values_.push_back({ word, 0, {} });
+      ++used_;
+      return true;
+    }
+    if (aPart == "NUMBER" || aPart == "PERCENT" || aPart == "TIME") {
+      return TakeNumber(aPart);
+    }
+    used_ += word == aPart ? 1 : 0;
+    return word == aPart;
+  }
+
+  bool TakeNumber(const std::string& aPart)
+  {
+    const std::optional<double> number = ToNumber(words_[used_]);
+    if (!number) {
+      return false;
+    }
+    ScenarioValue value{ words_[used_], *number, {} };
+    ++used_;
+    if (aPart != "NUMBER" && !TakeUnit(aPart, value)) {
+      return false;
+    }
+    values_.push_back(value);
+    return true;
+  }
+
+  bool TakeUnit(const std::string& aPart, ScenarioValue& aValue)
+  {
+    expected_ = aPart == "PERCENT" ? "%" : "a unit of time (ms, s, min or h)";
+    if (used_ >= words_.size()) {
+      return false;
+    }
+    const std::string& word = words_[used_];
+    for (const Unit& unit : kUnits) {
+      if (aPart == "TIME" && word == unit.name_) {
+        const auto time = static_cast<int64_t>(aValue.number_ * unit.milliseconds_);
+        aValue.time_ = std::chrono::milliseconds(time);
+        ++used_;
+        return true;
+      }
+    }
+    used_ += aPart == "PERCENT" && word == "%" ? 1 : 0;
+    return aPart == "PERCENT" && word == "%";
+  }
+
+  bool TakeRest()
+  {
+    std::string rest;
+    for (; used_ < words_.size(); ++used_) {
+      rest += (rest.empty() ? "" : " ") + words_[used_];
+    }
+    values_.push_back({ rest, 0, {} });
+    return !rest.empty();
+  }
+
+  const std::vector<std::string>& words_;
+  const std::vector<std::string> form_;
+};
+
+/// Names the form that fits the most words.
+std::string
+ExplainMismatch(const std::vector<std::string>& aWords, const std::vector<std::string>& aForms)
+{
+  std::string best;
+  size_t most = 0;
+  for (const std::string& form : aForms) {
+    const FormMatch match(aWords, form);
+    if (!best.empty() && match.used_ <= most) {
+      continue;
+    }
+    most = match.used_;
+    best = "expected " + match.expected_ +
+           (most < aWords.size() ? " instead of \"" + aWords[most] + "\"" : " at the end") +
+           ", as in: " + form;
+  }
+  return most > 0 ? best : "no statement begins with \"" + aWords[0] + "\"";
+}
+
+}
+
+ScenarioText
+ParseScenario(const std::string& aFile,
+              const std::string& aText,
+              const std::vector<std::string>& aForms)
+{
+  ScenarioText result;
+  std::istringstream lines(aText);
+  size_t number = 0;
+  for (std::string line; std::getline(lines, line);) {
+    ++number;
+    const std::vector<std::string> words = SplitWords(line.substr(0, line.find('#')));
+    if (words.empty()) {
+      continue;
+    }
+    ScenarioStatement statement{ number, line, aForms.size(), {} };
+    for (size_t form = 0; form < aForms.size(); ++form) {
+      FormMatch match(words, aForms[form]);
+      if (match.matched_) {
+        statement.form_ = form;
+        statement.values_ = std::move(match.values_);
+        break;
+      }
+    }
+    if (statement.form_ == aForms.size()) {
+      result.error_ = aFile + ":" + std::to_string(number) + ": " + ExplainMismatch(words, aForms);
+      return result;
+    }
+    result.statements_.push_back(std::move(statement));
+  }
+  return result;
+}
+
+}
--- /dev/null
+++ b/tests/scenario_load.cpp
@@ -0,0 +1,306 @@
+#include "scenario_entry.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kNetworkDelay{ 1 }; // One way, entry host to worker.
+constexpr std::chrono::milliseconds kMeanRun{ 100 };
+constexpr std::chrono::milliseconds kFailureRun{ 2 }; // A failing worker answers quickly.
+constexpr double kPoolParts = 4; // A queue's mean is this part of its pool: 5 times is above it.
+constexpr double kPoolHosts = 10;
+
+double
+Seconds(std::chrono::nanoseconds aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+std::chrono::nanoseconds
+Exponential(std::mt19937_64& aRandom, double aMeanSeconds)
+{
+  const double seconds = std::exponential_distribution<>(1 / aMeanSeconds)(aRandom);
+  return std::chrono::nanoseconds(static_cast<int64_t>(seconds * 1e9));
+}
+
+}
+
+void
+ScenarioWorld::Schedule(TimePoint aAt, EventType aType, uint64_t aRequest, std::string aService)
+{
+  events_.push({ aAt, ++sequence_, aType, aRequest, std::move(aService) });
+}
+
+void
+ScenarioWorld::RunEvents(TimePoint aUntil)
+{
+  while (!events_.empty() && events_.top().at_ <= aUntil) {
+    const Event event = events_.top();
+    events_.pop();
+    clock_.Advance(event.at_ - clock_.Now());
+    switch (event.type_) {
+      case EventType::Arrive:
+        OnArrive(event.service_);
+        break;
+      case EventType::Reach:
+        OnReach(event.request_);
+        break;
+      case EventType::Finish:
+        OnFinish(event.request_);
+        break;
+      case EventType::Answer:
+        OnAnswer(event.request_);
+        break;
+      case EventType::Count:
+        break;
+    }
+  }
+  clock_.Advance(aUntil - clock_.Now());
+}
+
+double
+ScenarioWorld::Factor(const std::string& aService) const
+{
+  const milliseconds now = Elapsed();
+  double factor = 0;
+  for (const ScenarioLoad& load : loads_) {
+    const bool same = load.service_ == aService || load.service_.empty();
+    if (same && now >= load.begin_ && now < load.end_) {
+      factor = load.factor_;
+    }
+  }
+  return factor;
+}
+
+void
+ScenarioWorld::ScheduleArrival(const std::string& aService)
+{
+  constexpr std::chrono::milliseconds kLookAgain{ 10 };
+  const double factor = Factor(aService);
+  if (factor <= 0) {
+    // An empty service name of the request marks a look at the load without an arrival.
+    Schedule(clock_.Now() + kLookAgain, EventType::Arrive, 1, aService);
+    return;
+  }
+  const auto run = runs_.find(aService);
+  const double mean = Seconds(run == runs_.end() ? kMeanRun : run->second);
+  const PoolRules& pool = rules_->pools_.at(rules_->services_.at(aService).pool_);
+  const double slots = kPoolHosts * pool.slotsPerHost_ / kPoolParts;
+  const auto gap = Exponential(random_, mean / (factor * slots));
+  Schedule(clock_.Now() + gap, EventType::Arrive, 0, aService);
+}
+
+ScenarioWorld::EntryHost*
+ScenarioWorld::PickEntry()
+{
+  // The balancer leaves out entry hosts that fail their health check for a second.
+  constexpr std::chrono::seconds kHealthDelay{ 1 };
+  std::vector<EntryHost*> healthy;
+  for (const auto& [id, entry] : entries_) {
+    const bool out = !entry->mayDispatch_ && clock_.Now() - entry->mayDispatchSince_ > kHealthDelay;
+    if (!out) {
+      healthy.push_back(entry.get());
+    }
+  }
+  if (healthy.empty()) {
+    return entries_.begin()->second.get();
+  }
+  return healthy[std::uniform_int_distribution<size_t>(0, healthy.size() - 1)(random_)];
+}
+
+void
+ScenarioWorld::OnArrive(const std::string& aService)
+{
+  if (loadStopped_) {
+    return;
+  }
+  ScheduleArrival(aService);
+  if (Factor(aService) <= 0) {
+    return;
+  }
+  const EntryHost* entry = PickEntry();
+  const auto run = runs_.find(aService);
+  const uint64_t id = ++lastRequest_;
+  Request& request = requests_[id];
+  request.service_ = aService;
+  request.entry_ = entry->id_;
+  request.process_ = entry->process_;
+  request.arrival_ = clock_.Now();
+  request.run_ = Exponential(random_, Seconds(run == runs_.end() ? kMeanRun : run->second));
+  ScenarioQueue& queue = results_.queues_.at(aService);
+  ++queue.offeredRequests_;
+  queue.offered_[Elapsed().count() / 1000] += Seconds(request.run_);
+  Submit(id, false);
+}
+
+void
+ScenarioWorld::Submit(uint64_t aRequest, bool aRetry)
+{
+  Request& request = requests_.at(aRequest);
+  EntryHost& entry = *entries_.at(request.entry_);
+  const Profile& profile = rules_->profiles_.at(rules_->services_.at(request.service_).profile_);
+  SubmitEvent event;
+  event.ticket_ = aRequest;
+  event.item_.service_ = request.service_;
+  event.item_.kind_ = request.service_;
+  event.item_.retry_ = aRetry;
+  event.item_.avoidHost_ = request.host_;
+  const auto left = request.arrival_ + profile.queueLimit_ - clock_.Now();
+  event.item_.deadline_ = std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(1));
+  request.host_.clear();
+  request.grant_ = 0;
+  Feed(entry, event);
+}
+
+void
+ScenarioWorld::Feed(EntryHost& aEntry, const SchedulerEvent& aEvent)
+{
+  std::vector<Decision> decisions;
+  aEntry.core_.Step(aEvent, clock_.Now(), decisions);
+  for (const Decision& decision : decisions) {
+    const auto found = requests_.find(decision.ticket_);
+    if (found == requests_.end() || !found->second.host_.empty()) {
+      Violate("P4", "request " + std::to_string(decision.ticket_) + " was decided twice");
+      continue;
+    }
+    if (const auto* grant = std::get_if<Grant>(&decision.outcome_)) {
+      OnGrant(aEntry, decision.ticket_, *grant);
+      continue;
+    }
+    ScenarioQueue& queue = results_.queues_.at(found->second.service_);
+    const auto& error = std::get<AdmissionError>(decision.outcome_);
+    if (error.code_ == AdmissionError::Code::Cancelled) {
+      ++results_.cancelled_;
+      const int64_t second = (found->second.arrival_ - start_) / std::chrono::seconds(1);
+      queue.offered_[second] -= Seconds(found->second.run_);
+    } else {
+      ++queue.refused_;
+    }
+    requests_.erase(found);
+  }
+}
+
+void
+ScenarioWorld::OnGrant(EntryHost& aEntry, uint64_t aTicket, const Grant& aGrant)
+{
+  Request& request = requests_.at(aTicket);
+  request.host_ = aGrant.host_;
+  request.pool_ = aGrant.pool_;
+  request.grant_ = aGrant.id_;
+  request.result_ = AttemptResult::Ok;
+  results_.grants_[aEntry.id_].push_back(Elapsed());
+  ObserveGrant(aEntry, aGrant);
+  Schedule(clock_.Now() + kNetworkDelay, EventType::Reach, aTicket);
+}
+
+void
+ScenarioWorld::OnReach(uint64_t aRequest)
+{
+  const auto found = requests_.find(aRequest);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = found->second;
+  const PoolRules& pool = rules_->pools_.at(request.pool_);
+  if (Down(request.host_)) {
+    request.result_ = AttemptResult::NotSent;
+  } else if (busy_[request.host_] >= pool.slotsPerHost_) {
+    request.result_ = AttemptResult::SlotsRefused;
+  }
+  if (request.result_ != AttemptResult::Ok) {
+    Schedule(clock_.Now() + kNetworkDelay, EventType::Answer, aRequest);
+    return;
+  }
+  ++busy_[request.host_];
+  request.running_ = true;
+  if (!request.started_) {
+    request.started_ = true;
+    results_.cancelledStarted_ += cancelledIds_.contains(aRequest) ? 1 : 0;
+    ScenarioQueue& queue = results_.queues_.at(request.service_);
+    queue.waits_.push_back(Seconds(clock_.Now() - request.arrival_));
+    queue.startedWork_ += Seconds(request.run_);
+  }
+  const bool fails = failing_.contains(request.host_) || poisoned_.contains(request.service_);
+  request.result_ = fails ? AttemptResult::ServerError : AttemptResult::Ok;
+  Schedule(clock_.Now() + (fails ? kFailureRun : request.run_), EventType::Finish, aRequest);
+}
+
+void
+ScenarioWorld::OnFinish(uint64_t aRequest)
+{
+  const auto found = requests_.find(aRequest);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = found->second;
+  --busy_[request.host_];
+  request.running_ = false;
+  if (Down(request.host_)) {
+    request.result_ = AttemptResult::Incomplete;
+  }
+  Schedule(clock_.Now() + kNetworkDelay, EventType::Answer, aRequest);
+}
+
+void
+ScenarioWorld::OnAnswer(uint64_t aRequest)
+{
+  const auto found = requests_.find(aRequest);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = found->second;
+  EntryHost& entry = *entries_.at(request.entry_);
+  if (entry.paused_) {
+    // A paused entry host reads the answer when it resumes.
+    Schedule(clock_.Now() + std::chrono::milliseconds(100), EventType::Answer, aRequest);
+    return;
+  }
+  AttemptResult result = request.result_;
+  const bool failed = result == AttemptResult::ServerError;
+  if (failed && shape_.mutant_ == ScenarioMutant::HideFailures) {
+    result = AttemptResult::Ok;
+  }
+  if (failed && shape_.mutant_ == ScenarioMutant::BlameWorkers) {
+    result = AttemptResult::NotSent;
+  }
+  const bool again =
+    request.result_ == AttemptResult::NotSent || request.result_ == AttemptResult::SlotsRefused;
+  auto run = failed ? kFailureRun : request.run_;
+  if (shape_.mutant_ == ScenarioMutant::BorrowFreely) {
+    run = std::min<std::chrono::nanoseconds>(run, kMeanRun);
+  }
+  const uint64_t grant = request.grant_;
+  if (!again) {
+    requests_.erase(found);
+  }
+  Feed(entry, ReleaseEvent{ grant, result, run });
+  if (again) {
+    Submit(aRequest, true);
+  }
+}
+
+void
+ScenarioWorld::CancelQueued(const std::string& aService)
+{
+  std::vector<uint64_t> queued;
+  for (const auto& [id, request] : requests_) {
+    if (request.service_ == aService && request.host_.empty()) {
+      queued.push_back(id);
+    }
+  }
+  std::sort(queued.begin(), queued.end());
+  for (const uint64_t id : queued) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end() || shape_.mutant_ == ScenarioMutant::KeepCancelled) {
+      cancelledIds_.insert(id);
+      continue;
+    }
+    EntryHost& entry = *entries_.at(found->second.entry_);
+    cancelledIds_.insert(id);
+    Feed(entry, CancelEvent{ id });
+  }
+}
+
+}
--- /dev/null
+++ b/tests/scenario_watch.cpp
@@ -0,0 +1,220 @@
+#include "scenario_entry.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::chrono::seconds kLeavingLimit{ 3 };
+const std::string kFleetKey = "sardinespoke/config/fleet";
+const std::string kProfilesKey = "sardinespoke/config/profiles";
+
+}
+
+void
+ScenarioWorld::ObserveStore()
+{
+  const PlatformSnapshot stored = platform_.TakeSnapshot();
+  const auto fleet = stored.find(kFleetKey);
+  if (fleet != stored.end() && fleet->second != truthText_) {
+    ObserveFleet(fleet->second);
+  }
+  const auto profiles = stored.find(kProfilesKey);
+  if (profiles != stored.end() && profiles->second != profilesText_) {
+    profilesText_ = profiles->second;
+    const auto parsed = ProfileSet::Parse(profilesText_, 0);
+    if (parsed &&
+        (profilesAccepted_.empty() || parsed->revision_ > profilesAccepted_.back().first)) {
+      profilesAccepted_.emplace_back(parsed->revision_, clock_.Now());
+    }
+  }
+}
+
+void
+ScenarioWorld::ObserveFleet(const std::string& aText)
+{
+  truthText_ = aText;
+  const auto after = FleetMap::Parse(aText);
+  if (!after || after->revision_ <= truth_.revision_) {
+    // A store with old content, until the document in force is written back.
+    if (after && after->revision_ == truth_.revision_ && *after != truth_) {
+      Violate("P8", "revision " + std::to_string(after->revision_) + " was written twice");
+    }
+    return;
+  }
+  fleetAccepted_.emplace_back(after->revision_, clock_.Now());
+  ObserveBudgets(*after);
+  ObservePools(*after);
+  if (truth_.rollout_.active_ && !after->rollout_.active_) {
+    results_.rolloutEnd_ = Elapsed();
+  }
+  truth_ = *after;
+}
+
+void
+ScenarioWorld::ObserveBudgets(const FleetMap& aAfter)
+{
+  // Counted here again on purpose, without the product's code.
+  std::map<std::string, uint32_t> out;
+  std::map<std::pair<std::string, std::string>, uint32_t> outInRack;
+  for (const auto& [id, host] : aAfter.hosts_) {
+    const bool unusable = host.state_ != HostState::Serving;
+    out[host.pool_] += unusable ? 1 : 0;
+    outInRack[{ host.pool_, host.rack_ }] += unusable ? 1 : 0;
+  }
+  std::map<std::string, MaintenanceRules> rules;
+  for (const auto& [name, service] : rules_->services_) {
+    const MaintenanceRules& own = rules_->profiles_.at(service.profile_).maintenance_;
+    MaintenanceRules& pool = rules.try_emplace(service.pool_, own).first->second;
+    pool.maxUnavailableHosts_ = std::min(pool.maxUnavailableHosts_, own.maxUnavailableHosts_);
+    pool.maxPerRack_ = std::min(pool.maxPerRack_, own.maxPerRack_);
+  }
+  for (const auto& [id, host] : aAfter.hosts_) {
+    const auto before = truth_.hosts_.find(id);
+    const bool started = before != truth_.hosts_.end() &&
+                         before->second.state_ == HostState::Serving &&
+                         host.state_ == HostState::Draining && host.reason_ != DrainReason::Leaving;
+    if (!started) {
+      continue;
+    }
+    if (out[host.pool_] > rules.at(host.pool_).maxUnavailableHosts_) {
+      Violate("P1", std::to_string(out[host.pool_]) + " hosts of " + host.pool_ + " are out");
+    }
+    if (outInRack[{ host.pool_, host.rack_ }] > rules.at(host.pool_).maxPerRack_) {
+      Violate("P1", "two hosts of " + host.pool_ + " in " + host.rack_ + " are out");
+    }
+  }
+}
+
+void
+ScenarioWorld::ObservePools(const FleetMap& aAfter)
+{
+  for (const auto& [id, host] : aAfter.hosts_) {
+    const auto before = truth_.hosts_.find(id);
+    if (before == truth_.hosts_.end()) {
+      continue;
+    }
+    const bool moved = before->second.pool_ != host.pool_;
+    const bool stopped = before->second.state_ != HostState::Maintenance &&
+                         host.state_ == HostState::Maintenance && !Down(id);
+    results_.moves_ += moved ? 1 : 0;
+    if (!moved && !stopped) {
+      continue;
+    }
+    for (const auto& [request, state] : requests_) {
+      if (state.host_ != id || !state.running_) {
+        continue;
+      }
+      Violate(moved ? "P2" : "P7",
+              id + (moved ? " changed pools" : " is stopped") + " while it runs work of " +
+                state.entry_);
+    }
+  }
+}
+
+void
+ScenarioWorld::ObserveGrant(EntryHost& aEntry, const Grant& aGrant)
+{
+  const auto host = truth_.hosts_.find(aGrant.host_);
+  if (host != truth_.hosts_.end() && host->second.pool_ != aGrant.pool_) {
+    Violate("P2",
+            aEntry.id_ + " sent work of " + aGrant.pool_ + " to " + aGrant.host_ + " of " +
+              host->second.pool_);
+  }
+  if (host != truth_.hosts_.end() && host->second.state_ == HostState::Maintenance) {
+    Violate("P7", aEntry.id_ + " sent work to " + aGrant.host_ + ", which is being rebooted");
+  }
+  const auto leaving = leavingSince_.find(aGrant.host_);
+  if (leaving != leavingSince_.end() && clock_.Now() - leaving->second > kLeavingLimit) {
+    Violate("P6", aEntry.id_ + " sent work to " + aGrant.host_ + ", which is leaving");
+  }
+  const auto failing = failing_.find(aGrant.host_);
+  if (failing == failing_.end()) {
+    return;
+  }
+  const std::vector<std::string> suspects = aEntry.core_.Suspects(clock_.Now());
+  if (std::find(suspects.begin(), suspects.end(), aGrant.host_) == suspects.end()) {
+    results_.lastUse_[aGrant.host_] =
+      std::chrono::duration_cast<milliseconds>(clock_.Now() - failing->second);
+  }
+}
+
+void
+ScenarioWorld::ObserveViews()
+{
+  for (const auto& [id, entry] : entries_) {
+    ObserveSuspects(*entry);
+    // An entry host that is paused or may not dispatch uses no document.
+    if (entry->paused_ || !entry->mayDispatch_ || Elapsed().count() < 0) {
+      continue;
+    }
+    const TimePoint since = std::max(entry->mayDispatchSince_, start_);
+    const auto oldest = [&](const auto& aAccepted, uint64_t aRevision) {
+      const auto missing = std::find_if(aAccepted.begin(), aAccepted.end(), [&](const auto& aItem) {
+        return aItem.first > aRevision;
+      });
+      if (missing == aAccepted.end()) {
+        return;
+      }
+      const auto age =
+        std::chrono::duration_cast<milliseconds>(clock_.Now() - std::max(missing->second, since));
+      results_.slowestChange_ = std::max(results_.slowestChange_, age);
+    };
+    oldest(fleetAccepted_, entry->fleetRevision_);
+    oldest(profilesAccepted_, entry->profilesRevision_);
+  }
+}
+
+void
+ScenarioWorld::ObserveSuspects(const EntryHost& aEntry)
+{
+  std::map<std::string, size_t> perPool;
+  for (const std::string& host : aEntry.core_.Suspects(clock_.Now())) {
+    results_.removed_.insert(host);
+    const auto found = truth_.hosts_.find(host);
+    if (found == truth_.hosts_.end()) {
+      continue;
+    }
+    size_t& most = results_.mostRemoved_[found->second.pool_];
+    most = std::max(most, ++perPool[found->second.pool_]);
+  }
+}
+
+void
+ScenarioWorld::ObserveQueues(milliseconds aStep)
+{
+  const double seconds = std::chrono::duration<double>(aStep).count();
+  std::map<std::string, double> held;
+  std::map<std::string, double> heldInPool;
+  std::set<std::string> waiting;
+  for (const auto& [id, request] : requests_) {
+    if (request.host_.empty()) {
+      waiting.insert(request.service_);
+    } else {
+      held[request.service_] += 1;
+      heldInPool[request.pool_] += 1;
+    }
+  }
+  if (waiting.empty()) {
+    return;
+  }
+  std::map<std::string, double> slots;
+  for (const auto& [id, host] : truth_.hosts_) {
+    const auto pool = rules_->pools_.find(host.pool_);
+    if (host.state_ == HostState::Serving && pool != rules_->pools_.end()) {
+      slots[host.pool_] += pool->second.slotsPerHost_;
+    }
+  }
+  for (const std::string& name : waiting) {
+    ScenarioQueue& queue = results_.queues_.at(name);
+    // The profile's own limit may be below what the others leave of the pool.
+    const double others = heldInPool[queue.pool_] - held[name];
+    const double most = rules_->profiles_.at(queue.profile_).maxSlots_;
+    const double available = std::min(slots[queue.pool_] - others, most);
+    queue.slotSeconds_ += (others + std::max(available, 0.0)) * seconds;
+    queue.heldSeconds_ += (others + std::min(held[name], available)) * seconds;
+  }
+}
+
+}
