Test that the first document keeps members that joined before

Cause: the distribution over a document that a joining member created had no test of its own. Change: one test on PlannerCore::FirstDocument. Ruled out: a rig option for it; the pure function shows the same.

--- a/tests/planner_duty_test.cpp
+++ b/tests/planner_duty_test.cpp
@@ -1,5 +1,6 @@
 #include "planner_rig.h"
 
+#include <algorithm>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -44,6 +45,27 @@
   EXPECT_EQ(rig.Fleet().members_.size(), 3U);
 }
 
+// Guards against a document that a joining member created and that would send all hosts into the
+// spare pool, or lose the member.
+TEST(PlannerDuty, FirstDocumentKeepsMembersThatJoinedBefore)
+{
+  PlannerRig rig({}, 1);
+  FleetMap empty;
+  empty.members_["e7"] = { "e7", "1", 1, 1 };
+  HostListSnapshot list;
+  for (const auto& [id, host] : rig.Fleet().hosts_) {
+    list.hosts_.push_back({ id, "", host.rack_, host.zone_, "", false });
+  }
+  const PlannerCore core({}, "e0");
+  const std::optional<FleetMap> first = core.FirstDocument(empty, list, rig.Profiles(), "c");
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->members_.count("e7"), 1U);
+  const auto inSpare = std::count_if(first->hosts_.begin(), first->hosts_.end(), [](auto& aHost) {
+    return aHost.second.pool_ == "pool4";
+  });
+  EXPECT_EQ(inSpare, 10);
+}
+
 // Guards against a roll-out that skips hosts, never ends, breaks a budget or reboots a busy host.
 TEST(PlannerDuty, RolloutMaintainsEveryHostOnce)
 {
