Push the difference to a document in place of the whole document

Also, each demand message, even an empty one, made a new demand table, and the scheduler recomputed all shares for it: 3.4 ms ten times a second. Change: Document and Confirm carry a JSON Patch from the revision that the peer has. The hash of the result is checked; if it does not apply, the whole document follows. Four earlier texts are kept. An unchanged demand table keeps its object. Ruled out: compression, because 6 compressed documents still miss the limit and need another library; a patch of text blocks, because json::diff exists.

--- a/include/sardinespoke/demand_table.h
+++ b/include/sardinespoke/demand_table.h
@@ -12,12 +12,16 @@
 {
   std::string entryHost_;
   std::map<std::string, uint32_t> byProfile_;
+
+  bool operator==(const DemandReport&) const = default;
 };
 
 /// Demand of all live entry hosts; the input of slot sharing.
 struct DemandTable
 {
   std::map<std::string, DemandReport> byEntryHost_;
+
+  bool operator==(const DemandTable&) const = default;
 };
 
 /// Exchange of demand with the other entry hosts. Thread-safe.
@@ -30,7 +34,7 @@
   virtual void Publish(DemandReport aReport) = 0;
 
   /// @returns The latest table, this entry host included. Hosts not heard from for 1 s are left
-  /// out.
+  /// out. The same object as before as long as its content is the same.
   virtual std::shared_ptr<const DemandTable> Table() const = 0;
 };
 
--- a/src/config_core.cpp
+++ b/src/config_core.cpp
@@ -165,6 +165,26 @@
   return OnAdopted(aKey, result, aSource);
 }
 
+AdoptResult
+ConfigCore::OfferPatch(const std::string& aKey,
+                       const DocumentPatch& aPatch,
+                       const std::string& aSource)
+{
+  if (aKey != kFleetKey && aKey != kProfilesKey) {
+    return AdoptResult::Invalid;
+  }
+  const AdoptResult result =
+    aKey == kFleetKey ? fleet_.OfferPatch(aPatch) : profiles_.OfferPatch(aPatch);
+  // A patch for another revision is no fault of the document.
+  return result == AdoptResult::Invalid ? result : OnAdopted(aKey, result, aSource);
+}
+
+std::optional<DocumentPatch>
+ConfigCore::PatchFrom(const std::string& aKey, uint64_t aRevision)
+{
+  return aKey == kFleetKey ? fleet_.PatchFrom(aRevision) : profiles_.PatchFrom(aRevision);
+}
+
 AdoptResult
 ConfigCore::OnAdopted(const std::string& aKey, AdoptResult aResult, const std::string& aSource)
 {
@@ -364,6 +384,12 @@
   return aKey == kFleetKey ? fleet_.Revision() : profiles_.Revision();
 }
 
+uint64_t
+ConfigCore::PreviousRevision(const std::string& aKey) const
+{
+  return aKey == kFleetKey ? fleet_.PreviousRevision() : profiles_.PreviousRevision();
+}
+
 const std::string&
 ConfigCore::Text(const std::string& aKey) const
 {
--- a/src/config_core_p.h
+++ b/src/config_core_p.h
@@ -91,6 +91,13 @@
                     const std::string& aText,
                     const std::string& aSource,
                     bool aPush);
+  /// Takes the difference to a newer document from a peer.
+  /// @returns Invalid if it does not apply to the document in force; the peer then sends all of it.
+  AdoptResult OfferPatch(const std::string& aKey,
+                         const DocumentPatch& aPatch,
+                         const std::string& aSource);
+  /// @returns The patch from an earlier revision to the one in force; empty if there is none.
+  std::optional<DocumentPatch> PatchFrom(const std::string& aKey, uint64_t aRevision);
   void Acknowledge(uint64_t aFleetRevision, std::set<std::string> aBusy);
   void SetSuspects(std::set<std::string> aSuspects) { suspects_ = std::move(aSuspects); }
   void SetStopping(bool aStopping) { stopping_ = aStopping; }
@@ -110,6 +117,7 @@
   bool WriteBackNeeded(const std::string& aKey) const;
   std::pair<std::string, uint64_t> WriteBackContent(const std::string& aKey) const;
   uint64_t Revision(const std::string& aKey) const;
+  uint64_t PreviousRevision(const std::string& aKey) const;
   const std::string& Text(const std::string& aKey) const;
   const EntryRegistration& Registration() const { return registration_; }
   const std::optional<uint64_t>& WatchPosition() const { return position_; }
@@ -159,6 +167,10 @@
   void AskObservers();
   AdoptResult OnAdopted(const std::string& aKey, AdoptResult aResult, const std::string& aSource);
   void PushToPeers(const std::string& aKey);
+  void AddDocument(const std::string& aKey,
+                   uint64_t aTheirs,
+                   const ConfirmRequest& aRequest,
+                   ConfirmReply& aReply);
   void TakePeerDocuments(const ConfirmReply& aReply);
   void TakePeerLists(const ConfirmReply& aReply, TimePoint aSentAt);
   void TakeSponsor(const ConfirmReply& aReply, TimePoint aSentAt);
@@ -183,6 +195,8 @@
 
   nlohmann::json lastConflict_; ///< Detail of the last conflict event, to record each only once.
 
+  std::set<std::string> wantsWhole_; ///< Keys for which a patch did not apply.
+
   EntryRoster roster_;
   TimePoint rosterAt_;
   std::map<std::string, std::string> lastAddress_; ///< Also of entry hosts without a record now.
--- a/src/config_rounds.cpp
+++ b/src/config_rounds.cpp
@@ -242,6 +242,7 @@
   request.incarnation_ = registration_.Incarnation();
   request.profilesRevision_ = profiles_.Revision();
   request.fleetRevision_ = fleet_.Revision();
+  request.wholeDocuments_ = wantsWhole_;
   request.rosterDigest_ = Digest(roster_);
   request.leavingDigest_ = leaving_ ? Digest(*leaving_) : 0;
   request.hybridTime_ = events_.HybridTime();
@@ -271,12 +272,8 @@
   if (leaving_ && reply.leavingDigest_ != aRequest.leavingDigest_) {
     reply.leaving_ = *leaving_;
   }
-  if (reply.profilesRevision_ > aRequest.profilesRevision_) {
-    reply.documents_[kProfilesKey] = profiles_.Text();
-  }
-  if (reply.fleetRevision_ > aRequest.fleetRevision_) {
-    reply.documents_[kFleetKey] = fleet_.Text();
-  }
+  AddDocument(kProfilesKey, aRequest.profilesRevision_, aRequest, reply);
+  AddDocument(kFleetKey, aRequest.fleetRevision_, aRequest, reply);
   const TimePoint until = DispatchUntil();
   reply.maySponsor_ = IsMember() && !stopping_ && aNow < until;
   if (reply.maySponsor_ && aRequest.sponsor_ == settings_.id_) {
@@ -288,6 +285,26 @@
   return reply;
 }
 
+void
+ConfigCore::AddDocument(const std::string& aKey,
+                        uint64_t aTheirs,
+                        const ConfirmRequest& aRequest,
+                        ConfirmReply& aReply)
+{
+  if (aTheirs >= Revision(aKey)) {
+    return;
+  }
+  std::optional<DocumentPatch> patch;
+  if (!aRequest.wholeDocuments_.contains(aKey)) {
+    patch = PatchFrom(aKey, aTheirs);
+  }
+  if (patch) {
+    aReply.patches_[aKey] = std::move(*patch);
+    return;
+  }
+  aReply.documents_[aKey] = Text(aKey);
+}
+
 void
 ConfigCore::OnConfirmReply(const ConfirmReply& aReply, TimePoint aSentAt, TimePoint aNow)
 {
@@ -327,7 +344,16 @@
 void
 ConfigCore::TakePeerDocuments(const ConfirmReply& aReply)
 {
+  for (const auto& [key, patch] : aReply.patches_) {
+    const uint64_t theirs = key == kFleetKey ? aReply.fleetRevision_ : aReply.profilesRevision_;
+    const AdoptResult result = OfferPatch(key, patch, aReply.id_);
+    // Another content of the same base; the next request asks for the whole document.
+    if (result == AdoptResult::Invalid && Revision(key) < theirs) {
+      wantsWhole_.insert(key);
+    }
+  }
   for (const auto& [key, text] : aReply.documents_) {
+    wantsWhole_.erase(key);
     Offer(key, text, aReply.id_, false);
   }
 }
--- a/src/config_sync_impl.cpp
+++ b/src/config_sync_impl.cpp
@@ -310,21 +310,47 @@
 void
 ConfigSync::Impl::Push(const SyncAction& aAction)
 {
-  const std::string text = Ask([&](const ConfigCore& aCore) { return aCore.Text(aAction.key_); });
-  const nlohmann::json message{ { "type", "Document" },
-                                { "sender", settings_.id_ },
-                                { "key", aAction.key_ },
-                                { "document", text },
-                                { "hybrid_time", events_.HybridTime() } };
-  leaf::try_handle_all(
-    [&]() -> leaf::result<void> {
-      BOOST_LEAF_CHECK(peers_.Call(aAction.address_, message, settings_.peerTimeout_));
-      return {};
-    },
+  uint64_t base = 0;
+  uint64_t wanted = 0;
+  Ask([&](const ConfigCore& aCore) {
+    base = aCore.PreviousRevision(aAction.key_);
+    wanted = aCore.Revision(aAction.key_);
+  });
+  std::optional<uint64_t> theirs = SendDocument(aAction, base);
+  if (theirs && *theirs < wanted && *theirs != base) {
+    base = *theirs;
+    theirs = SendDocument(aAction, base);
+  }
+  if (theirs && *theirs < wanted) {
+    theirs = SendDocument(aAction, 0);
+  }
+  if (!theirs) {
     // The peer takes the document with its next Confirm.
-    [&]() {
-      events_.Record("config.push_failed", "no answer", { { "peer", aAction.peer_ } });
-    });
+    events_.Record("config.push_failed", "no answer", { { "peer", aAction.peer_ } });
+  }
+}
+
+std::optional<uint64_t>
+ConfigSync::Impl::SendDocument(const SyncAction& aAction, uint64_t aBase)
+{
+  nlohmann::json message{ { "type", "Document" },
+                          { "sender", settings_.id_ },
+                          { "key", aAction.key_ },
+                          { "hybrid_time", events_.HybridTime() } };
+  Tell([&](ConfigCore& aCore) {
+    if (const auto patch = aCore.PatchFrom(aAction.key_, aBase)) {
+      message["patch"] = PatchToJson(*patch);
+      return;
+    }
+    message["document"] = aCore.Text(aAction.key_);
+  });
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<uint64_t>> {
+      BOOST_LEAF_AUTO(reply, peers_.Call(aAction.address_, message, settings_.peerTimeout_));
+      return reply.at("revision").get<uint64_t>();
+    },
+    [](leaf::catch_<nlohmann::json::exception>) { return std::optional<uint64_t>(); },
+    []() { return std::optional<uint64_t>(); });
 }
 
 leaf::result<nlohmann::json>
@@ -340,13 +366,22 @@
 {
   const std::string sender = aMessage.at("sender").get<std::string>();
   const std::string key = aMessage.at("key").get<std::string>();
-  const std::string text = aMessage.at("document").get<std::string>();
+  std::optional<DocumentPatch> patch;
+  std::string text;
+  if (aMessage.contains("patch")) {
+    patch = PatchFromJson(aMessage.at("patch"));
+  } else {
+    text = aMessage.at("document").get<std::string>();
+  }
   if (!Ask([&](const ConfigCore& aCore) { return aCore.KnowsPeer(sender); })) {
     return Refuse(PeerError::Code::Refused, "unknown sender \"" + sender + "\"");
   }
   events_.Observe(aMessage.at("hybrid_time").get<uint64_t>());
   return Tell([&](ConfigCore& aCore) -> leaf::result<nlohmann::json> {
-    if (aCore.Offer(key, text, sender, false) == AdoptResult::Invalid) {
+    if (patch) {
+      // One that does not apply has no effect; the revision in the reply asks for another.
+      aCore.OfferPatch(key, *patch, sender);
+    } else if (aCore.Offer(key, text, sender, false) == AdoptResult::Invalid) {
       return Refuse(PeerError::Code::Malformed, "invalid document for \"" + key + "\"");
     }
     return nlohmann::json{ { "revision", aCore.Revision(key) } };
--- a/src/config_sync_impl_p.h
+++ b/src/config_sync_impl_p.h
@@ -73,6 +73,9 @@
   void ReadStore(std::chrono::milliseconds aWait);
   void Confirm(const SyncAction& aAction);
   void Push(const SyncAction& aAction);
+  /// Sends a document, as a patch if the receiver has the base.
+  /// @returns The revision that the peer has in force then; empty if it did not answer.
+  std::optional<uint64_t> SendDocument(const SyncAction& aAction, uint64_t aBase);
   leaf::result<nlohmann::json> OnConfirm(const nlohmann::json& aMessage);
   leaf::result<nlohmann::json> OnDocument(const nlohmann::json& aMessage);
   nlohmann::json Status() const;
--- a/src/confirm_message.cpp
+++ b/src/confirm_message.cpp
@@ -75,6 +75,9 @@
             { "roster_digest", rosterDigest_ },
             { "leaving_digest", leavingDigest_ },
             { "hybrid_time", hybridTime_ } };
+  if (!wholeDocuments_.empty()) {
+    out["whole_documents"] = wholeDocuments_;
+  }
   if (!sponsor_.empty()) {
     out["sponsor"] = sponsor_;
     out["busy"] = busy_;
@@ -94,6 +97,9 @@
   request.rosterDigest_ = aJson.at("roster_digest").get<uint64_t>();
   request.leavingDigest_ = aJson.at("leaving_digest").get<uint64_t>();
   request.hybridTime_ = aJson.at("hybrid_time").get<uint64_t>();
+  if (aJson.contains("whole_documents")) {
+    request.wholeDocuments_ = aJson.at("whole_documents").get<std::set<std::string>>();
+  }
   if (aJson.contains("sponsor")) {
     request.sponsor_ = aJson.at("sponsor").get<std::string>();
     request.busy_ = aJson.at("busy").get<std::set<std::string>>();
@@ -127,6 +133,9 @@
   if (!documents_.empty()) {
     out["documents"] = documents_;
   }
+  for (const auto& [key, patch] : patches_) {
+    out["patches"][key] = PatchToJson(patch);
+  }
   return out;
 }
 
@@ -153,9 +162,30 @@
   if (aJson.contains("documents")) {
     reply.documents_ = aJson.at("documents").get<std::map<std::string, std::string>>();
   }
+  if (aJson.contains("patches")) {
+    for (const auto& [key, patch] : aJson.at("patches").items()) {
+      reply.patches_[key] = PatchFromJson(patch);
+    }
+  }
   return reply;
 }
 
+json
+PatchToJson(const DocumentPatch& aPatch)
+{
+  return { { "base", aPatch.base_ },
+           { "operations", aPatch.operations_ },
+           { "result_hash", aPatch.resultHash_ } };
+}
+
+DocumentPatch
+PatchFromJson(const json& aJson)
+{
+  return { aJson.at("base").get<uint64_t>(),
+           aJson.at("operations").get<std::string>(),
+           aJson.at("result_hash").get<uint64_t>() };
+}
+
 uint64_t
 Digest(const EntryRoster& aRoster)
 {
--- a/src/confirm_message_p.h
+++ b/src/confirm_message_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "document_patch_p.h"
 #include "sardinespoke/membership.h"
 
 #include <chrono>
@@ -22,6 +23,7 @@
   std::string sponsor_;        ///< Set by a guest: the member that answers for it.
   std::set<std::string> busy_; ///< Set by a guest.
   uint64_t ackedRevision_ = 0; ///< Set by a guest: fleet revision its scheduler works with.
+  std::set<std::string> wholeDocuments_; ///< Keys of documents to send whole, not as a patch.
   uint64_t hybridTime_ = 0;
 
   nlohmann::json ToJson() const;
@@ -50,6 +52,7 @@
   std::optional<EntryRoster> roster_;              ///< Only if the sender's digest differs.
   std::optional<std::set<std::string>> leaving_;   ///< Only if the sender's digest differs.
   std::map<std::string, std::string> documents_;   ///< Newer documents by key, without the prefix.
+  std::map<std::string, DocumentPatch> patches_;   ///< The same as patches of the sender's.
   bool maySponsor_ = false;                        ///< It is a member that may dispatch.
   std::optional<std::chrono::microseconds> grant_; ///< For its guest: time it may dispatch.
   uint64_t hybridTime_ = 0;
@@ -59,6 +62,12 @@
   static ConfirmReply FromJson(const nlohmann::json& aJson);
 };
 
+nlohmann::json
+PatchToJson(const DocumentPatch& aPatch);
+/// Throws nlohmann::json::exception if a field is missing or has a wrong type.
+DocumentPatch
+PatchFromJson(const nlohmann::json& aJson);
+
 /// @returns A value that changes with the content; never 0.
 uint64_t
 Digest(const EntryRoster& aRoster);
--- a/src/demand_exchange.cpp
+++ b/src/demand_exchange.cpp
@@ -230,7 +230,11 @@
     std::erase_if(heard_, [&](const auto& aHeard) {
       return aNow - aHeard.second.at_ >= kForgetFactor * settings_.silenceLimit_;
     });
-    table_ = std::move(table);
+    // A reader that compares pointers recomputes all shares for each new table.
+    if (!shown_ || *shown_ != *table) {
+      shown_ = std::move(table);
+    }
+    table_ = shown_;
   }
 
   static constexpr int kForgetFactor = 30;
@@ -254,7 +258,8 @@
   bool stop_ = false;
   DemandReport own_;
   std::map<std::string, Heard> heard_;
-  std::shared_ptr<const DemandTable> table_;
+  std::shared_ptr<const DemandTable> table_; ///< Null if it has to be built again.
+  std::shared_ptr<const DemandTable> shown_; ///< The last table that was built.
   TimePoint tableUntil_;
 };
 
--- a/src/held_document_p.h
+++ b/src/held_document_p.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "document_patch_p.h"
 #include "sardinespoke/clock.h"
 #include "sardinespoke/errors.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +52,13 @@
     if (parsed_ && parsed->revision_ == parsed_->revision_) {
       return AdoptResult::Conflicting;
     }
+    if (parsed_) {
+      earlier_.emplace_back(parsed_->revision_, std::move(text_));
+    }
+    if (earlier_.size() > kMostEarlier) {
+      earlier_.pop_front();
+    }
+    patches_.clear();
     parsed_ = std::move(parsed);
     text_ = aText;
     storeMatches_ = false;
@@ -70,6 +80,36 @@
     return result;
   }
 
+  /// Applies a patch to the document in force.
+  /// @returns Invalid if it does not apply to it.
+  AdoptResult OfferPatch(const DocumentPatch& aPatch)
+  {
+    if (!parsed_ || aPatch.base_ != parsed_->revision_) {
+      return AdoptResult::Invalid;
+    }
+    const std::optional<std::string> text = ApplyDocumentPatch(text_, aPatch);
+    return text ? Offer(*text) : AdoptResult::Invalid;
+  }
+
+  /// @returns The patch from an earlier revision to the one in force; empty if there is none.
+  std::optional<DocumentPatch> PatchFrom(uint64_t aRevision)
+  {
+    for (const auto& [revision, text] : earlier_) {
+      if (revision != aRevision) {
+        continue;
+      }
+      const auto [patch, isNew] = patches_.try_emplace(revision);
+      if (isNew) {
+        patch->second = MakeDocumentPatch(revision, text, text_);
+      }
+      return patch->second;
+    }
+    return std::nullopt;
+  }
+
+  /// @returns The revision that was in force before; 0 if there was none.
+  uint64_t PreviousRevision() const { return earlier_.empty() ? 0 : earlier_.back().first; }
+
   const std::shared_ptr<const Parsed>& InForce() const { return parsed_; }
   const std::string& Text() const { return text_; }
   uint64_t Revision() const { return parsed_ ? parsed_->revision_ : 0; }
@@ -92,8 +132,13 @@
       []() { return std::shared_ptr<const Parsed>(); });
   }
 
+  // Texts that patches start from. An entry host that is further behind takes the whole document.
+  static constexpr size_t kMostEarlier = 4;
+
   Parser parser_;
   std::string text_;
+  std::deque<std::pair<uint64_t, std::string>> earlier_;     ///< Revision and text, oldest first.
+  std::map<uint64_t, std::optional<DocumentPatch>> patches_; ///< By base, made when asked for.
   std::shared_ptr<const Parsed> parsed_;
   bool storeMatches_ = false;
   uint64_t storeVersion_ = 0;
--- a/tests/demand_exchange_test.cpp
+++ b/tests/demand_exchange_test.cpp
@@ -163,5 +163,29 @@
   EXPECT_FALSE(nodes_["e1"].exchange_->Table()->byEntryHost_.contains("stranger"));
 }
 
+// Guards against readers that recompute all shares for messages that change nothing: a new table
+// costs 3.4 ms at the two-year size.
+TEST_F(DemandExchangeTest, TableStaysTheSameObjectWhileNothingChanges)
+{
+  Add("a");
+  Add("b");
+  nodes_.at("b").exchange_->Publish({ "b", { { "p", 3 } } });
+  const auto step = [&]() {
+    clock_.Advance(milliseconds(200));
+    nodes_.at("b").exchange_->Publish({ "b", { { "p", 3 } } });
+    nodes_.at("b").exchange_->Step();
+  };
+  step();
+  step();
+  const auto table = nodes_.at("a").exchange_->Table();
+  EXPECT_EQ(table->byEntryHost_.at("b").byProfile_.at("p"), 3U);
+  for (int count = 0; count < 20; ++count) {
+    step();
+    EXPECT_EQ(nodes_.at("a").exchange_->Table(), table);
+  }
+  clock_.Advance(milliseconds(1100));
+  EXPECT_FALSE(nodes_.at("a").exchange_->Table()->byEntryHost_.contains("b"));
+}
+
 }
 }
