Keep the reason of a refused fleet command

Cause: a second "maintenance start" exited with 5 and "internal: unexpected error" in place of 3 and the reason; "entry forget" of an unknown name and refusals for an older stored document did the same. A handler of leaf::try_handle_some() returned a new error of the type that it handles. Afterwards LEAF passes on the objects of the old error, which take the slot of the new one, so that no outer handler matches.

Change: FleetEditor::Edit() returns the error it got. ProfileEditor::Load(), which had the same pattern for a damaged document in the store, makes its error outside of the handler. The other uses of try_handle_some() translate into another type and are not affected.

A unit test per editor checks the code of the error.

--- a/src/fleet_editor.cpp
+++ b/src/fleet_editor.cpp
@@ -52,13 +52,14 @@
 {
   for (int tries = 1;; ++tries) {
     bool again = false;
-    leaf::result<uint64_t> revision =
-      leaf::try_handle_some([&]() -> leaf::result<uint64_t> { return TryEdit(aInForce, aChange); },
-                            [&](const PlannerError& aError) -> leaf::result<uint64_t> {
-                              again =
-                                aError.code_ == PlannerError::Code::Conflict && tries < kMaxTries;
-                              return leaf::new_error(aError);
-                            });
+    // The handler returns the error it got: a new error of the same type would be lost, because
+    // try_handle_some() passes on the objects of the old one.
+    leaf::result<uint64_t> revision = leaf::try_handle_some(
+      [&]() -> leaf::result<uint64_t> { return TryEdit(aInForce, aChange); },
+      [&](const leaf::error_info& aInfo, const PlannerError& aError) -> leaf::result<uint64_t> {
+        again = aError.code_ == PlannerError::Code::Conflict && tries < kMaxTries;
+        return aInfo.error();
+      });
     if (!again) {
       return revision;
     }
--- a/src/profile_editor.cpp
+++ b/src/profile_editor.cpp
@@ -178,15 +178,28 @@
   if (item.version_ == 0) {
     return Stored{};
   }
-  return leaf::try_handle_some(
+  // A handler of try_handle_some() cannot return a new error of the type it handles: the objects of
+  // the old error would replace it.
+  std::optional<ConfigError> invalid;
+  Stored stored = leaf::try_handle_all(
     [&]() -> leaf::result<Stored> {
       BOOST_LEAF_AUTO(set, ProfileSet::Parse(item.value_, 0));
       return Stored{ std::move(set), item.version_ };
     },
-    [](const ConfigError& aError) -> leaf::result<Stored> {
-      return Fail(
-        aError.code_, aError.path_, "the document in the store is not valid: " + aError.message_);
+    [&](const ConfigError& aError) {
+      invalid = aError;
+      return Stored{};
+    },
+    [&] {
+      invalid = ConfigError{ Code::StoreDown, "", "an error of an unexpected type" };
+      return Stored{};
     });
+  if (invalid) {
+    return Fail(invalid->code_,
+                invalid->path_,
+                "the document in the store is not valid: " + invalid->message_);
+  }
+  return stored;
 }
 
 ProfileEditor::Write
--- a/tests/planner_duty_test.cpp
+++ b/tests/planner_duty_test.cpp
@@ -71,6 +71,27 @@
   EXPECT_THAT(rig.Violations(), IsEmpty());
 }
 
+// Guards against an operator's command that is refused without the reason, because the error was
+// lost between two handlers.
+TEST(PlannerDuty, RefusedCommandsTellTheReason)
+{
+  PlannerRig rig({}, 2);
+  const auto codeOf = [](const auto& aCall) {
+    return leaf::try_handle_all(
+      [&]() -> leaf::result<PlannerError::Code> {
+        BOOST_LEAF_CHECK(aCall());
+        return PlannerError::Code::Count;
+      },
+      [](const PlannerError& aError) { return aError.code_; },
+      [] { return PlannerError::Code::NotHolder; });
+  };
+  ASSERT_TRUE(rig.Editor().StartRollout(0, "operator"));
+  EXPECT_EQ(codeOf([&] { return rig.Editor().StartRollout(0, "operator"); }),
+            PlannerError::Code::InvalidTransition);
+  EXPECT_EQ(codeOf([&] { return rig.Editor().ForgetMember(0, "entry-99"); }),
+            PlannerError::Code::UnknownHost);
+}
+
 /// Steps planner 1 inside every write of planner 0, while hosts fail and come back.
 std::vector<std::string>
 RunTwoPlanners(RigMutants aMutants)
--- a/tests/profile_editor_test.cpp
+++ b/tests/profile_editor_test.cpp
@@ -90,6 +90,15 @@
   EXPECT_EQ(Current().history_.size(), 5U);
 }
 
+// Guards against a damaged document in the store that is reported as an outage.
+TEST_F(ProfileEditorTest, DamagedDocumentIsReported)
+{
+  ASSERT_TRUE(platform_.Put(kKey, "{}", platform_.Get(kKey).value().version_, {}));
+  const ConfigError error = ErrorOfPut(72, { "c2", "ben", 1 });
+  EXPECT_EQ(error.code_, Code::Schema);
+  EXPECT_THAT(error.message_, HasSubstr("the document in the store is not valid"));
+}
+
 // Guards against a rejected edit that changes the document or consumes a revision.
 TEST_F(ProfileEditorTest, RejectedEditsChangeNothing)
 {
