Let sardinespokectl apply a single profile

Cause: "profile apply" took the name of a single profile from the field "name", but sent that field to the daemon, which refused it as an unknown key, and "profile get NAME" printed no name. So one profile could not be edited by itself. An author with a space broke the URL of the edit.

Change: "profile get NAME" prints the profile with its name and the revision of the document, taken from one answer. "profile apply" takes both from the file and sends the rest, so that a change made meanwhile is a conflict. A file without a name is refused before it is sent. Names, ids and authors are percent-encoded in URLs.

--- a/tools/sardinespokectl/admin_client.cpp
+++ b/tools/sardinespokectl/admin_client.cpp
@@ -4,6 +4,15 @@
 
 namespace sardinespoke {
 
+std::string
+UrlEncode(const std::string& aText)
+{
+  char* encoded = ulfius_url_encode(aText.c_str());
+  std::string text = encoded != nullptr ? encoded : "";
+  u_free(encoded);
+  return text;
+}
+
 AdminClient::AdminClient(std::vector<std::string> aAddresses, std::chrono::seconds aTimeout)
   : addresses_(std::move(aAddresses))
   , timeout_(aTimeout)
--- a/tools/sardinespokectl/admin_client.h
+++ b/tools/sardinespokectl/admin_client.h
@@ -17,6 +17,10 @@
   std::string text_;
 };
 
+/// @returns The text with every character percent-encoded that has a meaning in a URL.
+std::string
+UrlEncode(const std::string& aText);
+
 /// Calls the admin HTTP address of a daemon and, when it does not answer, of the next one.
 class AdminClient
 {
--- a/tools/sardinespokectl/cli_fleet.cpp
+++ b/tools/sardinespokectl/cli_fleet.cpp
@@ -209,7 +209,7 @@
 ExitCode
 Cli::EntryForget(const Arguments& aArguments)
 {
-  const auto answer = client_.Call("POST", "/v1/entry/" + aArguments[0] + "/forget");
+  const auto answer = client_.Call("POST", "/v1/entry/" + UrlEncode(aArguments[0]) + "/forget");
   if (answer.status_ != kOk) {
     return Fail(answer);
   }
--- a/tools/sardinespokectl/cli_profile.cpp
+++ b/tools/sardinespokectl/cli_profile.cpp
@@ -1,5 +1,6 @@
 #include "cli.h"
 
+#include "json_document_p.h"
 #include "sardinespoke/profile_set.h"
 
 #include <fstream>
@@ -37,6 +38,15 @@
   return aContent.is_object() && aContent.contains("profiles");
 }
 
+/// @returns The profile without the fields that "profile get NAME" adds for "profile apply".
+nlohmann::json
+ProfileOnly(nlohmann::json aContent)
+{
+  aContent.erase("name");
+  aContent.erase("revision");
+  return aContent;
+}
+
 std::string
 RandomChangeId()
 {
@@ -50,13 +60,18 @@
   return id.str();
 }
 
-/// Checks a whole document and prints the first error.
+/// Checks a whole document, or only the JSON of a single profile, and prints the first error.
 bool
-PrintIfInvalid(const std::string& aFile, const std::string& aText)
+PrintIfInvalid(const std::string& aFile, const std::string& aText, bool aDocument)
 {
   return leaf::try_handle_all(
     [&]() -> leaf::result<bool> {
-      BOOST_LEAF_CHECK(ProfileSet::Parse(aText, 0));
+      if (aDocument) {
+        BOOST_LEAF_CHECK(ProfileSet::Parse(aText, 0));
+      } else {
+        // A key that occurs twice would be lost when the profile is written out again.
+        BOOST_LEAF_CHECK(ParseStrictJson(aText));
+      }
       return false;
     },
     [&](const ConfigError& aError) {
@@ -79,7 +94,7 @@
     std::cerr << aArguments[0] << ": cannot be read\n";
     return ExitCode::Usage;
   }
-  if (PrintIfInvalid(aArguments[0], text)) {
+  if (PrintIfInvalid(aArguments[0], text, true)) {
     return ExitCode::Refused;
   }
   std::cout << aArguments[0] << ": valid\n";
@@ -97,16 +112,22 @@
   const auto content = nlohmann::json::parse(text, nullptr, false);
   const bool document = IsDocument(content);
   // A single profile can only be checked together with the rest of the document, by the daemon.
-  if ((document || !content.is_object()) && PrintIfInvalid(aArguments[0], text)) {
+  if (PrintIfInvalid(aArguments[0], text, document || !content.is_object())) {
     return ExitCode::Refused;
   }
 
   auto changeId = options_.changeId_.empty() ? RandomChangeId() : options_.changeId_;
   auto path = std::string("/v1/profiles");
   if (!document) {
-    path += "/" + content.value("name", std::string());
+    const auto name = content.value("name", nlohmann::json());
+    if (!name.is_string() || name.get<std::string>().empty()) {
+      std::cerr << aArguments[0] << ": /name: found no text; expected the name of the profile\n";
+      return ExitCode::Refused;
+    }
+    path += "/" + UrlEncode(name.get<std::string>());
+    text = ProfileOnly(content).dump();
   }
-  path += "?change_id=" + changeId + "&author=" + options_.author_;
+  path += "?change_id=" + UrlEncode(changeId) + "&author=" + UrlEncode(options_.author_);
   path += "&base_revision=" + std::to_string(BaseRevision(content));
 
   const auto answer = client_.Call("PUT", path, text);
@@ -202,12 +223,25 @@
 {
   AdminAnswer answer;
   ExitCode code = ExitCode::Done;
-  const auto path =
-    aArguments.empty() ? std::string("/v1/profiles") : "/v1/profiles/" + aArguments[0];
-  if (!Read(path, answer, code)) {
+  if (!Read("/v1/profiles", answer, code)) {
     return code;
   }
-  std::cout << answer.body_.dump(options_.json_ ? -1 : 2) << '\n';
+  const int indent = options_.json_ ? -1 : 2;
+  if (aArguments.empty()) {
+    std::cout << answer.body_.dump(indent) << '\n';
+    return ExitCode::Done;
+  }
+  const auto profiles = answer.body_.value("profiles", nlohmann::json::object());
+  const auto found = profiles.find(aArguments[0]);
+  if (found == profiles.end()) {
+    std::cerr << "profile \"" << aArguments[0] << "\" does not exist\n";
+    return ExitCode::Refused;
+  }
+  // "profile apply" needs the name, and the revision to notice a change made meanwhile.
+  auto profile = *found;
+  profile["name"] = aArguments[0];
+  profile["revision"] = answer.body_.value("revision", uint64_t{ 0 });
+  std::cout << profile.dump(indent) << '\n';
   return ExitCode::Done;
 }
 
--- a/tools/sardinespokectl/exit_codes.h
+++ b/tools/sardinespokectl/exit_codes.h
@@ -2,7 +2,7 @@
 
 namespace sardinespoke {
 
-/// Exit codes of sardinespokectl; documented in its help and in docs/operators.md.
+/// Exit codes of sardinespokectl; documented in its help and in docs/profiles.md.
 enum class ExitCode
 {
   Done = 0,
