Record operators' commands on the fleet as events

Cause: the time line had no event for the start, pause or resume of a roll-out or for "entry forget", so that drains appeared without the command that caused them.

Change: accepted commands are recorded as rollout.started, rollout.paused, rollout.resumed and member.forgotten with the revision; the first three name the operator.

--- a/include/sardinespoke/admin_api.h
+++ b/include/sardinespoke/admin_api.h
@@ -68,7 +68,10 @@
 
   /// Runs an edit of the fleet document and turns its errors into responses.
   template<typename Edit>
-  AdminResponse EditFleet(Edit&& aEdit);
+  AdminResponse EditFleet(const char* aEvent,
+                          const std::string& aCause,
+                          const nlohmann::json& aDetail,
+                          Edit&& aEdit);
 
   /// Runs an edit of the profile document and turns its errors into responses.
   template<typename Edit>
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -380,12 +380,18 @@
 
 template<typename Edit>
 AdminResponse
-AdminApi::EditFleet(Edit&& aEdit)
+AdminApi::EditFleet(const char* aEvent,
+                    const std::string& aCause,
+                    const nlohmann::json& aDetail,
+                    Edit&& aEdit)
 {
   const std::lock_guard lock(editMutex_);
   return leaf::try_handle_all(
     [&]() -> leaf::result<AdminResponse> {
       BOOST_LEAF_AUTO(revision, aEdit(FleetRevision()));
+      auto detail = aDetail;
+      detail["revision"] = revision;
+      parts_.events_.Record(aEvent, aCause, detail);
       return AdminResponse::Json(kOk, { { "revision", revision } });
     },
     [](const PlannerError& aError) {
@@ -407,15 +413,23 @@
   const auto author = body.contains("author") && body.at("author").is_string()
                         ? body.at("author").get<std::string>()
                         : std::string();
+  const auto cause = "operator " + author;
+  const auto none = nlohmann::json::object();
   auto& fleet = parts_.fleet_;
   if (action == "start") {
-    return EditFleet([&](uint64_t aInForce) { return fleet.StartRollout(aInForce, author); });
+    return EditFleet("rollout.started", cause, none, [&](uint64_t aInForce) {
+      return fleet.StartRollout(aInForce, author);
+    });
   }
   if (action == "pause") {
-    return EditFleet([&](uint64_t aInForce) { return fleet.PauseRollout(aInForce); });
+    return EditFleet("rollout.paused", cause, none, [&](uint64_t aInForce) {
+      return fleet.PauseRollout(aInForce);
+    });
   }
   if (action == "resume") {
-    return EditFleet([&](uint64_t aInForce) { return fleet.ResumeRollout(aInForce); });
+    return EditFleet("rollout.resumed", cause, none, [&](uint64_t aInForce) {
+      return fleet.ResumeRollout(aInForce);
+    });
   }
   return AdminResponse::Error(
     kBadRequest, "malformed", "/action", "is \"" + action + "\"; expected start, pause or resume");
@@ -424,8 +438,9 @@
 AdminResponse
 AdminApi::ForgetEntry(const AdminRequest& aRequest)
 {
-  return EditFleet([&](uint64_t aInForce) {
-    return parts_.fleet_.ForgetMember(aInForce, aRequest.Parameter("id"));
+  const auto id = aRequest.Parameter("id");
+  return EditFleet("member.forgotten", "operator", { { "entry", id } }, [&](uint64_t aInForce) {
+    return parts_.fleet_.ForgetMember(aInForce, id);
   });
 }
 
