Allow other addresses in scripts/deployment.sh

Cause: a script that starts a deployment collided with a demo on the same machine. Change: entry_net and platform may be set; the addresses of the example settings are replaced.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,5 +1,7 @@
 # Functions that start and stop a whole deployment on loopback; sourced by other scripts.
-# Needs: build_dir, run_dir, deployment (inyana or atlas), entry_count.
+# Needs: build_dir, run_dir, deployment (inyana or atlas), entry_count, backend_ip.
+# entry_net and platform may be set to replace the addresses of the example settings, so that two
+# deployments of the same kind can run at the same time.
 
 pids=()
 
@@ -38,7 +40,8 @@
 }
 
 write_settings() { # INDEX
-  sed -e "s/\"entry-1\"/\"entry-$1\"/" -e "s/$entry_net\.1\"/$(entry_ip "$1")\"/" \
+  sed -e "s/\"entry-1\"/\"entry-$1\"/" -e "s/\"$example_net\.1\"/\"$(entry_ip "$1")\"/" \
+    -e "s/\"$example_net\./\"$entry_net./g" -e "s/\"$example_platform\"/\"$platform\"/" \
     -e "s/\"dc-a\"/\"zone-$((($1 - 1) % 3))\"/" -e 's/"stop_grace_ms": 3000/"stop_grace_ms": 500/' \
     "examples/$deployment.settings.json" >"$run_dir/entry-$1.json"
 }
@@ -84,9 +87,11 @@
 # entry hosts may dispatch.
 start_deployment() {
   case $deployment in
-    inyana) entry_net=127.0.1 platform=127.0.0.10 ;;
-    atlas) entry_net=127.0.3 platform=127.0.0.20 ;;
+    inyana) example_net=127.0.1 example_platform=127.0.0.10 ;;
+    atlas) example_net=127.0.3 example_platform=127.0.0.20 ;;
   esac
+  entry_net=${entry_net:-$example_net}
+  platform=${platform:-$example_platform}
   start_program backend.log "$build_dir/sardinespoke-backend" --ip "$backend_ip" \
     --base-port 9000 --control-port 8900 --workers 50
   start_program platform.log "$build_dir/sardinespoke-platform" --address "$platform" --port 8000 \
