--- a/tests/config_sync_test.cpp
+++ b/tests/config_sync_test.cpp
@@ -255,5 +255,37 @@
   EXPECT_LE(measure({ "e4", "e5", "e6", "e7" }), 2 * 4 + 7);
 }
 
+// Guards against a whole document sent to every entry host for each small change, and against a
+// patch that does not fit being applied.
+TEST_F(ConfigSyncTest, SmallChangesOfLargeDocumentsTravelAsPatches)
+{
+  Start({ "e1", "e2", "e3", "e4" });
+  EditFleet([](FleetMap& aFleet) {
+    for (int index = 0; index < 2900; ++index) {
+      FleetHost& host = aFleet.hosts_["w" + std::to_string(index)];
+      host.address_ = "10.0.0.1:" + std::to_string(index);
+      host.pool_ = "births";
+    }
+  });
+  Run(milliseconds(3000));
+  const uint64_t before = network_.BytesSent(Address("e1"));
+  EditFleet([](FleetMap& aFleet) { aFleet.hosts_["w7"].pool_ = "sales"; });
+  Run(milliseconds(1000));
+  EXPECT_EQ(Node("e4").sync_.Current()->fleet_->hosts_.at("w7").pool_, "sales");
+  EXPECT_LT(network_.BytesSent(Address("e1")) - before, 30000U);
+
+  const nlohmann::json wrong{ { "type", "Document" },
+                              { "sender", "e2" },
+                              { "key", "config/fleet" },
+                              { "revision", 999 },
+                              { "base_revision", Node("e4").FleetRevision() },
+                              { "digest", 1 },
+                              { "hybrid_time", 1 },
+                              { "patch", nlohmann::json::array() } };
+  const uint64_t revision = Node("e4").FleetRevision();
+  EXPECT_TRUE(Node("e2").link_->Call(Address("e4"), wrong, milliseconds(100)));
+  EXPECT_EQ(Node("e4").FleetRevision(), revision);
+}
+
 }
 }
--- a/tools/sardinespokectl/cli_profile.cpp
+++ b/tools/sardinespokectl/cli_profile.cpp
@@ -70,7 +70,7 @@
         BOOST_LEAF_CHECK(ProfileSet::Parse(aText, 0));
       } else {
         // A key that occurs twice would be lost when the profile is written out again.
-        BOOST_LEAF_CHECK(ParseStrictJson(aText));
+        BOOST_LEAF_CHECK(ParseStrict(aText, ""));
       }
       return false;
     },
