--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The commands of this project. "make check" is what CI runs.
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build format lint test check demo slopes clean
+.PHONY: all packages build format lint test check demo slopes fuzz clean
 
 all: build
 
@@ -28,5 +28,11 @@
 	build/sardinespoke-slopes
 	scripts/measure_daemons.py --build build
 
+# A fixed seed and number of runs give the same verdict every time.
+fuzz: packages
+	cmake -S . -B build-fuzz -G Ninja -DSARDINESPOKE_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
+	cmake --build build-fuzz -j $(JOBS)
+	scripts/fuzz.sh build-fuzz
+
 clean:
-	rm -rf build
+	rm -rf build build-fuzz
--- a/scripts/measure_daemons.py
+++ b/scripts/measure_daemons.py
@@ -202,6 +202,7 @@
     time.sleep(seconds)
     after = deployment.sample()
     write({"measure": "daemon.idle", **size_of(deployment), "roles": deployment.roles(),
+           "host_list_bytes": len(get("http://%s/hosts/v1/list" % PLATFORM)),
            **rates(before, after),
            "resident_mb": [round(resident_bytes(d.pid) / 1e6, 1) for d in deployment.daemons],
            "peak_mb": [round(resident_bytes(d.pid, "VmHWM") / 1e6, 1)
@@ -235,6 +236,23 @@
                        for d in deployment.daemons]})
 
 
+def measure_rollout(deployment, seconds):
+    """Bytes and processor time for each fleet write of a maintenance roll-out."""
+    request = urllib.request.Request(
+        deployment.admin(deployment.count) + "/v1/maintenance", method="POST",
+        data=json.dumps({"action": "start", "author": "measure"}).encode())
+    urllib.request.urlopen(request, timeout=20).read()
+    revision = deployment.status(1)["fleet_revision"]
+    before = deployment.sample()
+    time.sleep(seconds)
+    after = deployment.sample()
+    writes = deployment.status(1)["fleet_revision"] - revision
+    write({"measure": "daemon.rollout", **size_of(deployment), "fleet_writes": writes,
+           "roles": deployment.roles(), **rates(before, after),
+           "peer_bytes_per_write": [round((a - b) / max(1, writes)) for a, b in
+                                    zip(after["bytes"], before["bytes"])]})
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
@@ -242,6 +260,7 @@
                         help="WORKERS:PROFILES:ENTRY_HOSTS, separated by commas")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--changes", type=int, default=5)
+    parser.add_argument("--rollout", type=float, default=10, help="seconds")
     options = parser.parse_args()
     for size in options.sizes.split(","):
         workers, profiles, entry_hosts = (int(part) for part in size.split(":"))
@@ -249,6 +268,8 @@
             measure_idle(deployment, options.seconds)
             if options.changes > 0:
                 measure_changes(deployment, options.changes)
+            if options.rollout > 0:
+                measure_rollout(deployment, options.rollout)
     return 0
 
 
--- a/tools/sardinespoke-slopes/main.cpp
+++ b/tools/sardinespoke-slopes/main.cpp
@@ -57,10 +57,12 @@
   char* measure = nullptr;
   int list = 0;
   int profiles = 0;
+  int hosts = 0;
   const poptOption table[] = {
     { "measure", 'm', POPT_ARG_STRING, &measure, 0, "Only this group of slopes", "NAME" },
     { "list", 'l', POPT_ARG_NONE, &list, 0, "List the groups", nullptr },
     { "print-profiles", 'p', POPT_ARG_INT, &profiles, 0, "Print a profile document", "COUNT" },
+    { "print-fleet", 'f', POPT_ARG_INT, &hosts, 0, "Print a fleet document", "COUNT" },
     POPT_AUTOHELP POPT_TABLEEND
   };
   const std::unique_ptr<std::remove_pointer_t<poptContext>, poptContext (*)(poptContext)> context(
@@ -88,5 +90,11 @@
     std::cout << MakeProfiles(size).Serialize() << '\n';
     return 0;
   }
+  if (hosts > 0) {
+    SyntheticSize size;
+    size.workers_ = static_cast<uint32_t>(hosts);
+    std::cout << MakeFleet(size).Serialize() << '\n';
+    return 0;
+  }
   return RunGroups(measure == nullptr ? "" : measure);
 }
