Keep an unchanged host list instead of parsing it again

Cause: an observer parsed the list of 2,900 hosts, 357 KB, twice a second; the holder of the planner duty four times. Change: PlatformClient keeps the text and the parsed list, as FleetStore does for the fleet document. Ruled out: trusting the list's sequence, which may start again with the service.

--- a/include/sardinespoke/platform_client.h
+++ b/include/sardinespoke/platform_client.h
@@ -5,6 +5,7 @@
 #include "sardinespoke/key_value_store.h"
 
 #include <memory>
+#include <mutex>
 
 namespace sardinespoke {
 
@@ -60,6 +61,9 @@
 
   const PlatformClientOptions options_;
   std::unique_ptr<HttpPool> pool_;
+  std::mutex listMutex_;
+  std::string listText_;  ///< Text of list_; an unchanged list is not parsed again.
+  HostListSnapshot list_; ///< The list that was read last.
 };
 
 }
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -203,7 +203,11 @@
 {
   BOOST_LEAF_AUTO(answer,
                   Call({ "GET", options_.baseUrl_ + "/hosts/v1/list", "", {} }, Code::NotFound));
-  return ReadAnswer<HostListSnapshot>(answer, Code::Malformed, [](const Json& aJson) {
+  const std::lock_guard lock(listMutex_);
+  if (!listText_.empty() && answer.body_ == listText_) {
+    return list_;
+  }
+  const auto read = [](const Json& aJson) {
     HostListSnapshot list;
     list.sequence_ = aJson.at("sequence");
     for (const Json& host : aJson.at("hosts")) {
@@ -215,7 +219,10 @@
                               IsLeaving(host.at("state")) });
     }
     return list;
-  });
+  };
+  BOOST_LEAF_ASSIGN(list_, ReadAnswer<HostListSnapshot>(answer, Code::Malformed, read));
+  listText_ = answer.body_;
+  return list_;
 }
 
 leaf::result<void>
--- a/tests/platform_client_test.cpp
+++ b/tests/platform_client_test.cpp
@@ -68,6 +68,26 @@
   EXPECT_TRUE(client.Put("a", largest, 0, {}));
 }
 
+// Guards against a kept host list that hides a change, or that a failed call replaces.
+TEST_F(PlatformClientTest, UnchangedHostListIsKeptAndAChangedOneIsRead)
+{
+  PlatformClient client(Options("a"));
+  EXPECT_TRUE(client.Fetch().value().hosts_.empty());
+  platform_.AddHost({ "h1", "127.0.0.1:1", "r1", "z1", "g1", false });
+  for (int count = 0; count < 3; ++count) {
+    ASSERT_EQ(client.Fetch().value().hosts_.size(), 1U);
+    EXPECT_FALSE(client.Fetch().value().hosts_.at(0).leaving_);
+  }
+  platform_.MarkLeaving("h1");
+  EXPECT_TRUE(client.Fetch().value().hosts_.at(0).leaving_);
+  platform_.ChangeFaults([](PlatformFaults& aFaults) { aFaults.hostListDown_ = true; });
+  EXPECT_FALSE(client.Fetch());
+  platform_.ChangeFaults([](PlatformFaults& aFaults) { aFaults.hostListDown_ = false; });
+  EXPECT_TRUE(client.Fetch().value().hosts_.at(0).leaving_);
+  platform_.RemoveHost("h1");
+  EXPECT_TRUE(client.Fetch().value().hosts_.empty());
+}
+
 // Guards against leases, host list and host control that do not reach the platform.
 TEST_F(PlatformClientTest, LeasesAndHostsReachThePlatform)
 {
