--- a/src/nng_peer_link.cpp
+++ b/src/nng_peer_link.cpp
@@ -5,6 +5,9 @@
 
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
+
+#include <future>
+#include <memory>
 #include <random>
 
 namespace sardinespoke {
@@ -21,6 +24,7 @@
 // enough to reconnect within one Confirm interval.
 constexpr nng_duration kReconnectMinMilliseconds = 20;
 constexpr nng_duration kReconnectMaxMilliseconds = 250;
+constexpr std::chrono::seconds kCloseLimit{ 1 };
 constexpr size_t kMaxPeers = 64; // Bounds the sockets of peers that were replaced.
 
 auto
@@ -100,6 +104,26 @@
   return 0;
 }
 
+/// Closes sockets within a time limit. nng_close() of nng 1.5.2 sometimes never returns while peers
+/// reconnect (1 of about 20 stops of a link among four that connect to each other), and a stop of
+/// the daemon must not wait for it. The socket is then closed with the process.
+void
+CloseSockets(std::vector<nng_socket> aSockets, std::chrono::seconds aLimit)
+{
+  if (aSockets.empty()) {
+    return;
+  }
+  const auto closed = std::make_shared<std::promise<void>>();
+  std::future<void> done = closed->get_future();
+  std::thread([closed, sockets = std::move(aSockets)]() {
+    for (const nng_socket socket : sockets) {
+      nng_close(socket);
+    }
+    closed->set_value();
+  }).detach();
+  done.wait_for(aLimit);
+}
+
 std::string
 RandomPrefix()
 {
@@ -174,13 +198,12 @@
     return Fail(PeerError::Code::Unreachable, "nng socket could not be opened");
   }
   nng_socket_set_size(server_, NNG_OPT_RECVMAXSZ, settings_.maxBytes_);
-  nng_listener listener = NNG_LISTENER_INITIALIZER;
-  const int result = nng_listen(server_, ("tcp://" + settings_.listen_).c_str(), &listener, 0);
+  const int result = nng_listen(server_, ("tcp://" + settings_.listen_).c_str(), &listener_, 0);
   if (result != 0) {
     return Fail(PeerError::Code::Unreachable, settings_.listen_ + ": " + nng_strerror(result));
   }
   int port = 0;
-  nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port);
+  nng_listener_get_int(listener_, NNG_OPT_TCP_BOUND_PORT, &port);
   address_ = settings_.listen_.substr(0, settings_.listen_.rfind(':') + 1) + std::to_string(port);
   for (size_t count = 0; count < settings_.contexts_; ++count) {
     nng_ctx context = NNG_CTX_INITIALIZER;
@@ -202,8 +225,9 @@
     stopped_ = true;
     peers.swap(peers_);
   }
-  for (const auto& [address, socket] : peers) {
-    nng_close(socket);
+  if (nng_listener_id(listener_) > 0) {
+    nng_listener_close(listener_);
+    listener_ = NNG_LISTENER_INITIALIZER;
   }
   for (const nng_ctx context : contexts_) {
     nng_ctx_close(context);
@@ -213,10 +237,15 @@
     thread.join();
   }
   threads_.clear();
+  std::vector<nng_socket> sockets;
+  for (const auto& [address, socket] : peers) {
+    sockets.push_back(socket);
+  }
   if (nng_socket_id(server_) > 0) {
-    nng_close(server_);
+    sockets.push_back(server_);
     server_ = NNG_SOCKET_INITIALIZER;
   }
+  CloseSockets(std::move(sockets), kCloseLimit);
 }
 
 void
@@ -364,7 +393,7 @@
     return found->second;
   }
   if (peers_.size() >= kMaxPeers) {
-    nng_close(peers_.begin()->second);
+    CloseSockets({ peers_.begin()->second }, std::chrono::seconds(0));
     peers_.erase(peers_.begin());
   }
   nng_socket socket = NNG_SOCKET_INITIALIZER;
--- a/src/nng_peer_link_impl_p.h
+++ b/src/nng_peer_link_impl_p.h
@@ -44,6 +44,7 @@
   ReplyCache replies_;
   std::map<std::string, Handler> handlers_;
   nng_socket server_ = NNG_SOCKET_INITIALIZER;
+  nng_listener listener_ = NNG_LISTENER_INITIALIZER;
   std::vector<nng_ctx> contexts_;
   std::vector<std::thread> threads_;
   std::mutex mutex_; ///< Guards peers_ and stopped_.
