Refuse expired requests before a released slot is granted

Cause: requests expired only in the 5 ms tick, so a slot that was released between two ticks could go to a request past its deadline. Change: Dispatch() refuses expired requests first; it looks at the earliest deadline only when nothing has expired. Ruled out: a shorter tick, which only makes the delay smaller. The new test fails without the change. Conclusion: fixed; the deadline itself needs room for the way to the worker.

--- a/include/sardinespoke/scheduler_core.h
+++ b/include/sardinespoke/scheduler_core.h
@@ -140,6 +140,7 @@
   void On(const TableEvent& aEvent, TimePoint aNow);
 
   void RebuildPools(TimePoint aNow);
+  void RefuseExpired(PoolScheduler& aPool, TimePoint aNow);
   void Dispatch(PoolScheduler& aPool, TimePoint aNow);
   void Judge(PoolScheduler& aPool,
              uint64_t aGrant,
--- a/src/scheduler_core.cpp
+++ b/src/scheduler_core.cpp
@@ -156,12 +156,7 @@
 {
   const bool sweep = aNow - lastSweep_ >= kSweepInterval;
   for (const auto& [name, pool] : pools_) {
-    for (const QueuedItem& item : pool->Queue().Expire(aNow)) {
-      ++counters_.expired_;
-      const auto code =
-        mayDispatch_ ? AdmissionError::Code::DeadlineUnreachable : AdmissionError::Code::NoView;
-      Refuse(item.ticket_, code, "no slot became free before the deadline");
-    }
+    RefuseExpired(*pool, aNow);
     if (sweep) {
       for (const QueuedItem& gone : pool->Queue().TakeCancelled()) {
         ++counters_.cancelled_;
@@ -278,12 +273,25 @@
   }
 }
 
+void
+SchedulerCore::RefuseExpired(PoolScheduler& aPool, TimePoint aNow)
+{
+  for (const QueuedItem& item : aPool.Queue().Expire(aNow)) {
+    ++counters_.expired_;
+    const auto code =
+      mayDispatch_ ? AdmissionError::Code::DeadlineUnreachable : AdmissionError::Code::NoView;
+    Refuse(item.ticket_, code, "no slot became free before the deadline");
+  }
+}
+
 void
 SchedulerCore::Dispatch(PoolScheduler& aPool, TimePoint aNow)
 {
   if (!mayDispatch_) {
     return;
   }
+  // A slot that is released between two ticks must not go to a request past its deadline.
+  RefuseExpired(aPool, aNow);
   while (auto match = aPool.Next(costs_, breakers_, placement_, aNow)) {
     const uint64_t id = ++lastGrant_;
     breakers_[match->host_->id_].OnStart(id, aNow);
--- a/tests/scheduler_core_test.cpp
+++ b/tests/scheduler_core_test.cpp
@@ -275,5 +275,17 @@
   EXPECT_EQ(core_.Counters().queued_, 0U);
 }
 
+// Guards against a request that is started after its deadline, because a slot was released between
+// two ticks.
+TEST_F(SchedulerCoreTest, ReleasedSlotsDoNotGoToExpiredRequests)
+{
+  SubmitMany("births", 32);
+  Submit("sales", milliseconds(100));
+  now_ += milliseconds(101);
+  Finish("births");
+  EXPECT_TRUE(grants_["sales"].empty());
+  EXPECT_EQ(refusals_, std::vector{ AdmissionError::Code::DeadlineUnreachable });
+}
+
 }
 }
