--- a/tests/profile_editor_test.cpp
+++ b/tests/profile_editor_test.cpp
@@ -26,8 +26,8 @@
 std::string
 BirthsProfile(uint32_t aMaxSlots)
 {
-  return R"({"team": "herds", "entitled_slots": 56, "max_slots": )" + std::to_string(aMaxSlots) +
-         "}";
+  return R"({"team": "herds", "entitled_slots": 56, "queue_limit_ms": 2500, "max_slots": )" +
+         std::to_string(aMaxSlots) + "}";
 }
 
 class ProfileEditorTest : public ::testing::Test
