--- a/tests/scenario_entry.h
+++ b/tests/scenario_entry.h
@@ -31,14 +31,14 @@
     if (HoldsAnyway(aKey)) {
       return 1;
     }
+    if (beforeFleetWrite_ && aKey.ends_with("config/fleet")) {
+      beforeFleetWrite_();
+    }
     uint64_t version = aIfVersion;
     if (shape_.mutant_ == ScenarioMutant::UncheckedWrites) {
       const auto current = store_.Get(aKey);
       version = current ? current->version_ : aIfVersion;
     }
-    if (beforeFleetWrite_ && aKey.ends_with("config/fleet")) {
-      beforeFleetWrite_();
-    }
     return store_.Put(aKey, aValue, version, aLease);
   }
 
--- a/tests/scenario_results.h
+++ b/tests/scenario_results.h
@@ -22,6 +22,9 @@
   std::vector<double> waits_;         ///< Seconds from arrival to the start.
   uint64_t offeredRequests_ = 0;
   uint64_t refused_ = 0;
+  std::map<int64_t, double> heldByTeam_; ///< Slot seconds held up to the entitlement, by second.
+  std::map<int64_t, double> wanted_;     ///< The same of slots held and requests queued.
+  std::map<int64_t, double> backlog_;    ///< Seconds with requests queued, by second.
   double slotSeconds_ = 0; ///< Slots that it and the others may use while it has requests queued.
   double heldSeconds_ = 0; ///< Of these, the ones in use.
 };
--- a/tests/scenario_world.cpp
+++ b/tests/scenario_world.cpp
@@ -57,6 +57,13 @@
     entryIds_.push_back("entry-" + std::to_string(i + 1));
     AddEntry(entryIds_.back(), i);
   }
+  if (aShape.allHoldDuty_ && entryIds_.size() > 1) {
+    // The second planner acts between the decision and the write of the first.
+    entries_.at(entryIds_[0])->plannerStore_.beforeFleetWrite_ = [this] {
+      entries_.at(entryIds_[1])->planner_.Step();
+      ObserveStore();
+    };
+  }
   for (const auto& [name, service] : rules_->services_) {
     const Profile& profile = rules_->profiles_.at(service.profile_);
     ScenarioQueue& queue = results_.queues_[name];
