--- a/tests/scenario_world.cpp
+++ b/tests/scenario_world.cpp
@@ -57,6 +57,13 @@
     entryIds_.push_back("entry-" + std::to_string(i + 1));
     AddEntry(entryIds_.back(), i);
   }
+  if (aShape.allHoldDuty_ && entryIds_.size() > 1) {
+    // The second planner acts between the decision and the write of the first.
+    entries_.at(entryIds_[0])->plannerStore_.beforeFleetWrite_ = [this] {
+      entries_.at(entryIds_[1])->planner_.Step();
+      ObserveStore();
+    };
+  }
   for (const auto& [name, service] : rules_->services_) {
     const Profile& profile = rules_->profiles_.at(service.profile_);
     ScenarioQueue& queue = results_.queues_[name];
@@ -327,7 +334,7 @@
 std::shared_ptr<const ConfigView>
 ScenarioWorld::ViewFor(const EntryHost& aEntry) const
 {
-  const auto view = aEntry.sync_.Current();
+  auto view = aEntry.sync_.Current();
   if (shape_.mutant_ != ScenarioMutant::FollowStore || !view->fleet_) {
     return view;
   }
@@ -405,11 +412,11 @@
         network_.Cut(Address(id), Address(other), aSplit);
       }
     }
-    platform_.ChangeFaults([&](PlatformFaults& aFaults) {
+    platform_.ChangeFaults([&, client = id](PlatformFaults& aFaults) {
       if (aSplit) {
-        aFaults.cutOffClients_.insert(id);
+        aFaults.cutOffClients_.insert(client);
       } else {
-        aFaults.cutOffClients_.erase(id);
+        aFaults.cutOffClients_.erase(client);
       }
     });
   }
