Give a new pool its first host

Cause: a pool without hosts refuses every request with no-backend before it is queued, so it showed no demand and never got a host; and a floor or an entitlement above the hosts that the pool has is refused. So no pool could be added to a running fleet.

Change: the mover counts a need of one host for each pool that a service names. The ski-rental rule applies to it as to any other need.

--- a/src/pool_mover.cpp
+++ b/src/pool_mover.cpp
@@ -60,13 +60,19 @@
                  const ProfileSet& aProfiles,
                  const std::map<std::string, double>& aDemandSlots) const
 {
+  std::set<std::string> used;
+  for (const auto& [name, service] : aProfiles.services_) {
+    used.insert(service.pool_);
+  }
   std::map<std::string, PoolLoad> loads;
   for (const auto& [name, rules] : aProfiles.pools_) {
     PoolLoad& load = loads[name];
     const auto demand = aDemandSlots.find(name);
     const double slots = demand == aDemandSlots.end() ? 0 : demand->second;
     const double floor = rules.floorHosts_ + (rules.spare_ ? SpareNeeded(aFleet, aProfiles) : 0);
-    load.demand_ = std::max(slots / std::max(1U, rules.slotsPerHost_), floor);
+    // A pool without a host refuses every request, so that it never shows demand by itself.
+    const double least = used.count(name) > 0 ? 1 : 0;
+    load.demand_ = std::max({ slots / std::max(1U, rules.slotsPerHost_), floor, least });
   }
   for (const auto& [id, host] : aFleet.hosts_) {
     const bool moving = host.reason_ == DrainReason::Move;
--- a/tests/planner_rules_test.cpp
+++ b/tests/planner_rules_test.cpp
@@ -178,6 +178,25 @@
   EXPECT_THAT(Plan(0, seconds(52)), SizeIs(2));
 }
 
+// Guards against a new pool that never gets a host, because a pool without hosts shows no demand.
+TEST_F(MoverTest, NewPoolOfAServiceGetsItsFirstHost)
+{
+  ProfileSet profiles = TwoPools(2, 2);
+  profiles.pools_["c"] = PoolRules{ "c", 0, 8, 64, false };
+  profiles.pools_["unused"] = PoolRules{ "unused", 0, 8, 64, false };
+  profiles.services_["c"] = Service{ "c", "c", "a" };
+  const auto plan = [&](seconds aTime) {
+    Availability availability(fleet_, profiles, {});
+    return mover_.Plan(fleet_, profiles, availability, {}, {}, kStart + aTime);
+  };
+  EXPECT_THAT(plan(seconds(0)), IsEmpty());
+  EXPECT_THAT(plan(seconds(19)), IsEmpty());
+  const std::vector<PlannedMove> moves = plan(seconds(25));
+  ASSERT_THAT(moves, SizeIs(1));
+  EXPECT_EQ(moves.front().to_, "c");
+  EXPECT_EQ(moves.front().from_, "b");
+}
+
 // Guards against taking a pool below its floor.
 TEST_F(MoverTest, KeepsTheFloorOfTheGivingPool)
 {
