--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -282,7 +282,8 @@
       return AdminResponse::Error(
         StatusOf(aError.code_), CodeName(aError.code_), aError.path_, aError.message_);
     },
-    []() { return AdminResponse::Error(kUnavailable, "internal", "", "unexpected error"); });
+    // The edit may have been written before the unexpected error.
+    []() { return AdminResponse::Error(kGatewayTimeout, "internal", "", "unexpected error"); });
 }
 
 AdminResponse
@@ -398,7 +399,8 @@
       return AdminResponse::Error(
         StatusOf(aError.code_), CodeName(aError.code_), "", aError.message_);
     },
-    []() { return AdminResponse::Error(kUnavailable, "internal", "", "unexpected error"); });
+    // The edit may have been written before the unexpected error.
+    []() { return AdminResponse::Error(kGatewayTimeout, "internal", "", "unexpected error"); });
 }
 
 AdminResponse
