Take over opened connections before a stopping gateway closes them

Cause: a stopping daemon went on accepting connections until libmicrohttpd closed every socket at once. A caller whose connection had been accepted, or waited in the listen backlog, at that moment lost its request without an answer and could not tell that it did not run.

Change: at the end of a stop the gateway stops accepting, takes over what is in the backlog, refuses later connections, and waits (at most 500 ms) until every connection that is new has had its request answered. Answers carry "Connection: close" from the start of the stop instead of only while requests are refused, so callers leave kept connections during the grace time.

Remaining: a caller that sends on a kept idle connection in the microseconds in which it is closed still gets no answer; HTTP/1.1 has no way to exclude that.

--- a/src/gateway_impl.cpp
+++ b/src/gateway_impl.cpp
@@ -6,6 +6,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <charconv>
 #include <exception>
 #include <memory>
@@ -22,6 +26,8 @@
 // Bytes read and dropped behind a body that is too large, as a multiple of the body limit.
 constexpr size_t kMaxDroppedBodies = 3;
 constexpr unsigned int kBacklog = 1024;
+// Callers send at once on a connection that they opened; one that does not delays the stop by this.
+constexpr std::chrono::milliseconds kFreshLimit{ 500 };
 constexpr std::string_view kIdsPath = "/v1/request-ids";
 constexpr std::string_view kHealthPath = "/healthz";
 constexpr int kOkStatus = 200;
@@ -29,6 +35,12 @@
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 
+/// Whether a connection has carried a request; kept by libmicrohttpd with the connection.
+struct ConnectionState
+{
+  bool fresh_ = true;
+};
+
 /// @returns The path of a target, without the query.
 std::string_view
 PathOf(std::string_view aTarget)
@@ -198,11 +210,49 @@
   if (!daemon_) {
     return;
   }
+  const int listener = StopListening();
+  WaitForFresh();
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
+  if (listener >= 0) {
+    close(listener); // Only now: the threads of libmicrohttpd may use it until they have ended.
+  }
   events_.Record("gateway.stopped", "stop", nlohmann::json::object());
 }
 
+/// Takes over the connections that callers have opened already and refuses later ones. A connection
+/// that is dropped after it was opened may have carried a request, whose outcome its caller could
+/// not know; a refused one is known not to have.
+int
+Gateway::Impl::StopListening()
+{
+  const int listener = MHD_quiesce_daemon(daemon_);
+  if (listener < 0) {
+    return listener;
+  }
+  fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
+  for (;;) {
+    sockaddr_storage address{};
+    socklen_t length = sizeof(address);
+    const int connection = accept4(
+      listener, reinterpret_cast<sockaddr*>(&address), &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (connection < 0) {
+      break;
+    }
+    MHD_add_connection(daemon_, connection, reinterpret_cast<sockaddr*>(&address), length);
+  }
+  shutdown(listener, SHUT_RDWR);
+  return listener;
+}
+
+/// Waits until the requests on new connections have been read and answered with a refusal.
+void
+Gateway::Impl::WaitForFresh()
+{
+  std::unique_lock lock(idleMutex_);
+  idle_.wait_for(lock, kFreshLimit, [this] { return inFlight_ == 0 && fresh_ == 0; });
+}
+
 GatewayCounters
 Gateway::Impl::Counters() const
 {
@@ -224,13 +274,18 @@
 }
 
 void*
-Gateway::Impl::OnRequestLine(void* aSelf, const char* aTarget, MHD_Connection*)
+Gateway::Impl::OnRequestLine(void* aSelf, const char* aTarget, MHD_Connection* aConnection)
 {
   auto* self = static_cast<Impl*>(aSelf);
   auto exchange = std::make_unique<Exchange>();
   exchange->raw_.target_ = aTarget;
+  const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  auto* state = info ? static_cast<ConnectionState*>(info->socket_context) : nullptr;
   const std::lock_guard lock(self->idleMutex_);
   ++self->inFlight_;
+  if (state && std::exchange(state->fresh_, false)) {
+    --self->fresh_;
+  }
   return exchange.release();
 }
 
@@ -255,12 +310,23 @@
 void
 Gateway::Impl::OnConnection(void* aSelf,
                             MHD_Connection*,
-                            void**,
+                            void** aContext,
                             MHD_ConnectionNotificationCode aCode)
 {
+  auto* self = static_cast<Impl*>(aSelf);
+  const std::lock_guard lock(self->idleMutex_);
   if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
-    ++static_cast<Impl*>(aSelf)->connections_;
+    ++self->connections_;
+    ++self->fresh_;
+    *aContext = std::make_unique<ConnectionState>().release();
+    return;
+  }
+  const std::unique_ptr<ConnectionState> state(static_cast<ConnectionState*>(*aContext));
+  *aContext = nullptr;
+  if (state && state->fresh_) {
+    --self->fresh_;
   }
+  self->idle_.notify_all();
 }
 
 MHD_Result
@@ -472,7 +538,9 @@
   for (const auto& [name, value] : answer.headers_) {
     MHD_add_response_header(response, name.c_str(), value.c_str());
   }
-  if (refusing_) {
+  // From the start of a stop, so that callers leave their kept connections before the end closes
+  // them: a request sent on a connection that is being closed has no answer.
+  if (healthFails_) {
     MHD_add_response_header(response, "Connection", "close");
   }
   const MHD_Result result =
--- a/src/gateway_impl_p.h
+++ b/src/gateway_impl_p.h
@@ -93,6 +93,8 @@
   MHD_Result Reply(MHD_Connection* aConnection, Exchange& aExchange, CallerAnswer aAnswer);
   bool IsHealth(const RawRequest& aRaw) const;
   void Count(Outcome aOutcome);
+  int StopListening();
+  void WaitForFresh();
 
   const GatewaySettings settings_;
   RequestClaimsI& claims_;
@@ -108,6 +110,7 @@
   mutable std::mutex idleMutex_;
   std::condition_variable idle_;
   uint64_t inFlight_ = 0;
+  uint64_t fresh_ = 0; ///< Connections on which no request line was read yet.
 };
 
 }
