--- a/standins/backend_worker.cpp
+++ b/standins/backend_worker.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::array<const char*, static_cast<size_t>(BackendFault::Count)> kFaultNames{
-  "none",        "fail-all",     "close-after-acting", "short-body",
-  "late-answer", "out-of-order", "mixed-up",           "down"
+  "none",     "fail-all", "close-after-acting", "short-body", "late-answer", "out-of-order",
+  "mixed-up", "down",     "wrong-body"
 };
 constexpr size_t kMaxAnswerBytes = 16 * 1024 * 1024;
 constexpr uint64_t kMaxRunMs = 600000;
@@ -259,6 +259,9 @@
     if (fault_ == BackendFault::MixedUp && !previous.nonce_.empty()) {
       run = previous;
     }
+    if (fault_ == BackendFault::WrongBody && !previous.nonce_.empty()) {
+      run.nonce_ = previous.nonce_;
+    }
   }
   if (runTime.count() == 0 && aExchange->fault_ != BackendFault::LateAnswer &&
       aExchange->fault_ != BackendFault::OutOfOrder) {
--- a/standins/backend_worker.h
+++ b/standins/backend_worker.h
@@ -26,6 +26,8 @@
   OutOfOrder,       ///< Holds back every other answer, so that later requests are answered first.
   MixedUp,          ///< Answers with the answer to the request before.
   Down,             ///< Does not listen; what was running is cut.
+  WrongBody,        ///< As MixedUp, but under the attempt id of the request itself, so that no
+                    ///< entry host can notice it. A mutant for the check of answers.
   Count
 };
 
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -26,6 +26,7 @@
 {
   long status_ = 0;
   nlohmann::json body_;
+  std::string text_; ///< The body as it came, also if it is not JSON.
 };
 
 /// Waits until a condition holds.
--- /dev/null
+++ b/tests/process/fleet_proof_test.cpp
@@ -0,0 +1,248 @@
+#include "deployment.h"
+#include "deployment_watch.h"
+#include "proof_check.h"
+
+#include "record_client.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace sardinespoke {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t kSeed = 20261209;
+constexpr uint32_t kBudget = 1; // max_unavailable_hosts of every profile in the example.
+constexpr int64_t kLeavingLimitUs = 3'000'000;
+
+std::vector<RunEntry>
+Runs(const Deployment& aDeployment)
+{
+  const auto record = FetchRecord(aDeployment.ControlAddress());
+  EXPECT_TRUE(record);
+  return record ? record->runs_ : std::vector<RunEntry>();
+}
+
+/// @returns Hosts that the roll-out has maintained.
+size_t
+Maintained(Deployment& aDeployment)
+{
+  const auto fleet = aDeployment.StoredFleet();
+  if (!fleet) {
+    return 0;
+  }
+  return static_cast<size_t>(
+    std::count_if(fleet->hosts_.begin(), fleet->hosts_.end(), [&](const auto& aHost) {
+      return aHost.second.maintainedRollout_ == fleet->rollout_.number_;
+    }));
+}
+
+/// Takes a rack away from the host list, and its workers with it, or gives it back.
+void
+SwitchRack(Deployment& aDeployment, const std::vector<FleetHost>& aHosts, bool aLost)
+{
+  nlohmann::json add = nlohmann::json::array();
+  nlohmann::json remove = nlohmann::json::array();
+  for (const FleetHost& host : aHosts) {
+    remove.push_back(host.id_);
+    add.push_back({ { "id", host.id_ },
+                    { "address", host.address_ },
+                    { "rack", host.rack_ },
+                    { "zone", host.zone_ },
+                    { "region", host.region_ } });
+    EXPECT_TRUE(aDeployment.WorkerFault(Deployment::WorkerOf(host.id_), aLost ? "down" : "none"));
+  }
+  const nlohmann::json change =
+    aLost ? nlohmann::json{ { "remove", remove } } : nlohmann::json{ { "add", add } };
+  EXPECT_EQ(aDeployment.Platform("POST", "/hosts/v1/list", change.dump()).status_, 200);
+}
+
+/// P1: guards against a roll-out that takes more hosts than the budget when a rack is lost, the
+/// planner holder is paused and resumed, and another entry host restarts.
+TEST(ProofP1, RolloutKeepsTheBudget)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  BackgroundLoad load(deployment.Load(12s, kSeed));
+  DeploymentWatch watch(deployment);
+  const auto started =
+    deployment.Admin(0, "POST", "/v1/maintenance", R"({"action":"start","author":"test"})");
+  ASSERT_EQ(started.status_, 200) << started.body_.dump();
+  EXPECT_TRUE(WaitUntil(10s, [&] { return Maintained(deployment) >= 3; }));
+
+  const auto fleet = deployment.StoredFleet();
+  ASSERT_TRUE(fleet);
+  std::vector<FleetHost> rack;
+  for (const auto& [id, host] : fleet->hosts_) {
+    if (host.rack_ == "rack-0003") {
+      rack.push_back(host);
+    }
+  }
+  ASSERT_FALSE(rack.empty());
+  SwitchRack(deployment, rack, true);
+  const uint32_t holder = deployment.PlannerHolder();
+  ASSERT_LT(holder, deployment.Entries());
+  deployment.Entry(holder).Signal(SIGSTOP);
+  const uint32_t other = (holder + 3) % deployment.Entries();
+  deployment.Entry(other).Signal(SIGTERM);
+  EXPECT_EQ(deployment.Entry(other).Wait(25s), 0);
+  deployment.StartEntry(other);
+  EXPECT_TRUE(WaitUntil(12s, [&] {
+    const uint32_t next = deployment.PlannerHolder();
+    return next != holder && next < deployment.Entries();
+  }));
+  // A host that was rebooting when its rack was lost keeps its state until the reboot limit.
+  const auto rackFailed = [&] {
+    const auto seen = deployment.StoredFleet();
+    return seen && std::any_of(rack.begin(), rack.end(), [&](const FleetHost& aHost) {
+             const auto host = seen->hosts_.find(aHost.id_);
+             return host != seen->hosts_.end() && host->second.state_ == HostState::Failed;
+           });
+  };
+  EXPECT_TRUE(WaitUntil(10s, rackFailed)) << "the loss of the rack was not noticed";
+  deployment.Entry(holder).Signal(SIGCONT);
+  SwitchRack(deployment, rack, false);
+  const size_t before = Maintained(deployment);
+  EXPECT_TRUE(WaitUntil(30s, [&] { return Maintained(deployment) >= before + 5; }))
+    << "the roll-out stopped at " << Maintained(deployment) << " hosts";
+  load.Wait();
+  watch.Stop();
+  const ProofResult result = Check(load.History(), deployment.ControlAddress());
+  const auto violations = watch.Fleet().BudgetViolations(kBudget);
+  PrintFigures("P1",
+               result.Text() + " documents " + std::to_string(watch.Fleet().Spans().size()) +
+                 " maintained " + std::to_string(Maintained(deployment)) + " most_rebooting " +
+                 std::to_string(watch.MostRebooting()));
+  EXPECT_TRUE(violations.empty()) << Lines(violations);
+  // Mutant: with a smaller budget, what the roll-out did must turn the check red.
+  EXPECT_FALSE(watch.Fleet().BudgetViolations(kBudget - 1).empty());
+  EXPECT_TRUE(watch.RebootViolations().empty()) << Lines(watch.RebootViolations());
+  EXPECT_EQ(result.verdict_.violations_.size(), 0U) << result.Text();
+}
+
+/// P2: guards against work for a pool that a host has left, sent by an entry host that was frozen
+/// across the move, or caused by a write whose answer was lost.
+TEST(ProofP2, MovesWithAFrozenEntryHost)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  BackgroundLoad load(deployment.Load(24s, kSeed));
+  DeploymentWatch watch(deployment);
+  const auto inPool = [&](const std::string& aHost, const std::string& aPool) {
+    const auto stored = deployment.StoredFleet();
+    return stored && stored->hosts_.at(aHost).pool_ == aPool &&
+           stored->hosts_.at(aHost).state_ == HostState::Serving;
+  };
+  // Moves out of the spare pool into each other pool and back, with lost answers.
+  std::vector<std::string> spares;
+  const auto fleet = deployment.StoredFleet();
+  ASSERT_TRUE(fleet);
+  for (const auto& [id, host] : fleet->hosts_) {
+    if (host.pool_ == "members") {
+      spares.push_back(id);
+    }
+  }
+  ASSERT_GE(spares.size(), 3U);
+  EXPECT_TRUE(WaitUntil(5s, [&] { return deployment.StartMoveOf(spares[0], "intake") > 0; }));
+  ASSERT_TRUE(deployment.PlatformFault({ { "lose_write_answers", 2 } }));
+  EXPECT_TRUE(WaitUntil(20s, [&] { return inPool(spares[0], "intake"); }));
+  // A move while an entry host is frozen waits until that one is certain to have stopped.
+  const uint32_t frozen = (deployment.PlannerHolder() + 2) % deployment.Entries();
+  deployment.Entry(frozen).Signal(SIGSTOP);
+  EXPECT_TRUE(WaitUntil(5s, [&] { return deployment.StartMoveOf(spares[1], "ledger") > 0; }));
+  ASSERT_TRUE(deployment.PlatformFault({ { "lose_write_answers", 2 } }));
+  EXPECT_TRUE(WaitUntil(25s, [&] { return inPool(spares[1], "ledger"); }));
+  deployment.Entry(frozen).Signal(SIGCONT);
+  EXPECT_TRUE(WaitUntil(20s, [&] { return deployment.AllServe(); }));
+  load.Wait();
+  watch.Stop();
+  const ProofResult result = Check(load.History(), deployment.ControlAddress());
+  const auto runs = Runs(deployment);
+  const auto& services = deployment.Profiles().at("services");
+  const auto wrong = watch.Fleet().WrongPoolRuns(runs, services);
+  PrintFigures("P2",
+               result.Text() + " moves " + std::to_string(watch.Fleet().Moves()) +
+                 " wrong_pool_runs " + std::to_string(wrong.size()));
+  EXPECT_GE(watch.Fleet().Moves(), 2U);
+  EXPECT_TRUE(wrong.empty()) << Lines(wrong);
+  EXPECT_EQ(result.verdict_.violations_.size(), 0U) << result.Text();
+
+  // Mutant: a worker that runs a request of another pool must turn the check red.
+  auto mutant = runs;
+  mutant.front().service_ = mutant.front().service_ == "births" ? "walks" : "births";
+  EXPECT_EQ(watch.Fleet().WrongPoolRuns(mutant, services).size(), 1U);
+}
+
+/// P6: guards against new work at a leaving host when the store is down, and from an entry host
+/// that was frozen while the host list showed it.
+TEST(ProofP6, LeavingHostsGetNoNewWork)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  BackgroundLoad load(deployment.Load(14s, kSeed));
+  std::vector<std::string> serving;
+  const auto fleet = deployment.StoredFleet();
+  ASSERT_TRUE(fleet);
+  for (const auto& [id, host] : fleet->hosts_) {
+    if (host.pool_ == "intake" && host.state_ == HostState::Serving) {
+      serving.push_back(id);
+    }
+  }
+  ASSERT_GE(serving.size(), 2U);
+  std::map<uint32_t, int64_t> markedUs;
+  const auto mark = [&](const std::string& aHost) {
+    const nlohmann::json change = { { "leaving", { aHost } } };
+    EXPECT_EQ(deployment.Platform("POST", "/hosts/v1/list", change.dump()).status_, 200);
+    markedUs[Deployment::WorkerOf(aHost)] = NowUs();
+  };
+  const auto passed = [&](const std::string& aHost) {
+    constexpr int64_t kMarginUs = 500'000;
+    return NowUs() > markedUs[Deployment::WorkerOf(aHost)] + kLeavingLimitUs + kMarginUs;
+  };
+  const auto ranAt = [&](const std::string& aHost) {
+    const auto runs = Runs(deployment);
+    return std::any_of(runs.begin(), runs.end(), [&](const RunEntry& aRun) {
+      return aRun.worker_ == Deployment::WorkerOf(aHost);
+    });
+  };
+  EXPECT_TRUE(WaitUntil(5s, [&] { return ranAt(serving[0]) && ranAt(serving[1]); }));
+  ASSERT_TRUE(deployment.PlatformFault({ { "store_down", true } }));
+  mark(serving[0]);
+  EXPECT_TRUE(WaitUntil(5s, [&] { return passed(serving[0]); }));
+  ASSERT_TRUE(deployment.PlatformFault({ { "store_down", false } }));
+  EXPECT_TRUE(WaitUntil(8s, [&] { return deployment.AllServe(); }));
+  deployment.Entry(1).Signal(SIGSTOP);
+  mark(serving[1]);
+  EXPECT_TRUE(WaitUntil(5s, [&] { return passed(serving[1]); }));
+  deployment.Entry(1).Signal(SIGCONT);
+  load.Wait();
+  const ProofResult result = Check(load.History(), deployment.ControlAddress());
+  int64_t latestUs = 0;
+  uint64_t late = 0;
+  const auto check = [&](const std::vector<RunEntry>& aRuns) {
+    late = 0;
+    for (const RunEntry& run : aRuns) {
+      const auto marked = markedUs.find(run.worker_);
+      if (marked == markedUs.end()) {
+        continue;
+      }
+      latestUs = std::max(latestUs, run.startUs_ - marked->second);
+      late += run.startUs_ > marked->second + kLeavingLimitUs ? 1 : 0;
+    }
+    return late;
+  };
+  auto runs = Runs(deployment);
+  EXPECT_EQ(check(runs), 0U) << "latest start " << latestUs << " us after the mark";
+  PrintFigures("P6", result.Text() + " latest_start_us " + std::to_string(latestUs));
+  EXPECT_EQ(result.verdict_.violations_.size(), 0U) << result.Text();
+  // Mutant: a run that starts after the limit must turn the check red.
+  runs.front().worker_ = Deployment::WorkerOf(serving[0]);
+  runs.front().startUs_ = markedUs[Deployment::WorkerOf(serving[0])] + kLeavingLimitUs + 1;
+  EXPECT_EQ(check(runs), 1U);
+}
+
+}
+}
--- /dev/null
+++ b/tests/process/profile_proof_test.cpp
@@ -0,0 +1,154 @@
+#include "deployment.h"
+#include "deployment_watch.h"
+#include "proof_check.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <future>
+
+namespace sardinespoke {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kStoreUpLimit = 2s;
+constexpr auto kOneFaultLimit = 16s;
+
+/// Edits of one profile and the wait until they are in force.
+class ProfileEdits
+{
+public:
+  explicit ProfileEdits(Deployment& aDeployment)
+    : deployment_(aDeployment)
+  {
+    profile_ = aDeployment.Profiles().at("profiles").at("buyers-batch");
+  }
+
+  uint64_t Revision(uint32_t aEntry)
+  {
+    const auto status = deployment_.Admin(aEntry, "GET", "/v1/status", "", 300ms);
+    return status.status_ == 200 ? status.body_.at("profiles_revision").get<uint64_t>() : 0;
+  }
+
+  /// Sends a change through an entry host. @returns The answer.
+  CallResult Put(uint32_t aEntry, uint64_t aBase, const std::string& aChangeId)
+  {
+    nlohmann::json profile = profile_;
+    profile["queue_length"] = 100 + (++edits_);
+    return deployment_.PutProfile(aEntry, "buyers-batch", profile, aChangeId, aBase);
+  }
+
+  /// Repeats a change with the same id until its outcome is known. @returns Its revision; 0 if
+  /// another change won.
+  uint64_t PutUntilKnown(uint32_t aEntry, uint64_t aBase, const std::string& aChangeId)
+  {
+    CallResult answer;
+    WaitUntil(kOneFaultLimit, [&] {
+      answer = Put(aEntry, aBase, aChangeId);
+      return answer.status_ == 200 || answer.status_ == 409;
+    });
+    return answer.status_ == 200 ? answer.body_.at("revision").get<uint64_t>() : 0;
+  }
+
+  bool InForce(uint64_t aRevision, std::chrono::milliseconds aLimit)
+  {
+    const auto start = std::chrono::steady_clock::now();
+    const bool done = WaitUntil(aLimit, [&] {
+      for (uint32_t entry = 0; entry < deployment_.Entries(); ++entry) {
+        if (Revision(entry) < aRevision) {
+          return false;
+        }
+      }
+      return true;
+    });
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - start);
+    longest_ = std::max(longest_, taken);
+    return done;
+  }
+
+  /// @returns The longest wait since the last call.
+  std::chrono::milliseconds TakeLongest() { return std::exchange(longest_, 0ms); }
+
+private:
+  Deployment& deployment_;
+  nlohmann::json profile_;
+  std::atomic<uint32_t> edits_{ 0 };
+  std::chrono::milliseconds longest_{ 0 };
+};
+
+/// P8: guards against two accepted changes of one base, changes that are late or go back, with
+/// racing operators, lost answers, a restored store and a daemon that starts during an outage.
+TEST(ProofP8, ChangesAreInForceEverywhereAndStay)
+{
+  Deployment deployment;
+  ASSERT_TRUE(deployment.Start());
+  DeploymentWatch watch(deployment);
+  ProfileEdits edits(deployment);
+  for (uint32_t round = 0; round < 5; ++round) {
+    const uint64_t base = edits.Revision(0);
+    const std::string id = "race-" + std::to_string(round);
+    auto first = std::async(std::launch::async, [&] { return edits.Put(0, base, id + "-a"); });
+    const CallResult second = edits.Put(1 + round, base, id + "-b");
+    const CallResult winner = first.get();
+    EXPECT_EQ((winner.status_ == 200) + (second.status_ == 200), 1)
+      << winner.status_ << " and " << second.status_;
+    EXPECT_EQ((winner.status_ == 409) + (second.status_ == 409), 1);
+    EXPECT_TRUE(edits.InForce(base + 1, kStoreUpLimit)) << "round " << round;
+  }
+  const auto raced = edits.TakeLongest();
+
+  ASSERT_TRUE(deployment.PlatformFault({ { "lose_write_answers", 1 } }));
+  uint64_t base = edits.Revision(2);
+  EXPECT_EQ(edits.PutUntilKnown(2, base, "lost"), base + 1);
+  EXPECT_TRUE(edits.InForce(base + 1, kOneFaultLimit));
+  const auto lost = edits.TakeLongest();
+
+  ASSERT_TRUE(deployment.PlatformFault({ { "take_snapshot", "old" } }));
+  base = edits.Revision(3);
+  EXPECT_EQ(edits.PutUntilKnown(3, base, "before-restore"), base + 1);
+  EXPECT_TRUE(edits.InForce(base + 1, kStoreUpLimit));
+  ASSERT_TRUE(deployment.PlatformFault({ { "restart_with", "old" } }));
+  uint64_t accepted = 0;
+  EXPECT_TRUE(WaitUntil(kOneFaultLimit, [&] {
+    accepted = edits.PutUntilKnown(4, edits.Revision(4), "after-restore");
+    return accepted > 0;
+  }));
+  EXPECT_EQ(accepted, base + 2);
+  EXPECT_TRUE(edits.InForce(accepted, kOneFaultLimit));
+  const auto restored = edits.TakeLongest();
+
+  EXPECT_TRUE(WaitUntil(15s, [&] { return deployment.AllServe(); }));
+  ASSERT_TRUE(deployment.PlatformFault({ { "store_down", true } }));
+  deployment.Entry(5).Signal(SIGKILL);
+  deployment.Entry(5).Wait(5s);
+  deployment.StartEntry(5);
+  EXPECT_TRUE(edits.InForce(accepted, kOneFaultLimit)) << "fresh daemon during an outage";
+  const auto fresh = edits.TakeLongest();
+  ASSERT_TRUE(deployment.PlatformFault({ { "store_down", false } }));
+  accepted = edits.PutUntilKnown(5, accepted, "after-outage");
+  EXPECT_GT(accepted, 0U);
+  EXPECT_TRUE(edits.InForce(accepted, kOneFaultLimit));
+  const auto after = edits.TakeLongest();
+
+  watch.Stop();
+  EXPECT_TRUE(watch.Revisions().Reverts().empty()) << Lines(watch.Revisions().Reverts());
+  EXPECT_GT(watch.Revisions().Samples(), 100U);
+  // Mutant: a daemon that goes back to the revision before must turn the check red.
+  RevisionLog mutant = watch.Revisions();
+  nlohmann::json status = deployment.Admin(0, "GET", "/v1/status").body_;
+  mutant.Add(status);
+  status["profiles_revision"] = accepted - 1;
+  mutant.Add(status);
+  EXPECT_EQ(mutant.Reverts().size(), 1U);
+  PrintFigures("P8",
+               "raced_ms " + std::to_string(raced.count()) + " lost_answer_ms " +
+                 std::to_string(lost.count()) + " restored_ms " + std::to_string(restored.count()) +
+                 " fresh_in_outage_ms " + std::to_string(fresh.count()) + " after_outage_ms " +
+                 std::to_string(after.count()) + " status_samples " +
+                 std::to_string(watch.Revisions().Samples()));
+}
+
+}
+}
--- a/tests/process/proof_check.h
+++ b/tests/process/proof_check.h
@@ -43,6 +43,7 @@
   uint64_t outside_ = 0;        ///< Requests that overlap no fault window.
   uint64_t unknownOutside_ = 0; ///< Of these, the ones that ended with "unknown".
   uint64_t cut_ = 0;            ///< Ended by a broken connection or a failed transfer.
+  std::string firstCut_;        ///< Status and duration of the first of these.
   uint64_t idUnknown_ = 0;      ///< Refused with 409: the issuer of the id is gone.
 
   uint64_t Count(ViolationKind aKind) const;
