--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # The commands of this project. "make check" is what CI runs.
 JOBS ?= $(shell nproc)
-
+# Seed and duration of "make soak".
+SEED ?= 1
+SECONDS ?= 60
 .PHONY: all packages build format lint test check demo measure slopes fuzz soak clean
 
 all: build
@@ -38,6 +40,9 @@
 	cmake --build build-fuzz -j $(JOBS)
 	scripts/fuzz.sh build-fuzz
 
+soak: build
+	scripts/soak.sh $(SEED) $(SECONDS)
+
 clean:
 	rm -rf build build-fuzz
 
