Wait for a quiet moment before a stopping gateway closes its sockets

Cause: the wait for new connections could end in the moment between the acceptance of a connection by libmicrohttpd and its notification, in which the connection is not counted yet.

Change: the gateway must be idle again after 50 ms, bounded by the same 500 ms.

Ruled out: no limit other than the quiet time; a caller may open a connection and never send.

--- a/src/gateway_impl.cpp
+++ b/src/gateway_impl.cpp
@@ -28,6 +28,8 @@
 constexpr unsigned int kBacklog = 1024;
 // Callers send at once on a connection that they opened; one that does not delays the stop by this.
 constexpr std::chrono::milliseconds kFreshLimit{ 500 };
+// A connection is counted only some time after the library has accepted it.
+constexpr std::chrono::milliseconds kQuietTime{ 50 };
 constexpr std::string_view kIdsPath = "/v1/request-ids";
 constexpr std::string_view kHealthPath = "/healthz";
 constexpr int kOkStatus = 200;
@@ -249,8 +251,13 @@
 void
 Gateway::Impl::WaitForFresh()
 {
+  const auto idle = [this] { return inFlight_ == 0 && fresh_ == 0; };
+  const auto deadline = std::chrono::steady_clock::now() + kFreshLimit;
   std::unique_lock lock(idleMutex_);
-  idle_.wait_for(lock, kFreshLimit, [this] { return inFlight_ == 0 && fresh_ == 0; });
+  do {
+    idle_.wait_until(lock, deadline, idle);
+    idle_.wait_for(lock, kQuietTime, [] { return false; });
+  } while (!idle() && std::chrono::steady_clock::now() < deadline);
 }
 
 GatewayCounters
