Spread the rounding of slot shares over the entry hosts

Cause: each profile's share was divided by largest remainder, so an entry host with slightly less demand in every profile lost every rounding.

Change: systematic rounding with an offset that differs from profile to profile (multiples of the golden ratio), and one slot for each entry host that has demand. The checks that all parts add up are unchanged.

Ruled out: offsets of rank / profiles (12 to 20 slots instead of 16 in the new test, because profiles with an extra slot came in a row); at least one slot per profile and entry host (exceeds the profile's maximum by up to one per entry host, which the property test forbids).

--- a/include/sardinespoke/fair_share.h
+++ b/include/sardinespoke/fair_share.h
@@ -33,4 +33,11 @@
 std::vector<uint32_t>
 ProportionalParts(uint32_t aTotal, const std::vector<uint64_t>& aWeights);
 
+/// Divides a whole number over parts in proportion to weights by systematic rounding, with an
+/// offset that differs from turn to turn (multiples of the golden ratio), so that over many turns
+/// no part loses every rounding. A weight of 0 gives 0. The result adds up to aTotal unless all
+/// weights are 0.
+std::vector<uint32_t>
+RotatedParts(uint32_t aTotal, const std::vector<uint64_t>& aWeights, size_t aTurn);
+
 }
--- a/src/fair_share.cpp
+++ b/src/fair_share.cpp
@@ -118,4 +118,28 @@
   return parts;
 }
 
+std::vector<uint32_t>
+RotatedParts(uint32_t aTotal, const std::vector<uint64_t>& aWeights, size_t aTurn)
+{
+  constexpr uint64_t kOne = 1ULL << 16U;
+  constexpr uint64_t kGoldenRatio = 40503; // (sqrt(5) - 1) / 2 in units of kOne.
+  std::vector<uint32_t> parts(aWeights.size(), 0);
+  const uint64_t sum = std::accumulate(aWeights.begin(), aWeights.end(), uint64_t{ 0 });
+  if (sum == 0) {
+    return parts;
+  }
+  // Half a unit in the first turn, which rounds to the nearest number.
+  const uint64_t offset = (kOne / 2 + aTurn * kGoldenRatio) % kOne;
+  const auto cut = [&](uint64_t aBefore) {
+    return (aBefore * aTotal * kOne + offset * sum) / (sum * kOne);
+  };
+  uint64_t before = 0;
+  for (size_t i = 0; i < aWeights.size(); ++i) {
+    const uint64_t after = before + aWeights[i];
+    parts[i] = static_cast<uint32_t>(cut(after) - cut(before));
+    before = after;
+  }
+  return parts;
+}
+
 }
--- a/src/nng_peer_link.cpp
+++ b/src/nng_peer_link.cpp
@@ -238,6 +238,7 @@
   }
   threads_.clear();
   std::vector<nng_socket> sockets;
+  sockets.reserve(peers.size() + 1);
   for (const auto& [address, socket] : peers) {
     sockets.push_back(socket);
   }
--- a/src/slot_shares.cpp
+++ b/src/slot_shares.cpp
@@ -46,6 +46,7 @@
     entrySlots_.assign(entryHosts_.size(), 0);
     const uint32_t allocated = AddProfiles(slots);
     AddEqually(slots - allocated);
+    GiveEachDemandASlot();
     AddWorkers();
     return std::move(result_);
   }
@@ -77,9 +78,17 @@
         { profile.name_, bounded, profile.entitledSlots_, profile.maxSlots_, profile.urgency_ });
     }
     const std::vector<uint32_t> shares = FairShare(aSlots, claims);
+    std::set<std::string> names;
+    for (const ShareClaim& claim : claims) {
+      names.insert(claim.profile_);
+    }
     uint32_t allocated = 0;
     for (size_t i = 0; i < claims.size(); ++i) {
-      const std::vector<uint32_t> parts = ProportionalParts(shares[i], weights[i]);
+      const auto rank = std::distance(names.begin(), names.find(claims[i].profile_));
+      const auto divide = [&](uint32_t aTotal) {
+        return RotatedParts(aTotal, weights[i], static_cast<size_t>(rank));
+      };
+      const std::vector<uint32_t> parts = divide(shares[i]);
       for (size_t host = 0; host < parts.size(); ++host) {
         entrySlots_[host] += parts[host];
       }
@@ -94,15 +103,36 @@
       }
       ProfilePart& part = result_.profiles_[claims[i].profile_];
       part.allocated_ = parts[self_];
-      part.entitled_ = ProportionalParts(claims[i].entitledSlots_, weights[i])[self_];
+      part.entitled_ = divide(claims[i].entitledSlots_)[self_];
       part.unusedEntitled_ =
         std::max(part.entitled_, static_cast<uint32_t>(entitled > others ? entitled - others : 0));
       const uint32_t most = std::max(claims[i].maxSlots_, claims[i].entitledSlots_);
-      part.max_ = ProportionalParts(most, weights[i])[self_];
+      part.max_ = divide(most)[self_];
     }
     return allocated;
   }
 
+  /// Moves a slot to each entry host that has demand but no slot, from the one with the most.
+  void GiveEachDemandASlot()
+  {
+    for (size_t host = 0; host < entryHosts_.size(); ++host) {
+      const auto report = table_.byEntryHost_.find(entryHosts_[host]);
+      if (entrySlots_[host] > 0 || report == table_.byEntryHost_.end()) {
+        continue;
+      }
+      const bool hasDemand =
+        std::any_of(pool_.profiles_.begin(), pool_.profiles_.end(), [&](const Profile& aProfile) {
+          return DemandOf(report->second, aProfile.name_) > 0;
+        });
+      const auto most = std::max_element(entrySlots_.begin(), entrySlots_.end());
+      if (!hasDemand || *most <= 1) {
+        continue;
+      }
+      --*most;
+      ++entrySlots_[host];
+    }
+  }
+
   /// Divides slots that no reported demand needs; they serve demand that is not reported yet.
   void AddEqually(uint32_t aSlots)
   {
--- a/tests/slot_shares_test.cpp
+++ b/tests/slot_shares_test.cpp
@@ -138,5 +138,46 @@
   EXPECT_EQ(quiet.totalSlots_, 3U);
 }
 
+// Guards against an entry host that loses the rounding of every profile: with slightly less demand
+// in each of 27 profiles, e1 got none of the 112 slots and its entitled requests stayed queued.
+TEST(SlotShares, RoundingDoesNotAlwaysHitTheSameEntryHost)
+{
+  PoolCapacity pool;
+  DemandTable table;
+  for (int i = 0; i < 14; ++i) {
+    pool.workers_.push_back("w" + std::to_string(100 + i));
+  }
+  for (int i = 0; i < 27; ++i) {
+    Profile profile;
+    profile.name_ = "team-" + std::to_string(100 + i);
+    profile.entitledSlots_ = 4;
+    profile.maxSlots_ = 8;
+    pool.profiles_.push_back(profile);
+  }
+  for (int i = 1; i <= 7; ++i) {
+    const std::string host = "e" + std::to_string(i);
+    pool.members_.push_back(host);
+    table.byEntryHost_[host].entryHost_ = host;
+    for (const Profile& profile : pool.profiles_) {
+      table.byEntryHost_[host].byProfile_[profile.name_] = i == 1 ? 9 : 10;
+    }
+  }
+  for (const std::string& host : pool.members_) {
+    const SlotShares shares = ComputeSlotShares(pool, table, host);
+    EXPECT_GE(shares.totalSlots_, 14U) << host;
+    EXPECT_LE(shares.totalSlots_, 17U) << host;
+  }
+}
+
+// Guards against an entry host without a slot while it has demand and others have many.
+TEST(SlotShares, DemandAlwaysGetsASlot)
+{
+  DemandTable table;
+  table.byEntryHost_["e1"] = { "e1", { { "births", 5000 } } };
+  table.byEntryHost_["e2"] = { "e2", { { "births", 1 } } };
+  EXPECT_EQ(ComputeSlotShares(SmallPool(), table, "e1").totalSlots_, 31U);
+  EXPECT_EQ(ComputeSlotShares(SmallPool(), table, "e2").totalSlots_, 1U);
+}
+
 }
 }
