Record acknowledgements so that a frozen first member can be removed

Cause: the first member of the list joined before all others and its stored acknowledgement stayed at its own joining, so no other member counted as a witness and moves waited up to an hour for it (trial on real processes: not removed within 30 s).

Change: the planner writes the member list once when a member is known to have acknowledged another's joining; this ends by itself.

Result: the new test failed before (e0 had 2, the last joining was 4) and passes now.

--- a/include/sardinespoke/member_watch.h
+++ b/include/sardinespoke/member_watch.h
@@ -40,6 +40,10 @@
                                       const FleetMap& aFleet,
                                       TimePoint aNow) const;
 
+  /// @returns Whether a member is known to have acknowledged another's joining, but the document
+  /// does not say so yet. A planner that starts later could not use that other member as a witness.
+  bool AcksWorthWriting(const FleetMap& aFleet) const;
+
   /// Copies the acknowledged revisions into a document that is about to be written.
   void CopyAcks(FleetMap& aFleet) const;
 
--- a/src/member_watch.cpp
+++ b/src/member_watch.cpp
@@ -106,6 +106,24 @@
   return std::nullopt;
 }
 
+bool
+MemberWatch::AcksWorthWriting(const FleetMap& aFleet) const
+{
+  for (const auto& [id, member] : aFleet.members_) {
+    const auto seen = seen_.find({ id, member.incarnation_ });
+    if (seen == seen_.end()) {
+      continue;
+    }
+    const uint64_t stored = std::max(member.ackedRevision_, member.joinedRevision_);
+    for (const auto& [otherId, other] : aFleet.members_) {
+      if (stored < other.joinedRevision_ && other.joinedRevision_ <= seen->second.acked_) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void
 MemberWatch::CopyAcks(FleetMap& aFleet) const
 {
--- a/src/planner_core.cpp
+++ b/src/planner_core.cpp
@@ -167,6 +167,9 @@
   // A roll-out holds every budget unit it can get, so moves against a shortage choose first.
   PlanMoves(aSeen, availability, draft);
   PlanRollout(aSeen, availability, draft);
+  if (!draft.changed_ && members_.AcksWorthWriting(draft.fleet_)) {
+    draft.Note("member.acks_written", "", "a member has acknowledged the joining of another");
+  }
   if (draft.changed_) {
     members_.CopyAcks(draft.fleet_);
     draft.step_.next_ = std::move(draft.fleet_);
--- a/tests/planner_duty_test.cpp
+++ b/tests/planner_duty_test.cpp
@@ -81,6 +81,23 @@
   EXPECT_EQ(inSpare, 10);
 }
 
+// Guards against a first member that freezes later and cannot be removed for an hour, because the
+// document does not say that it had acknowledged the joining of the others.
+TEST(PlannerDuty, DocumentTellsWhoHasAcknowledgedWhom)
+{
+  PlannerRig rig({}, 1);
+  uint64_t lastJoined = 0;
+  for (const auto& [id, member] : rig.Fleet().members_) {
+    lastJoined = std::max(lastJoined, member.joinedRevision_);
+  }
+  for (const auto& [id, member] : rig.Fleet().members_) {
+    EXPECT_GE(std::max(member.ackedRevision_, member.joinedRevision_), lastJoined) << id;
+  }
+  const uint64_t revision = rig.Fleet().revision_;
+  rig.Run(seconds(10));
+  EXPECT_EQ(rig.Fleet().revision_, revision); // Writing the acknowledgements ends.
+}
+
 // Guards against a roll-out that skips hosts, never ends, breaks a budget or reboots a busy host.
 TEST(PlannerDuty, RolloutMaintainsEveryHostOnce)
 {
