Recognise own writes behind later ones; add host return, profile delete

Cause: FleetWriter compared only the last change id of the document. Operators had no command to return a failed host, although the design names one, nor to delete a profile.

Change: FleetWriter uses the document's list of recent changes, as the planner does. sardinespokectl host return and profile delete; the latter shares the end of profile apply.

Ruled out: reading back before every attempt only, which is what failed.

--- a/include/sardinespoke/admin_api.h
+++ b/include/sardinespoke/admin_api.h
@@ -65,6 +65,7 @@
   AdminResponse GetMaintenance(const AdminRequest& aRequest);
   AdminResponse PostMaintenance(const AdminRequest& aRequest);
   AdminResponse ForgetEntry(const AdminRequest& aRequest);
+  AdminResponse ReturnHost(const AdminRequest& aRequest);
 
   /// Runs an edit of the fleet document and turns its errors into responses.
   template<typename Edit>
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -124,7 +124,7 @@
     const char* pattern_;
     Method handler_;
   };
-  static const std::array<Entry, 14> kRoutes{ {
+  static const std::array<Entry, 15> kRoutes{ {
     { "GET", "/healthz", &AdminApi::Health },
     { "GET", "/v1/status", &AdminApi::Status },
     { "GET", "/v1/events", &AdminApi::Events },
@@ -139,6 +139,7 @@
     { "GET", "/v1/maintenance", &AdminApi::GetMaintenance },
     { "POST", "/v1/maintenance", &AdminApi::PostMaintenance },
     { "POST", "/v1/entry/@id/forget", &AdminApi::ForgetEntry },
+    { "POST", "/v1/hosts/@id/return", &AdminApi::ReturnHost },
   } };
   for (const auto& route : kRoutes) {
     aServer.Route(route.method_, route.pattern_, [this, &route](const AdminRequest& aRequest) {
@@ -446,4 +447,13 @@
   });
 }
 
+AdminResponse
+AdminApi::ReturnHost(const AdminRequest& aRequest)
+{
+  const auto id = aRequest.Parameter("id");
+  return EditFleet("host.returned", "operator", { { "host", id } }, [&](uint64_t aInForce) {
+    return parts_.fleet_.ReturnHost(aInForce, id);
+  });
+}
+
 }
--- a/src/fleet_writer.cpp
+++ b/src/fleet_writer.cpp
@@ -78,16 +78,15 @@
     return leaf::new_error(
       StoreError{ StoreError::Code::NotFound, "the store shows an older fleet document" });
   }
-  if (!changeId_.empty() && fleet.changeId_ == changeId_) {
+  if (!changeId_.empty() && fleet.HasChange(changeId_)) {
     return StoredFleet{ item.value_, item.version_ };
   }
-  ++fleet.revision_;
+  const std::string changeId = writer_ + "." + process_ + "." + std::to_string(++counter_);
+  fleet.BeginWrite(writer_, changeId);
   if (!aEdit(fleet)) {
     return StoredFleet{ item.value_, item.version_ };
   }
-  fleet.writer_ = writer_;
-  changeId_ = writer_ + "." + process_ + "." + std::to_string(++counter_);
-  fleet.changeId_ = changeId_;
+  changeId_ = changeId;
   StoredFleet stored{ fleet.Serialize(), 0 };
   BOOST_LEAF_ASSIGN(stored.version_, store_.Put(key_, stored.text_, item.version_, std::nullopt));
   return stored;
--- a/tools/sardinespokectl/cli.h
+++ b/tools/sardinespokectl/cli.h
@@ -57,6 +57,7 @@
 
   ExitCode ProfileValidate(const Arguments& aArguments);
   ExitCode ProfileApply(const Arguments& aArguments);
+  ExitCode ProfileDelete(const Arguments& aArguments);
   ExitCode ProfileGet(const Arguments& aArguments);
   ExitCode ProfileList(const Arguments& aArguments);
   ExitCode ProfileHistory(const Arguments& aArguments);
@@ -64,6 +65,7 @@
   ExitCode Status(const Arguments& aArguments);
   ExitCode Pool(const Arguments& aArguments);
   ExitCode Host(const Arguments& aArguments);
+  ExitCode HostReturn(const Arguments& aArguments);
   ExitCode MaintenanceStart(const Arguments& aArguments);
   ExitCode MaintenanceStatus(const Arguments& aArguments);
   ExitCode MaintenancePause(const Arguments& aArguments);
@@ -80,6 +82,12 @@
   /// one.
   uint64_t BaseRevision(const nlohmann::json& aContent) const;
 
+  /// @returns The query of an edit's path.
+  std::string EditQuery(const std::string& aChangeId, uint64_t aBaseRevision) const;
+
+  /// Prints the outcome of an edit and waits until it is in force everywhere.
+  ExitCode FinishEdit(const AdminAnswer& aAnswer, const std::string& aChangeId) const;
+
   /// Waits until every live entry host has the revision in force; prints who has not.
   ExitCode WaitInForce(uint64_t aRevision) const;
 
--- a/tools/sardinespokectl/cli_fleet.cpp
+++ b/tools/sardinespokectl/cli_fleet.cpp
@@ -217,6 +217,17 @@
   return ExitCode::Done;
 }
 
+ExitCode
+Cli::HostReturn(const Arguments& aArguments)
+{
+  const auto answer = client_.Call("POST", "/v1/hosts/" + UrlEncode(aArguments[0]) + "/return");
+  if (answer.status_ != kOk) {
+    return Fail(answer);
+  }
+  std::cout << "host " << aArguments[0] << " returned to service\n";
+  return ExitCode::Done;
+}
+
 ExitCode
 Cli::Timeline(const Arguments& /*aArguments*/)
 {
--- a/tools/sardinespokectl/cli_profile.cpp
+++ b/tools/sardinespokectl/cli_profile.cpp
@@ -116,7 +116,7 @@
     return ExitCode::Refused;
   }
 
-  auto changeId = options_.changeId_.empty() ? RandomChangeId() : options_.changeId_;
+  const auto changeId = options_.changeId_.empty() ? RandomChangeId() : options_.changeId_;
   auto path = std::string("/v1/profiles");
   if (!document) {
     const auto name = content.value("name", nlohmann::json());
@@ -127,25 +127,44 @@
     path += "/" + UrlEncode(name.get<std::string>());
     text = ProfileOnly(content).dump();
   }
-  path += "?change_id=" + UrlEncode(changeId) + "&author=" + UrlEncode(options_.author_);
-  path += "&base_revision=" + std::to_string(BaseRevision(content));
+  path += EditQuery(changeId, BaseRevision(content));
+  return FinishEdit(client_.Call("PUT", path, text), changeId);
+}
+
+ExitCode
+Cli::ProfileDelete(const Arguments& aArguments)
+{
+  const auto changeId = options_.changeId_.empty() ? RandomChangeId() : options_.changeId_;
+  const auto path =
+    "/v1/profiles/" + UrlEncode(aArguments[0]) + EditQuery(changeId, BaseRevision({}));
+  return FinishEdit(client_.Call("DELETE", path), changeId);
+}
 
-  const auto answer = client_.Call("PUT", path, text);
-  if (answer.status_ == 0 && answer.sent_) {
+std::string
+Cli::EditQuery(const std::string& aChangeId, uint64_t aBaseRevision) const
+{
+  return "?change_id=" + UrlEncode(aChangeId) + "&author=" + UrlEncode(options_.author_) +
+         "&base_revision=" + std::to_string(aBaseRevision);
+}
+
+ExitCode
+Cli::FinishEdit(const AdminAnswer& aAnswer, const std::string& aChangeId) const
+{
+  if (aAnswer.status_ == 0 && aAnswer.sent_) {
     std::cerr << "no daemon answered; the change may have been accepted. Repeat the command with "
                  "--change-id "
-              << changeId << " to find out\n";
+              << aChangeId << " to find out\n";
     return ExitCode::OutcomeUnknown;
   }
-  if (answer.status_ != kOk) {
-    return Fail(answer);
+  if (aAnswer.status_ != kOk) {
+    return Fail(aAnswer);
   }
-  const auto revision = answer.body_.value("revision", uint64_t{ 0 });
+  const auto revision = aAnswer.body_.value("revision", uint64_t{ 0 });
   if (options_.json_ && options_.noWait_) {
-    std::cout << answer.text_ << '\n';
+    std::cout << aAnswer.text_ << '\n';
   }
   if (!options_.json_) {
-    std::cout << "accepted as revision " << revision << " (change " << changeId << ")\n";
+    std::cout << "accepted as revision " << revision << " (change " << aChangeId << ")\n";
   }
   return options_.noWait_ ? ExitCode::Done : WaitInForce(revision);
 }
