Tell the loser of a race of edits about the conflict

The revision in force was read after the store, so a change accepted between the two made the store look older.

Change: the revision in force is taken before the store is read.

--- a/include/sardinespoke/profile_editor.h
+++ b/include/sardinespoke/profile_editor.h
@@ -87,9 +87,11 @@
                                     const ProfileSet& aCurrent) const;
   leaf::result<Stored> Load();
   Write Store(const ProfileSet& aNext, uint64_t aVersion);
+  /// @param aInForce Revision in force before the store was read.
   leaf::result<void> CheckBase(const Edit& aEdit,
                                const EditRequest& aRequest,
-                               const ProfileSet& aCurrent) const;
+                               const ProfileSet& aCurrent,
+                               uint64_t aInForce) const;
 
   KeyValueStoreI& store_;
   const std::string key_;
--- a/src/profile_editor.cpp
+++ b/src/profile_editor.cpp
@@ -222,14 +222,14 @@
 leaf::result<void>
 ProfileEditor::CheckBase(const Edit& aEdit,
                          const EditRequest& aRequest,
-                         const ProfileSet& aCurrent) const
+                         const ProfileSet& aCurrent,
+                         uint64_t aInForce) const
 {
-  const uint64_t inForce = sources_.revisionInForce_ ? sources_.revisionInForce_() : 0;
-  if (aCurrent.revision_ < inForce) {
+  if (aCurrent.revision_ < aInForce) {
     return Fail(Code::StoreDown,
                 "/revision",
                 "the store holds revision " + std::to_string(aCurrent.revision_) +
-                  ", but revision " + std::to_string(inForce) +
+                  ", but revision " + std::to_string(aInForce) +
                   " is in force; it has not been written back yet");
   }
   if (aRequest.baseRevision_ == aCurrent.revision_) {
@@ -292,6 +292,8 @@
 leaf::result<std::optional<AcceptedEdit>>
 ProfileEditor::Attempt(const Edit& aEdit, const EditRequest& aRequest, bool& aMayBeWritten)
 {
+  // Taken before the read: a change that is accepted meanwhile must not make the store look older.
+  const uint64_t inForce = sources_.revisionInForce_ ? sources_.revisionInForce_() : 0;
   BOOST_LEAF_AUTO(stored, Load());
   if (const ChangeRecord* record = FindChange(stored.set_, aRequest.changeId_)) {
     if (record->author_ != aRequest.author_) {
@@ -305,7 +307,7 @@
   if (aMayBeWritten && stored.set_.revision_ < aRequest.baseRevision_) {
     return Fail(Code::StoreDown, "", "the store was restored to an older revision");
   }
-  BOOST_LEAF_CHECK(CheckBase(aEdit, aRequest, stored.set_));
+  BOOST_LEAF_CHECK(CheckBase(aEdit, aRequest, stored.set_, inForce));
   BOOST_LEAF_AUTO(next, MakeNext(aEdit, aRequest, stored.set_));
   const Write write = Store(next, stored.version_);
   switch (write.code_) {
