--- a/include/sardinespoke/admin_server.h
+++ b/include/sardinespoke/admin_server.h
@@ -19,9 +19,14 @@
   std::string path_;
   std::map<std::string, std::string> parameters_; ///< Path and query parameters.
   std::string body_;
+  std::map<std::string, std::string> headers_; ///< Names in lower case.
 
   /// @returns A parameter, or an empty text.
   std::string Parameter(const std::string& aName) const;
+
+  /// @param aName In lower case.
+  /// @returns A header, or an empty text.
+  std::string Header(const std::string& aName) const;
 };
 
 /// The answer to it.
@@ -30,6 +35,8 @@
   unsigned int status_ = 200;
   std::string contentType_ = "application/json";
   std::string body_;
+  std::chrono::milliseconds retryAfter_{ 0 }; ///< Sent in whole seconds, rounded up; 0: not sent.
+  bool closes_ = false;                       ///< Ends the connection after this answer.
 
   static AdminResponse Json(unsigned int aStatus, const nlohmann::json& aBody);
 
@@ -55,6 +62,9 @@
   /// @param aPattern Path; a segment that begins with "@" is a parameter.
   void Route(const std::string& aMethod, const std::string& aPattern, Handler aHandler);
 
+  /// Sets the handler of requests that no route takes; call before Init().
+  void Default(Handler aHandler);
+
   /// Starts to listen. Errors: ConfigError if the address cannot be bound.
   leaf::result<void> Init(const Endpoint& aListen);
   void Shutdown();
--- /dev/null
+++ b/include/sardinespoke/backend_orders.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "sardinespoke/backend_entry.h"
+
+#include <functional>
+
+namespace sardinespoke {
+
+/// How an order to a backend server or to host control ended.
+enum class OrderOutcome
+{
+  Done,
+  Fenced,     ///< A higher fence was seen there: another owner is active.
+  Refused,    ///< It had no effect.
+  Late,       ///< It arrived after its deadline and had no effect.
+  Superseded, ///< The run is not above one that was stopped or ended there.
+  OtherLife,  ///< Another incarnation answered.
+  Dead,       ///< Nothing listens at the address.
+  Unknown,    ///< No answer; it may have been or may still be carried out.
+  Count
+};
+
+/// Where an order goes.
+struct BackendAddress
+{
+  std::string id_;
+  std::string address_;
+};
+
+/// Names a run of a task.
+struct RunId
+{
+  std::string task_;
+  int64_t run_ = 0;
+};
+
+struct StartOrder
+{
+  BackendAddress to_;
+  RunId run_;
+  std::string payload_;
+  std::string checkpoint_;
+  int64_t deadline_ = 0; ///< Milliseconds on the backend server's clock.
+  int64_t fence_ = 0;
+};
+
+struct StopOrder
+{
+  BackendAddress to_;
+  RunId run_;
+  int64_t fence_ = 0;
+};
+
+/// Sets the share of its processor time that a run may use.
+struct ThrottleOrder
+{
+  BackendAddress to_;
+  RunId run_;
+  uint32_t percent_ = 100;
+  int64_t fence_ = 0;
+};
+
+/// Renews the lease of everything that runs, acknowledges ends and reads what runs.
+struct LookOrder
+{
+  BackendAddress to_;
+  int64_t deadline_ = 0; ///< Milliseconds on the backend server's clock; 0: no renewal.
+  int64_t fence_ = 0;
+  int64_t seenUpTo_ = 0;                ///< Ends up to this number are forgotten there.
+  std::chrono::milliseconds wait_{ 0 }; ///< How long the answer waits for an end.
+};
+
+/// How a run ended.
+enum class EndKind
+{
+  Done,
+  Failed,
+  Stopped,
+  Lapsed, ///< The lease ran out.
+  Broken, ///< Another member of its group ended.
+  Alone,  ///< The other members of its group did not come.
+  Count
+};
+
+struct RunningTask
+{
+  RunId run_;
+  std::string checkpoint_;
+  int64_t percent_ = 0;
+  int64_t load_ = 0; ///< Latency tail in ms of a serving task, thousandths of a core of others.
+};
+
+struct EndedTask
+{
+  int64_t number_ = 0; ///< Rises within one life of the backend server.
+  RunId run_;
+  EndKind kind_ = EndKind::Failed;
+  std::string checkpoint_;
+};
+
+struct OrderResult
+{
+  OrderOutcome outcome_ = OrderOutcome::Unknown;
+  int64_t clock_ = 0; ///< The backend server's clock in ms; 0 if there was none in the answer.
+  int64_t born_ = 0;  ///< 0 if there was none in the answer.
+};
+
+struct LookResult : OrderResult
+{
+  std::vector<RunningTask> running_;
+  std::vector<EndedTask> ended_;
+};
+
+/// An order to host control; fenced for each host.
+struct HostOrder
+{
+  std::string host_;
+  std::string pool_;    ///< Target of a move; empty for maintenance.
+  int64_t rollout_ = 0; ///< The roll-out that maintenance belongs to.
+  int64_t fence_ = 0;
+};
+
+struct HostListResult
+{
+  bool ok_ = false;
+  std::vector<HostEntry> hosts_;
+};
+
+/// Sends orders without waiting; each callback runs later on the control thread, exactly once.
+class BackendOrdersI
+{
+public:
+  using OnResult = std::function<void(const OrderResult&)>;
+  using OnLook = std::function<void(const LookResult&)>;
+  using OnHosts = std::function<void(const HostListResult&)>;
+
+  virtual ~BackendOrdersI() = default;
+  virtual void Start(const StartOrder& aOrder, OnResult aDone) = 0;
+  virtual void Stop(const StopOrder& aOrder, OnResult aDone) = 0;
+  virtual void Throttle(const ThrottleOrder& aOrder, OnResult aDone) = 0;
+  virtual void Look(const LookOrder& aOrder, OnLook aDone) = 0;
+  virtual void Change(const HostOrder& aOrder, OnResult aDone) = 0;
+  virtual void ListHosts(OnHosts aDone) = 0;
+};
+
+}
--- /dev/null
+++ b/include/sardinespoke/backend_table.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "sardinespoke/backend_entry.h"
+#include "sardinespoke/backend_orders.h"
+#include "sardinespoke/job_table.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+enum class RunPhase
+{
+  Starting,  ///< The start order is on its way.
+  Running,   ///< The backend server has it.
+  Uncertain, ///< The start order got no answer; it may still be carried out.
+  Stopping,  ///< A stop order was sent; it counts until its end is listed.
+  Count
+};
+
+/// One run of a task on a backend server, with what it holds there.
+struct BackendRun
+{
+  std::optional<TaskRef> task_; ///< Empty if it belongs to no known task.
+  RunId id_;
+  RunPhase phase_ = RunPhase::Starting;
+  bool everConfirmed_ = false; ///< The backend server has reported it or acknowledged its start.
+  TimePoint sentAt_{};
+  TimePoint confirmedAt_{};
+  int64_t deadline_ = 0; ///< On the backend server's clock: a start carried out later is refused.
+  TimePoint stopSentAt_{};
+  TimePoint stopDoneAt_{}; ///< The stop was acknowledged; unset before.
+  bool stopDone_ = false;
+  int64_t percent_ = 0;
+  TimePoint progressAt_{}; ///< When percent_ last changed.
+  int64_t load_ = 0;
+  TimePoint overTargetSince_{};
+  bool overTarget_ = false;
+  uint32_t throttle_ = 100; ///< Percent of its processor time that it may use.
+  Resources use_;
+  bool serves_ = false; ///< A lasting task with a bound on its response times.
+  bool fills_ = false;
+  std::string checkpoint_;
+};
+
+/// One life of a backend server as the owner knows it.
+struct Backend
+{
+  BackendEntry entry_;
+  bool listed_ = false;   ///< In the registry.
+  bool verified_ = false; ///< It has answered under the present fence.
+  bool over_ = false;     ///< This life has ended; nothing runs there.
+  bool recorded_ = false; ///< The store lists it as possibly in use.
+  bool leaving_ = false;  ///< No new work: its host is about to move or be maintained.
+  uint32_t looksInFlight_ = 0;
+  uint32_t looksFailed_ = 0; ///< Since the last answer.
+  TimePoint nextLook_{};
+  TimePoint lastAnswer_{};
+  TimePoint answeredLookSent_{}; ///< When the newest look that was answered had been sent.
+  TimePoint leaseEnd_{};         ///< After this nothing runs there unless the lease is renewed.
+  int64_t clock_ = 0;            ///< Its clock in ms at clockAt_.
+  TimePoint clockAt_{};
+  int64_t applied_ = 0; ///< Ends up to this number are applied to the job table.
+  int64_t stored_ = 0;  ///< Ends up to this number are in the store.
+  int64_t told_ = 0;    ///< Ends up to this number were acknowledged to it.
+  std::vector<BackendRun> runs_;
+  Resources used_;
+  TimePoint shunnedUntil_{};
+  uint32_t failuresInRow_ = 0;
+  std::string lastFailedJob_;
+  TimePoint idleSince_{};
+
+  BackendAddress Address() const { return BackendAddress{ entry_.id_, entry_.address_ }; }
+
+  /// @returns Its clock in ms, never ahead of the real one.
+  int64_t ClockNow(TimePoint aNow) const;
+
+  BackendRun* FindRun(const RunId& aRun);
+  bool Fits(const Resources& aNeed) const;
+};
+
+/// The backend servers of all pools.
+class BackendTable
+{
+public:
+  /// Adds a life of a backend server.
+  BackendHandle Add(const BackendEntry& aEntry);
+
+  /// @returns The life with this id that is not over, or an invalid handle.
+  BackendHandle Find(const std::string& aId) const;
+
+  /// Ends a life in the index. Its record stays, so that late answers find it.
+  void Close(BackendHandle aBackend);
+
+  Backend& At(BackendHandle aBackend) { return *backends_[aBackend.index_]; }
+  const Backend& At(BackendHandle aBackend) const { return *backends_[aBackend.index_]; }
+
+  /// Handles of all lives that are not over.
+  const std::vector<BackendHandle>& Live() const { return live_; }
+
+  void AddRun(BackendHandle aBackend, BackendRun aRun);
+  void RemoveRun(BackendHandle aBackend, const RunId& aRun);
+
+private:
+  std::vector<std::unique_ptr<Backend>> backends_;
+  std::vector<BackendHandle> live_;
+  std::map<std::string, BackendHandle> byId_;
+};
+
+}
--- /dev/null
+++ b/include/sardinespoke/host_mover.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "sardinespoke/fleet_format.h"
+#include "sardinespoke/job_journal.h"
+#include "sardinespoke/task_scheduler.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace sardinespoke {
+
+struct HostMoverSettings
+{
+  std::string ownerName_;                      ///< Names this owner to host control.
+  std::chrono::milliseconds moveTime_{ 1500 }; ///< From a move to a new backend server.
+  std::chrono::milliseconds maintenanceTime_{ 2000 };
+  std::chrono::milliseconds noticeTime_{ 4500 }; ///< After it, a task that is away counts.
+};
+
+/// Takes hosts to maintenance within the bounds of roll-outs and of availability budgets.
+///
+/// A host in a roll-out gets no new work; when nothing runs there but lasting tasks whose budget
+/// allows it, it is sent to maintenance.
+class HostMover
+{
+public:
+  HostMover(JobTable& aJobs,
+            BackendTable& aBackends,
+            RunTracker& aRuns,
+            TaskScheduler& aScheduler,
+            JobJournal& aJournal,
+            BackendOrdersI& aOrders,
+            const FleetFormatI& aFormat,
+            const ClockI& aClock,
+            Leadership& aLeadership,
+            HostMoverSettings aSettings);
+
+  void Tick(const FleetConfig& aConfig, const std::map<int64_t, RolloutRequest>& aRequests);
+
+private:
+  enum class Stage
+  {
+    Planned,
+    Emptying, ///< Gets no new work.
+    Ordered,  ///< Maintenance was ordered; the outcome may be open.
+    Down,     ///< Host control has taken it down.
+    Back,     ///< Maintained.
+    Count
+  };
+  struct HostTask
+  {
+    Stage stage_ = Stage::Planned;
+    TimePoint since_{};
+    std::string oldBackend_; ///< Its backend server before the maintenance.
+    uint32_t attempts_ = 0;
+  };
+  struct Rollout
+  {
+    RolloutRequest request_;
+    TimePoint seenAt_{};
+    std::map<std::string, HostTask> hosts_;
+    bool saidRunning_ = false;
+    bool saidDone_ = false;
+  };
+
+  void Advance(Rollout& aRollout);
+  void Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
+  void OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult);
+  BackendHandle BackendOf(const std::string& aHost) const;
+  bool MayInterrupt(const Backend& aBackend) const;
+  uint32_t Away(const TaskRef& aTask) const;
+  void RefreshHosts();
+
+  JobTable& jobs_;
+  BackendTable& backends_;
+  RunTracker& runs_;
+  TaskScheduler& scheduler_;
+  JobJournal& journal_;
+  BackendOrdersI& orders_;
+  const FleetFormatI& format_;
+  const ClockI& clock_;
+  Leadership& leadership_;
+  const HostMoverSettings settings_;
+  std::map<int64_t, Rollout> rollouts_;
+  std::map<std::string, HostEntry> hosts_;
+  bool listing_ = false;
+  bool listed_ = false;
+  TimePoint nextList_{};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/include/sardinespoke/http_multi.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+struct HttpCall
+{
+  const char* method_ = "GET";
+  std::string authority_;            ///< "ip:port".
+  std::string target_;               ///< Path and query.
+  std::vector<std::string> headers_; ///< "Name: value".
+  std::string body_;
+  std::chrono::milliseconds timeout_{ 1000 }; ///< From sending to the whole answer.
+  uint32_t maxConnections_ = 3;               ///< To this authority; further calls wait their turn.
+};
+
+enum class HttpOutcome
+{
+  Answered,
+  NotSent, ///< No byte of the request left.
+  Unknown, ///< Sent, but no whole answer.
+  Count
+};
+
+struct HttpReply
+{
+  HttpOutcome outcome_ = HttpOutcome::Unknown;
+  long status_ = 0;
+  std::string body_;
+};
+
+/// HTTP client that carries many calls on one thread with kept connections. No call is sent a
+/// second time on a new connection.
+class HttpMulti
+{
+public:
+  using Done = std::function<void(const HttpReply&)>;
+
+  HttpMulti();
+  ~HttpMulti();
+  HttpMulti(const HttpMulti&) = delete;
+  HttpMulti& operator=(const HttpMulti&) = delete;
+
+  /// Sends a call; the callback runs in Run(), exactly once.
+  void Send(HttpCall aCall, Done aDone);
+
+  /// Moves data and runs callbacks; waits at most aWait for something to do.
+  void Run(std::chrono::milliseconds aWait);
+
+  /// Ends the wait of Run(). The only method for other threads.
+  void Wake();
+
+private:
+  struct Transfer;
+  struct Lane;
+
+  void Begin(std::unique_ptr<Transfer> aTransfer);
+  void Finish(Transfer& aTransfer, int aCode);
+  void Advance(const std::string& aAuthority);
+
+  void* multi_;
+  std::map<Transfer*, std::unique_ptr<Transfer>> active_;
+  std::map<std::string, Lane> lanes_;
+  std::vector<void*> idle_;
+};
+
+}
--- /dev/null
+++ b/include/sardinespoke/job_call.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "sardinespoke/job.h"
+
+#include <functional>
+
+namespace sardinespoke {
+
+enum class JobCallKind
+{
+  Submit,
+  State,
+  Cancel,
+  Count
+};
+
+/// A caller's request about a job or a queue.
+struct JobCall
+{
+  JobCallKind kind_ = JobCallKind::State;
+  std::string host_;
+  std::string path_;
+  JobSpec spec_;        ///< Of a submission; without id and queue.
+  std::string problem_; ///< Set if the body cannot be used.
+};
+
+enum class JobAnswerKind
+{
+  Accepted,
+  Cancelled,
+  State,
+  Pending,
+  NoQueue,
+  NoJob,
+  Invalid,
+  Refused, ///< It had no effect; come back later.
+  Unknown, ///< It may have had an effect.
+  Count
+};
+
+struct JobAnswer
+{
+  JobAnswerKind kind_ = JobAnswerKind::Refused;
+  JobState state_ = JobState::Queued;
+  size_t pending_ = 0;
+  std::string message_;
+  std::chrono::milliseconds retryAfter_{ 1000 };
+};
+
+using AnswerCall = std::function<void(const JobAnswer&)>;
+
+}
--- /dev/null
+++ b/include/sardinespoke/job_control.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "sardinespoke/fleet_format.h"
+#include "sardinespoke/host_mover.h"
+#include "sardinespoke/job_call.h"
+#include "sardinespoke/job_journal.h"
+#include "sardinespoke/task_scheduler.h"
+
+namespace sardinespoke {
+
+struct JobControlSettings
+{
+  RunLimits runs_;
+  HostMoverSettings hosts_;
+  std::chrono::milliseconds keepEnded_{ 120000 }; ///< How long the state of an ended job is shown.
+};
+
+/// Everything that the owner of the pools does: takes jobs in, stores them, places their tasks,
+/// follows the backend servers, moves and maintains hosts. Lives as long as the ownership.
+class JobControl
+{
+public:
+  JobControl(RecordStoreI& aStore,
+             BackendOrdersI& aOrders,
+             const FleetFormatI& aFormat,
+             const ClockI& aClock,
+             Leadership& aLeadership,
+             JobControlSettings aSettings);
+  ~JobControl();
+
+  /// Answers a caller, at once or when the store has answered. Only after IsReady().
+  void Handle(const JobCall& aCall, AnswerCall aAnswer);
+
+  /// @returns True once the state left by earlier owners is read.
+  bool IsReady() const;
+
+  /// Does what is due.
+  /// @param aWall Time since 1970.
+  void Tick(std::chrono::milliseconds aWall);
+
+  TimePoint NextDue() const;
+
+  /// @returns True if nothing waits for the store.
+  bool IsSettled() const { return journal_.IsIdle(); }
+
+  /// Ends what waits; the ownership is over.
+  void Abandon() { journal_.Abandon(); }
+
+private:
+  void Load(const std::string& aPrefix, const std::string& aAfter, size_t aPart);
+  void OnLoaded(size_t aPart, const RecordReply& aReply);
+  void ReadParts();
+  void ReadOperator();
+  void ReadRegistry();
+  void Submit(const JobCall& aCall, const QueuePolicy& aQueue, AnswerCall aAnswer);
+  void Cancel(uint32_t aJob, AnswerCall aAnswer);
+  JobAnswer StateAnswer(const Job& aJob) const;
+  JobAnswer UnknownJob() const;
+  const QueuePolicy* FindQueue(const std::string& aHost, const std::string& aPath) const;
+  void WatchStuckRuns();
+  void Throttle();
+  void ThrottleFillers(BackendHandle aBackend, uint32_t aPercent);
+  void ForgetEnded();
+
+  RecordStoreI& store_;
+  BackendOrdersI& orders_;
+  const FleetFormatI& format_;
+  const ClockI& clock_;
+  Leadership& leadership_;
+  const JobControlSettings settings_;
+
+  JobTable jobs_;
+  BackendTable backends_;
+  RunTracker runs_;
+  DurationModel durations_;
+  WaitOrder waitOrder_;
+  TaskScheduler scheduler_;
+  JobJournal journal_;
+  HostMover mover_;
+  PrefixFeed registry_;
+  PrefixFeed operator_;
+  FleetConfig config_;
+  std::map<int64_t, RolloutRequest> rollouts_;
+
+  std::vector<PrefixFeed::Records> parts_;
+  size_t partsLoaded_ = 0;
+  bool loaded_ = false;
+  std::chrono::milliseconds wall_{ 0 };
+  TimePoint nextSlow_{};
+  TimePoint nextSchedule_{};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}
--- a/include/sardinespoke/logging.h
+++ b/include/sardinespoke/logging.h
@@ -16,11 +16,21 @@
   Count
 };
 
-/// Starts logging as JSON lines on standard error.
+/// Where log lines go.
+enum class LogTarget
+{
+  Error,  ///< Standard error.
+  Output, ///< Standard output.
+  Count
+};
+
+/// Starts logging as JSON lines.
 /// @param aProcess Name shown in each line, such as the entry host id.
 /// @param aLevel "debug", "info", "warn" or "error".
 void
-InitLogging(const std::string& aProcess, const std::string& aLevel);
+InitLogging(const std::string& aProcess,
+            const std::string& aLevel,
+            LogTarget aTarget = LogTarget::Error);
 
 /// Flushes and ends logging.
 void
--- /dev/null
+++ b/include/sardinespoke/task_scheduler.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "sardinespoke/run_tracker.h"
+#include "sardinespoke/wait_order.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// Places waiting tasks on the backend servers of their pools.
+class TaskScheduler
+{
+public:
+  TaskScheduler(JobTable& aJobs,
+                BackendTable& aBackends,
+                RunTracker& aRuns,
+                const WaitOrder& aOrder,
+                const ClockI& aClock);
+
+  /// Starts every task that fits now.
+  /// @returns Number of tasks started.
+  size_t Run();
+
+  /// @returns Demand of waiting tasks of a pool, in thousandths of a core, as of the last Run().
+  int64_t WaitingCpu(const std::string& aService) const;
+
+private:
+  /// The usable backend servers of one pool.
+  using Pool = std::vector<BackendHandle>;
+
+  size_t PlaceJob(uint32_t aJob, const Pool& aPool);
+  size_t PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
+  size_t PlaceGroup(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
+  BackendHandle Pick(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool) const;
+  double Score(const Backend& aBackend, const StepSpec& aSpec) const;
+  bool Suits(const Backend& aBackend, const TaskRef& aTask, const StepSpec& aSpec) const;
+
+  JobTable& jobs_;
+  BackendTable& backends_;
+  RunTracker& runs_;
+  const WaitOrder& order_;
+  const ClockI& clock_;
+  std::map<std::string, int64_t> waitingCpu_;
+};
+
+}
--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -3,6 +3,9 @@
 #include <arpa/inet.h>
 #include <ulfius.h>
 
+#include <algorithm>
+#include <cctype>
+
 namespace sardinespoke {
 
 namespace {
@@ -27,6 +30,20 @@
   }
 }
 
+void
+CopyHeaders(const _u_map* aMap, std::map<std::string, std::string>& aHeaders)
+{
+  std::map<std::string, std::string> headers;
+  CopyParameters(aMap, headers);
+  for (auto& [name, value] : headers) {
+    std::string lower = name;
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aCharacter) {
+      return static_cast<char>(std::tolower(aCharacter));
+    });
+    aHeaders[lower] = std::move(value);
+  }
+}
+
 int
 Serve(const _u_request* aRequest, _u_response* aResponse, void* aRoute)
 {
@@ -35,6 +52,7 @@
   request.method_ = aRequest->http_verb;
   request.path_ = aRequest->url_path != nullptr ? aRequest->url_path : "";
   CopyParameters(aRequest->map_url, request.parameters_);
+  CopyHeaders(aRequest->map_header, request.headers_);
   if (aRequest->binary_body_length > 0) {
     request.body_.assign(static_cast<const char*>(aRequest->binary_body),
                          aRequest->binary_body_length);
@@ -46,6 +64,14 @@
     response = AdminResponse::Error(500, "internal", "", failure.what());
   }
   ulfius_add_header_to_response(aResponse, "Content-Type", response.contentType_.c_str());
+  if (response.retryAfter_ > std::chrono::milliseconds(0)) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(response.retryAfter_);
+    ulfius_add_header_to_response(
+      aResponse, "Retry-After", std::to_string(seconds.count()).c_str());
+  }
+  if (response.closes_) {
+    ulfius_add_header_to_response(aResponse, "Connection", "close");
+  }
   ulfius_set_binary_body_response(
     aResponse, response.status_, response.body_.data(), response.body_.size());
   return U_CALLBACK_COMPLETE;
@@ -56,6 +82,7 @@
 struct AdminServer::State
 {
   std::vector<std::unique_ptr<BoundRoute>> routes_;
+  std::unique_ptr<BoundRoute> default_;
   _u_instance instance_{};
   bool running_ = false;
 };
@@ -67,6 +94,13 @@
   return found == parameters_.end() ? std::string() : found->second;
 }
 
+std::string
+AdminRequest::Header(const std::string& aName) const
+{
+  const auto found = headers_.find(aName);
+  return found == headers_.end() ? std::string() : found->second;
+}
+
 AdminResponse
 AdminResponse::Json(unsigned int aStatus, const nlohmann::json& aBody)
 {
@@ -102,6 +136,12 @@
     std::make_unique<BoundRoute>(BoundRoute{ aMethod, aPattern, std::move(aHandler) }));
 }
 
+void
+AdminServer::Default(Handler aHandler)
+{
+  state_->default_ = std::make_unique<BoundRoute>(BoundRoute{ "*", "*", std::move(aHandler) });
+}
+
 leaf::result<void>
 AdminServer::Init(const Endpoint& aListen)
 {
@@ -125,6 +165,12 @@
                                &Serve,
                                route.get());
   }
+  if (state_->default_) {
+    // Behind all routes in priority.
+    constexpr unsigned int kLast = 1;
+    ulfius_add_endpoint_by_val(
+      &state_->instance_, "*", nullptr, "*", kLast, &Serve, state_->default_.get());
+  }
   if (ulfius_start_framework(&state_->instance_) != U_OK) {
     ulfius_clean_instance(&state_->instance_);
     return leaf::new_error(bindError);
--- /dev/null
+++ b/src/backend_table.cpp
@@ -0,0 +1,102 @@
+#include "sardinespoke/backend_table.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+void
+Change(Resources& aUsed, const Resources& aUse, int64_t aSign)
+{
+  aUsed.cpuMilli_ += aSign * aUse.cpuMilli_;
+  aUsed.memoryMb_ += aSign * aUse.memoryMb_;
+  aUsed.accelerators_ += aSign * aUse.accelerators_;
+}
+
+}
+
+int64_t
+Backend::ClockNow(TimePoint aNow) const
+{
+  // Its clock may be 2 % slow.
+  constexpr int64_t kSlowPercent = 98;
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - clockAt_);
+  return clock_ + since.count() * kSlowPercent / 100;
+}
+
+BackendRun*
+Backend::FindRun(const RunId& aRun)
+{
+  for (BackendRun& run : runs_) {
+    if (run.id_.run_ == aRun.run_ && run.id_.task_ == aRun.task_) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+bool
+Backend::Fits(const Resources& aNeed) const
+{
+  const Resources& all = entry_.capacity_;
+  return used_.cpuMilli_ + aNeed.cpuMilli_ <= all.cpuMilli_ &&
+         used_.memoryMb_ + aNeed.memoryMb_ <= all.memoryMb_ &&
+         used_.accelerators_ + aNeed.accelerators_ <= all.accelerators_;
+}
+
+BackendHandle
+BackendTable::Add(const BackendEntry& aEntry)
+{
+  auto backend = std::make_unique<Backend>();
+  backend->entry_ = aEntry;
+  const BackendHandle handle{ static_cast<uint32_t>(backends_.size()) };
+  backends_.push_back(std::move(backend));
+  live_.push_back(handle);
+  byId_[aEntry.id_] = handle;
+  return handle;
+}
+
+BackendHandle
+BackendTable::Find(const std::string& aId) const
+{
+  const auto found = byId_.find(aId);
+  return found == byId_.end() ? BackendHandle{} : found->second;
+}
+
+void
+BackendTable::Close(BackendHandle aBackend)
+{
+  Backend& backend = At(aBackend);
+  backend.over_ = true;
+  backend.runs_.clear();
+  backend.runs_.shrink_to_fit();
+  backend.used_ = Resources{};
+  live_.erase(std::remove(live_.begin(), live_.end(), aBackend), live_.end());
+  const auto found = byId_.find(backend.entry_.id_);
+  if (found != byId_.end() && found->second == aBackend) {
+    byId_.erase(found);
+  }
+}
+
+void
+BackendTable::AddRun(BackendHandle aBackend, BackendRun aRun)
+{
+  Backend& backend = At(aBackend);
+  Change(backend.used_, aRun.use_, 1);
+  backend.runs_.push_back(std::move(aRun));
+}
+
+void
+BackendTable::RemoveRun(BackendHandle aBackend, const RunId& aRun)
+{
+  Backend& backend = At(aBackend);
+  const BackendRun* run = backend.FindRun(aRun);
+  if (!run) {
+    return;
+  }
+  Change(backend.used_, run->use_, -1);
+  backend.runs_.erase(backend.runs_.begin() + (run - backend.runs_.data()));
+}
+
+}
--- /dev/null
+++ b/src/entry_node.cpp
@@ -0,0 +1,384 @@
+#include "sardinespoke/entry_node.h"
+
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace sardinespoke {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char kCallType[] = "job.call";
+constexpr char kPingType[] = "owner.ping";
+// Bounds the requests that wait for the control thread; further ones are refused at once.
+constexpr size_t kMaxWaiting = 1000;
+// How long a request waits for an owner to be elected before it is refused.
+constexpr milliseconds kOwnerWait{ 400 };
+constexpr milliseconds kOwnerPoll{ 25 };
+constexpr milliseconds kPingPeriod{ 400 };
+constexpr milliseconds kPingLimit{ 600 };
+// Longest time for one attempt at the owner; another owner may have been elected by then.
+constexpr milliseconds kAttemptLimit{ 1800 };
+constexpr milliseconds kMaxPatience{ 30000 };
+constexpr milliseconds kRetryAfter{ 1000 };
+constexpr milliseconds kMaxLoopWait{ 100 };
+constexpr milliseconds kSettleLimit{ 500 };
+
+CallerReply
+Refusal(const char* aReason)
+{
+  CallerReply reply;
+  reply.status_ = 503;
+  reply.body_ = json{ { "error", aReason } }.dump();
+  reply.retryAfter_ = kRetryAfter;
+  return reply;
+}
+
+CallerReply
+UnknownReply(const char* aReason)
+{
+  CallerReply reply;
+  reply.status_ = 504;
+  reply.body_ = json{ { "error", aReason } }.dump();
+  return reply;
+}
+
+json
+Encode(const CallerCall& aCall)
+{
+  return json{ { "type", kCallType },   { "method", aCall.method_ },
+               { "host", aCall.host_ }, { "path", aCall.path_ },
+               { "body", aCall.body_ }, { "patience_ms", aCall.patience_.count() } };
+}
+
+milliseconds
+Wall()
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+}
+
+}
+
+EntryNode::EntryNode(EntryNodeSettings aSettings,
+                     HttpMulti& aHttp,
+                     RecordStoreI& aStore,
+                     BackendOrdersI& aOrders,
+                     const FleetFormatI& aFormat,
+                     const CallerCodecI& aCodec,
+                     const ClockI& aClock)
+  : settings_(std::move(aSettings))
+  , http_(aHttp)
+  , store_(aStore)
+  , orders_(aOrders)
+  , format_(aFormat)
+  , codec_(aCodec)
+  , clock_(aClock)
+  , peers_(PeerLinkSettings{ settings_.leadership_.address_, 16 })
+{
+}
+
+EntryNode::~EntryNode()
+{
+  ended_ = true;
+  http_.Wake();
+  if (loop_.joinable()) {
+    loop_.join();
+  }
+  if (ping_.joinable()) {
+    ping_.join();
+  }
+}
+
+leaf::result<void>
+EntryNode::Init()
+{
+  peers_.Handle(kCallType, [this](const json& aMessage) { return OnPeerCall(aMessage); });
+  peers_.Handle(kPingType, [this](const json&) -> leaf::result<json> {
+    return json{ { "ready", ownerReady_.load() } };
+  });
+  BOOST_LEAF_CHECK(peers_.Init());
+  callerServer_.Default([this](const AdminRequest& aRequest) { return OnCaller(aRequest); });
+  BOOST_LEAF_CHECK(callerServer_.Init(settings_.caller_));
+  healthServer_.Route("GET", "/metrics", [this](const AdminRequest&) {
+    AdminResponse response;
+    response.contentType_ = "text/plain";
+    response.body_ = metrics_.Exposition();
+    return response;
+  });
+  healthServer_.Default([this](const AdminRequest&) { return OnHealth(); });
+  BOOST_LEAF_CHECK(healthServer_.Init(settings_.health_));
+  leadership_ = std::make_unique<Leadership>(store_, clock_, settings_.leadership_);
+  loop_ = std::thread([this] { Loop(); });
+  ping_ = std::thread([this] { PingOwner(); });
+  Log(LogLevel::Info, "node.started", { { "caller", settings_.caller_.Text() } });
+  return {};
+}
+
+void
+EntryNode::Shutdown()
+{
+  Log(LogLevel::Info, "node.stopping", {});
+  stopping_ = true;
+  http_.Wake();
+  const TimePoint begin = clock_.Now();
+  while (clock_.Now() - begin < settings_.stopGrace_) {
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  ended_ = true;
+  http_.Wake();
+  loop_.join();
+  ping_.join();
+  Log(LogLevel::Info, "node.stopped", { { "in_flight", inFlight_.load() } });
+}
+
+void
+EntryNode::Loop()
+{
+  TimePoint last = clock_.Now();
+  TimePoint stopSeen{};
+  bool resigned = false;
+  while (!ended_) {
+    const TimePoint now = clock_.Now();
+    TakeRequests();
+    leadership_->Tick();
+    FollowLeadership();
+    if (control_) {
+      control_->Tick(Wall());
+      ownerReady_ = control_->IsReady() && leadership_->IsOwner();
+    }
+    if (stopping_ && !resigned) {
+      stopSeen = stopSeen == TimePoint{} ? now : stopSeen;
+      if (!control_ || control_->IsSettled() || now - stopSeen > kSettleLimit) {
+        leadership_->Resign();
+        resigned = true;
+        continue;
+      }
+    }
+    TimePoint due = std::min(leadership_->NextDue(), now + kMaxLoopWait);
+    if (control_) {
+      due = std::min(due, control_->NextDue());
+    }
+    // Rounded up: a wait of 0 ms would spin until the time comes.
+    const auto wait = std::chrono::ceil<milliseconds>(due - clock_.Now());
+    const milliseconds bounded = std::clamp(wait, milliseconds(0), kMaxLoopWait);
+    last = clock_.Now();
+    http_.Run(bounded);
+    if (clock_.Now() - last > bounded + settings_.thawLimit_) {
+      Log(LogLevel::Warn, "node.paused", {});
+      leadership_->OnPause();
+    }
+  }
+}
+
+void
+EntryNode::FollowLeadership()
+{
+  const bool owner = leadership_->IsOwner();
+  if (!owner && control_) {
+    ownerReady_ = false;
+    control_.reset();
+  }
+  if (owner && !control_) {
+    control_ = std::make_unique<JobControl>(
+      store_, orders_, format_, clock_, *leadership_, settings_.control_);
+  }
+  isOwner_ = owner;
+  const std::lock_guard lock(mutex_);
+  ownerAddress_ = leadership_->Leader().address_;
+}
+
+std::string
+EntryNode::OwnerAddress() const
+{
+  const std::lock_guard lock(mutex_);
+  return ownerAddress_;
+}
+
+void
+EntryNode::TakeRequests()
+{
+  std::deque<Request> requests;
+  {
+    const std::lock_guard lock(mutex_);
+    requests.swap(requests_);
+  }
+  for (const Request& request : requests) {
+    Serve(request);
+  }
+}
+
+void
+EntryNode::Serve(const Request& aRequest)
+{
+  const auto reply = aRequest.reply_;
+  if (!control_ || !control_->IsReady()) {
+    reply->set_value(Refusal("this host does not own the pools"));
+    return;
+  }
+  control_->Handle(codec_.Decode(aRequest.call_), [this, reply](const JobAnswer& aAnswer) {
+    reply->set_value(codec_.Encode(aAnswer));
+  });
+}
+
+CallerReply
+EntryNode::Local(const CallerCall& aCall)
+{
+  Request request{ aCall, std::make_shared<std::promise<CallerReply>>() };
+  auto answer = request.reply_->get_future();
+  {
+    const std::lock_guard lock(mutex_);
+    if (requests_.size() >= kMaxWaiting) {
+      return Refusal("too many requests wait");
+    }
+    requests_.push_back(std::move(request));
+  }
+  http_.Wake();
+  if (answer.wait_for(aCall.patience_) != std::future_status::ready) {
+    return UnknownReply("the owner did not answer in time");
+  }
+  return answer.get();
+}
+
+leaf::result<nlohmann::json>
+EntryNode::OnPeerCall(const json& aMessage)
+{
+  if (!ownerReady_) {
+    return json{ { "owner", false } };
+  }
+  CallerCall call;
+  call.method_ = aMessage.value("method", "");
+  call.host_ = aMessage.value("host", "");
+  call.path_ = aMessage.value("path", "");
+  call.body_ = aMessage.value("body", "");
+  call.patience_ = milliseconds(aMessage.value("patience_ms", int64_t{ 0 }));
+  const CallerReply reply = Local(call);
+  return json{ { "owner", true },
+               { "status", reply.status_ },
+               { "body", reply.body_ },
+               { "retry_after_ms", reply.retryAfter_.count() } };
+}
+
+CallerReply
+EntryNode::Relay(const CallerCall& aCall)
+{
+  const TimePoint begin = clock_.Now();
+  const TimePoint deadline = begin + aCall.patience_;
+  bool mayHaveRun = false;
+  while (clock_.Now() < deadline) {
+    if (ownerReady_) {
+      const CallerReply reply = Local(aCall);
+      return mayHaveRun && reply.status_ == 503 ? UnknownReply("the owner changed") : reply;
+    }
+    const std::string owner = OwnerAddress();
+    bool asked = false;
+    if (!owner.empty() && owner != settings_.leadership_.address_) {
+      CallerCall attempt = aCall;
+      const auto left = std::chrono::duration_cast<milliseconds>(deadline - clock_.Now());
+      attempt.patience_ = std::min(left, kAttemptLimit);
+      const auto reply = leaf::try_handle_all(
+        [&]() -> leaf::result<json> {
+          return peers_.Call(owner, Encode(attempt), attempt.patience_);
+        },
+        [&](const PeerError& aError) {
+          asked = aError.code_ != PeerError::Code::Unreachable;
+          return json{ { "owner", false } };
+        },
+        [&] {
+          return json{ { "owner", false } };
+        });
+      if (reply.value("owner", false)) {
+        CallerReply answer;
+        answer.status_ = reply.value("status", 503U);
+        answer.body_ = reply.value("body", "");
+        answer.retryAfter_ = milliseconds(reply.value("retry_after_ms", int64_t{ 0 }));
+        return mayHaveRun && answer.status_ == 503 ? UnknownReply("the owner changed") : answer;
+      }
+    }
+    mayHaveRun = mayHaveRun || asked;
+    if (clock_.Now() - begin > kOwnerWait) {
+      break;
+    }
+    std::this_thread::sleep_for(kOwnerPoll);
+  }
+  return mayHaveRun ? UnknownReply("the owner did not answer")
+                    : Refusal("no entry host owns the pools now");
+}
+
+AdminResponse
+EntryNode::OnCaller(const AdminRequest& aRequest)
+{
+  CallerCall call;
+  call.method_ = aRequest.method_;
+  call.host_ = aRequest.Header("host");
+  call.path_ = aRequest.path_;
+  call.body_ = aRequest.body_;
+  const std::string patience = aRequest.Header(codec_.PatienceHeader());
+  int64_t value = 0;
+  const auto parsed = std::from_chars(patience.data(), patience.data() + patience.size(), value);
+  if (parsed.ec == std::errc() && value > 0) {
+    call.patience_ = std::min(milliseconds(value), kMaxPatience);
+  }
+  ++inFlight_;
+  const TimePoint begin = clock_.Now();
+  const CallerReply reply = Relay(call);
+  --inFlight_;
+  metrics_.Count("caller_requests{status=\"" + std::to_string(reply.status_) + "\"}");
+  metrics_.Observe("caller_latency", clock_.Now() - begin);
+  if (reply.status_ >= 500) {
+    Log(LogLevel::Info,
+        "caller.refused",
+        { { "path", call.path_ },
+          { "status", reply.status_ },
+          { "reason", reply.body_ },
+          { "owner", OwnerAddress() },
+          { "took_ms", std::chrono::duration_cast<milliseconds>(clock_.Now() - begin).count() } });
+  }
+  AdminResponse response;
+  response.status_ = reply.status_;
+  response.body_ = reply.body_;
+  response.retryAfter_ = reply.retryAfter_;
+  response.closes_ = stopping_;
+  return response;
+}
+
+AdminResponse
+EntryNode::OnHealth() const
+{
+  const bool ready = !stopping_ && (ownerReady_ || ownerReached_);
+  AdminResponse response;
+  response.status_ = ready ? 200 : 503;
+  response.body_ = json{ { "ready", ready }, { "owner", ownerReady_.load() } }.dump();
+  return response;
+}
+
+void
+EntryNode::PingOwner()
+{
+  while (!ended_) {
+    const std::string owner = OwnerAddress();
+    bool reached = false;
+    if (!owner.empty() && owner != settings_.leadership_.address_) {
+      const json reply = leaf::try_handle_all(
+        [&]() -> leaf::result<json> {
+          return peers_.Call(owner, json{ { "type", kPingType } }, kPingLimit);
+        },
+        [](const PeerError& aError) {
+          Log(LogLevel::Debug, "owner.unreachable", { { "error", aError.message_ } });
+          return json::object();
+        },
+        [] { return json::object(); });
+      reached = reply.value("ready", false);
+    }
+    ownerReached_ = reached;
+    std::this_thread::sleep_for(kPingPeriod);
+  }
+}
+
+}
--- /dev/null
+++ b/src/host_mover.cpp
@@ -0,0 +1,313 @@
+#include "sardinespoke/host_mover.h"
+
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kListPeriod{ 2000 };
+constexpr milliseconds kListRetry{ 300 };
+constexpr milliseconds kOrderRetry{ 400 };
+// After this, work that can resume from a checkpoint is interrupted to empty a host.
+constexpr milliseconds kEmptyPatience{ 2500 };
+constexpr int64_t kAtWork = 100; // Percent that a lasting task reports when it serves.
+
+}
+
+HostMover::HostMover(JobTable& aJobs,
+                     BackendTable& aBackends,
+                     RunTracker& aRuns,
+                     TaskScheduler& aScheduler,
+                     JobJournal& aJournal,
+                     BackendOrdersI& aOrders,
+                     const FleetFormatI& aFormat,
+                     const ClockI& aClock,
+                     Leadership& aLeadership,
+                     HostMoverSettings aSettings)
+  : jobs_(aJobs)
+  , backends_(aBackends)
+  , runs_(aRuns)
+  , scheduler_(aScheduler)
+  , journal_(aJournal)
+  , orders_(aOrders)
+  , format_(aFormat)
+  , clock_(aClock)
+  , leadership_(aLeadership)
+  , settings_(std::move(aSettings))
+{
+}
+
+BackendHandle
+HostMover::BackendOf(const std::string& aHost) const
+{
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (backend.entry_.host_ == aHost && backend.listed_) {
+      return handle;
+    }
+  }
+  return BackendHandle{};
+}
+
+uint32_t
+HostMover::Away(const TaskRef& aTask) const
+{
+  const Step& step = jobs_.StepOf(aTask);
+  uint32_t away = 0;
+  for (const Task& task : step.tasks_) {
+    if (task.phase_ != TaskPhase::Active) {
+      ++away;
+      continue;
+    }
+    const Backend& backend = backends_.At(task.backend_);
+    const bool atWork =
+      backend.looksFailed_ == 0 &&
+      std::any_of(backend.runs_.begin(), backend.runs_.end(), [&](const BackendRun& aRun) {
+        return aRun.task_ && aRun.id_.run_ == task.run_ && aRun.task_->job_ == aTask.job_ &&
+               aRun.phase_ == RunPhase::Running && aRun.percent_ >= kAtWork;
+      });
+    away += atWork ? 0 : 1;
+  }
+  return away;
+}
+
+bool
+HostMover::MayInterrupt(const Backend& aBackend) const
+{
+  for (const BackendRun& run : aBackend.runs_) {
+    if (!run.task_ || run.phase_ == RunPhase::Starting || run.phase_ == RunPhase::Uncertain) {
+      return false;
+    }
+    const StepSpec& spec = jobs_.SpecOf(*run.task_);
+    if (!spec.lasting_) {
+      return false;
+    }
+    if (spec.mayMiss_ == 0) {
+      continue;
+    }
+    const auto here = static_cast<uint32_t>(
+      std::count_if(aBackend.runs_.begin(), aBackend.runs_.end(), [&run](const BackendRun& aOther) {
+        return aOther.task_ && aOther.task_->job_ == run.task_->job_ &&
+               aOther.task_->step_ == run.task_->step_;
+      }));
+    if (Away(*run.task_) + here > spec.mayMiss_) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+HostMover::RefreshHosts()
+{
+  const TimePoint now = clock_.Now();
+  if (listing_ || now < nextList_) {
+    return;
+  }
+  listing_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  orders_.ListHosts([this, alive](const HostListResult& aResult) {
+    if (!alive.lock()) {
+      return;
+    }
+    listing_ = false;
+    nextList_ = clock_.Now() + (aResult.ok_ ? kListPeriod : kListRetry);
+    if (!aResult.ok_) {
+      return;
+    }
+    hosts_.clear();
+    for (const HostEntry& host : aResult.hosts_) {
+      hosts_[host.id_] = host;
+    }
+    listed_ = true;
+  });
+}
+
+void
+HostMover::Tick(const FleetConfig& aConfig, const std::map<int64_t, RolloutRequest>& aRequests)
+{
+  (void)aConfig;
+  for (const auto& [number, request] : aRequests) {
+    Rollout& rollout = rollouts_[number];
+    if (rollout.seenAt_ != TimePoint{}) {
+      continue;
+    }
+    rollout.request_ = request;
+    rollout.seenAt_ = clock_.Now();
+    for (const std::string& host : request.hosts_) {
+      rollout.hosts_[host] = HostTask{};
+    }
+    Log(LogLevel::Info,
+        "rollout.seen",
+        { { "rollout", number },
+          { "hosts", request.hosts_.size() },
+          { "max_down", request.maxDown_ },
+          { "duration_ms", request.duration_.count() } });
+  }
+  bool open = false;
+  for (const auto& [number, rollout] : rollouts_) {
+    open = open || !rollout.saidDone_;
+  }
+  if (!open) {
+    return;
+  }
+  RefreshHosts();
+  if (!listed_ || !leadership_.IsCertain()) {
+    return;
+  }
+  for (auto& [number, rollout] : rollouts_) {
+    if (!rollout.saidDone_) {
+      Advance(rollout);
+    }
+  }
+}
+
+void
+HostMover::Advance(Rollout& aRollout)
+{
+  const TimePoint now = clock_.Now();
+  if (!aRollout.saidRunning_) {
+    aRollout.saidRunning_ = true;
+    journal_.Write(format_.RolloutStatus(aRollout.request_.number_, false));
+  }
+  uint32_t down = 0;
+  uint32_t emptying = 0;
+  uint32_t back = 0;
+  for (auto& [host, task] : aRollout.hosts_) {
+    const auto listed = hosts_.find(host);
+    if (task.stage_ == Stage::Down) {
+      const BackendHandle handle = BackendOf(host);
+      const bool returned = handle.IsValid() &&
+                            backends_.At(handle).entry_.id_ != task.oldBackend_ &&
+                            now - task.since_ > settings_.maintenanceTime_ / 2;
+      const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up &&
+                      now - task.since_ > settings_.maintenanceTime_ + kListPeriod;
+      if (returned || up) {
+        task.stage_ = Stage::Back;
+        Log(LogLevel::Info,
+            "host.maintained",
+            { { "host", host }, { "rollout", aRollout.request_.number_ } });
+      }
+    }
+    down += task.stage_ == Stage::Ordered || task.stage_ == Stage::Down ? 1 : 0;
+    emptying += task.stage_ == Stage::Emptying ? 1 : 0;
+    back += task.stage_ == Stage::Back ? 1 : 0;
+  }
+  if (back == aRollout.hosts_.size()) {
+    aRollout.saidDone_ = true;
+    journal_.Write(format_.RolloutStatus(aRollout.request_.number_, true));
+    Log(LogLevel::Info, "rollout.done", { { "rollout", aRollout.request_.number_ } });
+    return;
+  }
+  for (auto& [host, task] : aRollout.hosts_) {
+    if (task.stage_ != Stage::Emptying) {
+      continue;
+    }
+    const BackendHandle handle = BackendOf(host);
+    if (handle.IsValid()) {
+      Backend& backend = backends_.At(handle);
+      backend.leaving_ = true;
+      for (BackendRun& run : backend.runs_) {
+        const bool resumes = run.task_ && jobs_.SpecOf(*run.task_).checkpointing_;
+        if (now - task.since_ > kEmptyPatience && resumes && run.phase_ == RunPhase::Running) {
+          runs_.Stop(handle, run);
+        }
+      }
+      if (!MayInterrupt(backend)) {
+        continue;
+      }
+    }
+    if (down < aRollout.request_.maxDown_ && now >= task.since_) {
+      task.oldBackend_ = handle.IsValid() ? backends_.At(handle).entry_.id_ : "";
+      Order(aRollout, host, task);
+      --emptying;
+      ++down;
+    }
+  }
+  // One host more than may be down is emptied ahead, so that no time passes between two.
+  std::vector<std::pair<int64_t, std::string>> planned;
+  for (const auto& [host, task] : aRollout.hosts_) {
+    if (task.stage_ != Stage::Planned) {
+      continue;
+    }
+    const BackendHandle handle = BackendOf(host);
+    const int64_t used = handle.IsValid() ? backends_.At(handle).used_.cpuMilli_ : 0;
+    planned.emplace_back(used, host);
+  }
+  std::sort(planned.begin(), planned.end());
+  for (const auto& [used, host] : planned) {
+    if (down + emptying >= aRollout.request_.maxDown_ + 1) {
+      break;
+    }
+    HostTask& task = aRollout.hosts_[host];
+    task.stage_ = Stage::Emptying;
+    task.since_ = now;
+    ++emptying;
+  }
+}
+
+void
+HostMover::Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask)
+{
+  aTask.stage_ = Stage::Ordered;
+  aTask.since_ = clock_.Now();
+  ++aTask.attempts_;
+  HostOrder order;
+  order.host_ = aHost;
+  order.rollout_ = aRollout.request_.number_;
+  order.fence_ = leadership_.Fence();
+  const int64_t number = aRollout.request_.number_;
+  const std::weak_ptr<bool> alive = alive_;
+  orders_.Change(order, [this, alive, number, aHost](const OrderResult& aResult) {
+    if (alive.lock()) {
+      OnOrdered(number, aHost, aResult);
+    }
+  });
+}
+
+void
+HostMover::OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult)
+{
+  Rollout& rollout = rollouts_[aRollout];
+  HostTask& task = rollout.hosts_[aHost];
+  Log(LogLevel::Info,
+      "host.maintenance",
+      { { "host", aHost },
+        { "rollout", aRollout },
+        { "outcome", static_cast<int>(aResult.outcome_) } });
+  const TimePoint now = clock_.Now();
+  switch (aResult.outcome_) {
+    case OrderOutcome::Done: {
+      task.stage_ = Stage::Down;
+      task.since_ = now;
+      const BackendHandle old = backends_.Find(task.oldBackend_);
+      if (old.IsValid()) {
+        runs_.EndLife(old, "its host is maintained");
+      }
+      return;
+    }
+    case OrderOutcome::Fenced:
+      leadership_.Lose("host control has seen a higher fence");
+      return;
+    case OrderOutcome::Dead: // No such host.
+      task.stage_ = Stage::Back;
+      return;
+    case OrderOutcome::Unknown:
+      // It counts as down until an answer tells; the order can be repeated.
+      Order(rollout, aHost, task);
+      return;
+    default:
+      task.stage_ = Stage::Emptying;
+      task.since_ = now + kOrderRetry;
+      return;
+  }
+}
+
+}
--- /dev/null
+++ b/src/http_multi.cpp
@@ -0,0 +1,223 @@
+#include "sardinespoke/http_multi.h"
+
+#include <curl/curl.h>
+
+#include <sys/socket.h>
+
+#include <cstring>
+#include <new>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectLimit{ 400 };
+constexpr size_t kMaxAnswerBytes = 8U << 20U;
+constexpr long kKeptConnections = 4096;
+constexpr size_t kMaxIdleHandles = 64;
+
+}
+
+struct HttpMulti::Transfer
+{
+  HttpCall call_;
+  Done done_;
+  CURL* easy_ = nullptr;
+  curl_slist* headers_ = nullptr;
+  std::string body_;
+
+  bool WasSent() const
+  {
+    long bytes = 0;
+    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &bytes);
+    return bytes > 0;
+  }
+
+  static curl_socket_t OpenSocket(void* aSelf, curlsocktype, curl_sockaddr* aAddress)
+  {
+    // libcurl repeats a request on a new connection if a kept one breaks before the answer. The
+    // server may have acted on the first.
+    if (static_cast<Transfer*>(aSelf)->WasSent()) {
+      return CURL_SOCKET_BAD;
+    }
+    const int type = aAddress->socktype | SOCK_CLOEXEC; // NOLINT(hicpp-signed-bitwise)
+    return socket(aAddress->family, type, aAddress->protocol);
+  }
+
+  static size_t Receive(char* aData, size_t aSize, size_t aCount, void* aSelf)
+  {
+    auto* self = static_cast<Transfer*>(aSelf);
+    if (self->body_.size() + aSize * aCount > kMaxAnswerBytes) {
+      return 0;
+    }
+    self->body_.append(aData, aSize * aCount);
+    return aSize * aCount;
+  }
+};
+
+struct HttpMulti::Lane
+{
+  uint32_t active_ = 0;
+  std::deque<std::unique_ptr<Transfer>> waiting_;
+};
+
+HttpMulti::HttpMulti()
+  : multi_(curl_multi_init())
+{
+  if (!multi_) {
+    throw std::bad_alloc();
+  }
+  curl_multi_setopt(static_cast<CURLM*>(multi_), CURLMOPT_MAXCONNECTS, kKeptConnections);
+}
+
+HttpMulti::~HttpMulti()
+{
+  for (auto& [key, transfer] : active_) {
+    curl_multi_remove_handle(static_cast<CURLM*>(multi_), transfer->easy_);
+    curl_easy_cleanup(transfer->easy_);
+    curl_slist_free_all(transfer->headers_);
+  }
+  for (void* easy : idle_) {
+    curl_easy_cleanup(static_cast<CURL*>(easy));
+  }
+  curl_multi_cleanup(static_cast<CURLM*>(multi_));
+}
+
+void
+HttpMulti::Send(HttpCall aCall, Done aDone)
+{
+  auto transfer = std::make_unique<Transfer>();
+  transfer->call_ = std::move(aCall);
+  transfer->done_ = std::move(aDone);
+  Lane& lane = lanes_[transfer->call_.authority_];
+  if (lane.active_ >= transfer->call_.maxConnections_) {
+    lane.waiting_.push_back(std::move(transfer));
+    return;
+  }
+  Begin(std::move(transfer));
+}
+
+void
+HttpMulti::Begin(std::unique_ptr<Transfer> aTransfer)
+{
+  Transfer& transfer = *aTransfer;
+  ++lanes_[transfer.call_.authority_].active_;
+  if (idle_.empty()) {
+    transfer.easy_ = curl_easy_init();
+  } else {
+    transfer.easy_ = static_cast<CURL*>(idle_.back());
+    idle_.pop_back();
+    curl_easy_reset(transfer.easy_);
+  }
+  CURL* easy = transfer.easy_;
+  const HttpCall& call = transfer.call_;
+  const auto addHeader = [&transfer](const char* aLine) {
+    transfer.headers_ = curl_slist_append(transfer.headers_, aLine);
+  };
+  for (const std::string& line : call.headers_) {
+    addHeader(line.c_str());
+  }
+  addHeader("Expect:");
+  addHeader("Accept:");
+  const std::string url = "http://" + call.authority_ + call.target_;
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long{ CURL_HTTP_VERSION_1_1 });
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(kConnectLimit.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout_.count()));
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Transfer::OpenSocket);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::Receive);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+  if (std::strcmp(call.method_, "GET") != 0) {
+    addHeader("Content-Type: application/json");
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method_);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body_.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body_.size()));
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
+  curl_multi_add_handle(static_cast<CURLM*>(multi_), easy);
+  active_.emplace(&transfer, std::move(aTransfer));
+}
+
+void
+HttpMulti::Finish(Transfer& aTransfer, int aCode)
+{
+  const auto found = active_.find(&aTransfer);
+  const std::unique_ptr<Transfer> transfer = std::move(found->second);
+  active_.erase(found);
+  HttpReply reply;
+  if (aCode == CURLE_OK) {
+    reply.outcome_ = HttpOutcome::Answered;
+    curl_easy_getinfo(transfer->easy_, CURLINFO_RESPONSE_CODE, &reply.status_);
+    reply.body_ = std::move(transfer->body_);
+  } else {
+    reply.outcome_ = transfer->WasSent() ? HttpOutcome::Unknown : HttpOutcome::NotSent;
+  }
+  curl_multi_remove_handle(static_cast<CURLM*>(multi_), transfer->easy_);
+  curl_slist_free_all(transfer->headers_);
+  if (idle_.size() < kMaxIdleHandles) {
+    idle_.push_back(transfer->easy_);
+  } else {
+    curl_easy_cleanup(transfer->easy_);
+  }
+  const std::string authority = transfer->call_.authority_;
+  --lanes_[authority].active_;
+  Advance(authority);
+  transfer->done_(reply);
+}
+
+void
+HttpMulti::Advance(const std::string& aAuthority)
+{
+  const auto found = lanes_.find(aAuthority);
+  Lane& lane = found->second;
+  if (lane.waiting_.empty()) {
+    if (lane.active_ == 0) {
+      lanes_.erase(found);
+    }
+    return;
+  }
+  std::unique_ptr<Transfer> next = std::move(lane.waiting_.front());
+  lane.waiting_.pop_front();
+  Begin(std::move(next));
+}
+
+void
+HttpMulti::Run(std::chrono::milliseconds aWait)
+{
+  auto* multi = static_cast<CURLM*>(multi_);
+  int running = 0;
+  curl_multi_perform(multi, &running);
+  int left = 0;
+  bool finished = false;
+  std::vector<std::pair<Transfer*, int>> ended;
+  while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    Transfer* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    ended.emplace_back(transfer, message->data.result);
+    finished = true;
+  }
+  for (const auto& [transfer, code] : ended) {
+    Finish(*transfer, code);
+  }
+  if (!finished && aWait > std::chrono::milliseconds(0)) {
+    curl_multi_poll(multi, nullptr, 0, static_cast<int>(aWait.count()), nullptr);
+  }
+}
+
+void
+HttpMulti::Wake()
+{
+  curl_multi_wakeup(static_cast<CURLM*>(multi_));
+}
+
+}
--- /dev/null
+++ b/src/job.cpp
@@ -0,0 +1,43 @@
+#include "sardinespoke/job.h"
+
+#include <charconv>
+
+namespace sardinespoke {
+
+namespace {
+
+bool
+TakeNumber(const char*& aBegin, const char* aEnd, uint32_t& aNumber)
+{
+  if (aBegin == aEnd || *aBegin != '.') {
+    return false;
+  }
+  const auto [next, error] = std::from_chars(aBegin + 1, aEnd, aNumber);
+  aBegin = next;
+  return error == std::errc();
+}
+
+}
+
+std::string
+TaskId::Text() const
+{
+  return job_ + "." + std::to_string(occurrence_) + "." + std::to_string(step_) + "." +
+         std::to_string(index_);
+}
+
+bool
+TaskId::Parse(const std::string& aText, TaskId& aId)
+{
+  const size_t dot = aText.find('.');
+  if (dot == std::string::npos) {
+    return false;
+  }
+  aId.job_ = aText.substr(0, dot);
+  const char* begin = aText.data() + dot;
+  const char* end = aText.data() + aText.size();
+  return TakeNumber(begin, end, aId.occurrence_) && TakeNumber(begin, end, aId.step_) &&
+         TakeNumber(begin, end, aId.index_) && begin == end;
+}
+
+}
--- /dev/null
+++ b/src/job_control.cpp
@@ -0,0 +1,559 @@
+#include "sardinespoke/job_control.h"
+
+#include "sardinespoke/job_record.h"
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How often occurrences, stuck runs, throttles and hosts are looked after.
+constexpr milliseconds kSlowPeriod{ 100 };
+// How soon waiting tasks are looked at again without a change.
+constexpr milliseconds kSchedulePeriod{ 250 };
+// Watches: short enough that a silent connection is noticed within the bound for configuration.
+constexpr milliseconds kRegistryWait{ 1000 };
+constexpr milliseconds kRegistryGap{ 200 };
+constexpr milliseconds kOperatorWait{ 800 };
+constexpr milliseconds kRetryAfter{ 1000 };
+// A run without progress for this long and for this share of its expected time is stuck.
+constexpr milliseconds kStuckTime{ 1500 };
+// Fillers are stopped from using the processor when a serving task stays above its target.
+constexpr milliseconds kOverTarget{ 600 };
+constexpr uint32_t kFullThrottle = 100;
+
+/// What the store holds for a new owner.
+enum Part : size_t
+{
+  PartJobs,
+  PartProgress,
+  PartBackends,
+  PartJournal,
+  PartCount
+};
+
+JobAnswer
+Answer(JobAnswerKind aKind, const std::string& aMessage = "")
+{
+  JobAnswer answer;
+  answer.kind_ = aKind;
+  answer.message_ = aMessage;
+  answer.retryAfter_ = kRetryAfter;
+  return answer;
+}
+
+}
+
+JobControl::JobControl(RecordStoreI& aStore,
+                       BackendOrdersI& aOrders,
+                       const FleetFormatI& aFormat,
+                       const ClockI& aClock,
+                       Leadership& aLeadership,
+                       JobControlSettings aSettings)
+  : store_(aStore)
+  , orders_(aOrders)
+  , format_(aFormat)
+  , clock_(aClock)
+  , leadership_(aLeadership)
+  , settings_(std::move(aSettings))
+  , runs_(jobs_, backends_, aOrders, aClock, settings_.runs_, aLeadership.Fence())
+  , waitOrder_(durations_)
+  , scheduler_(jobs_, backends_, runs_, waitOrder_, aClock)
+  , journal_(aStore, aClock, jobs_, backends_, runs_, aLeadership)
+  , mover_(jobs_,
+           backends_,
+           runs_,
+           scheduler_,
+           journal_,
+           aOrders,
+           aFormat,
+           aClock,
+           aLeadership,
+           settings_.hosts_)
+  , registry_(aStore, aClock, FeedSettings{ aFormat.RegistryPrefix(), kRegistryWait, kRegistryGap })
+  , operator_(aStore,
+              aClock,
+              FeedSettings{ aFormat.OperatorPrefix(), kOperatorWait, milliseconds(0) })
+  , parts_(PartCount)
+{
+  runs_.OnEnd([this](const RunEvent& aEvent) {
+    const Job& job = jobs_.At(aEvent.task_.job_);
+    const StepSpec& spec = jobs_.SpecOf(aEvent.task_);
+    if (aEvent.kind_ == EndKind::Done && aEvent.lasted_ > milliseconds(0)) {
+      durations_.Observe(job.spec_.queue_, spec.estimate_, aEvent.lasted_);
+    }
+    if (aEvent.kind_ == EndKind::Done && !job.IsOver()) {
+      return;
+    }
+    Log(LogLevel::Info,
+        "run.ended",
+        { { "task", aEvent.run_.task_ },
+          { "run", aEvent.run_.run_ },
+          { "kind", static_cast<int>(aEvent.kind_) },
+          { "job_state", static_cast<int>(JobTable::StateOf(job)) },
+          { "backend", backends_.At(aEvent.backend_).entry_.id_ },
+          { "lasted_ms", aEvent.lasted_.count() } });
+  });
+  const std::string root = JobJournal::kPrefix;
+  Load(root + "job/", "", PartJobs);
+  Load(root + "progress/", "", PartProgress);
+  Load(root + "backend/", "", PartBackends);
+  Load(JobJournal::JournalKey(), "", PartJournal);
+}
+
+JobControl::~JobControl()
+{
+  journal_.Abandon();
+}
+
+void
+JobControl::Load(const std::string& aPrefix, const std::string& aAfter, size_t aPart)
+{
+  const std::weak_ptr<bool> alive = alive_;
+  store_.Range(aPrefix, aAfter, [this, alive, aPrefix, aAfter, aPart](const RecordReply& aReply) {
+    if (!alive.lock()) {
+      return;
+    }
+    if (aReply.outcome_ != RecordOutcome::Ok) {
+      if (leadership_.IsOwner()) {
+        Load(aPrefix, aAfter, aPart);
+      }
+      return;
+    }
+    OnLoaded(aPart, aReply);
+    if (aReply.more_ && !aReply.records_.empty()) {
+      Load(aPrefix, aReply.records_.back().key_, aPart);
+      return;
+    }
+    ++partsLoaded_;
+  });
+}
+
+void
+JobControl::OnLoaded(size_t aPart, const RecordReply& aReply)
+{
+  for (const Record& record : aReply.records_) {
+    parts_[aPart][record.key_] = record;
+  }
+}
+
+void
+JobControl::ReadParts()
+{
+  const TimePoint now = clock_.Now();
+  for (const auto& [key, record] : parts_[PartJobs]) {
+    JobSpec spec;
+    QueuePolicy policy;
+    int64_t accepted = 0;
+    if (!DecodeJob(record.value_, spec, policy, accepted)) {
+      Log(LogLevel::Error, "job.unreadable", { { "key", key } });
+      continue;
+    }
+    const std::string id = spec.id_;
+    const milliseconds age = std::max(wall_ - milliseconds(accepted), milliseconds(0));
+    const uint32_t index =
+      jobs_.Add(std::move(spec), std::move(policy), now - age, milliseconds(accepted));
+    Job& job = jobs_.At(index);
+    job.stored_ = true;
+    job.inherited_ = true;
+    jobs_.OpenDue(job, wall_);
+    const auto progress = parts_[PartProgress].find(JobJournal::ProgressKey(id));
+    if (progress != parts_[PartProgress].end() &&
+        !DecodeProgress(progress->second.value_, jobs_, index)) {
+      Log(LogLevel::Error, "job.progress_unreadable", { { "job", id } });
+    }
+    job.shown_ = JobTable::StateOf(job);
+    job.endedAt_ = now;
+  }
+  jobs_.TakeTouched();
+  for (const auto& [key, record] : parts_[PartBackends]) {
+    BackendEntry entry;
+    if (!DecodeBackend(record.value_, entry)) {
+      Log(LogLevel::Error, "backend.unreadable", { { "key", key } });
+      continue;
+    }
+    runs_.AddRecorded(entry);
+  }
+  const auto& journal = parts_[PartJournal];
+  const auto revision = journal.find(JobJournal::JournalKey());
+  journal_.SetRevision(revision == journal.end() ? 0 : revision->second.revision_);
+  Log(LogLevel::Info,
+      "owner.loaded",
+      { { "fence", leadership_.Fence() },
+        { "jobs", parts_[PartJobs].size() },
+        { "backends", parts_[PartBackends].size() } });
+  parts_.clear();
+  loaded_ = true;
+}
+
+bool
+JobControl::IsReady() const
+{
+  return loaded_ && config_.version_ != 0 && registry_.IsLoaded();
+}
+
+void
+JobControl::ReadOperator()
+{
+  rollouts_.clear();
+  for (const auto& [key, record] : operator_.All()) {
+    FleetConfig config;
+    RolloutRequest request;
+    if (format_.ReadConfig(record, config)) {
+      if (config.version_ > config_.version_) {
+        Log(LogLevel::Info,
+            "config.applied",
+            { { "version", config.version_ },
+              { "queues", config.queues_.size() },
+              { "revision", record.revision_ } });
+        config_ = std::move(config);
+      }
+      continue;
+    }
+    if (format_.ReadRollout(record, request)) {
+      rollouts_[request.number_] = request;
+      continue;
+    }
+    Log(LogLevel::Warn, "operator.unreadable", { { "key", key } });
+  }
+  for (const uint32_t index : jobs_.Open()) {
+    Job& job = jobs_.At(index);
+    for (const QueuePolicy& queue : config_.queues_) {
+      if (queue.name_ == job.spec_.queue_) {
+        job.policy_ = queue;
+      }
+    }
+  }
+}
+
+void
+JobControl::ReadRegistry()
+{
+  std::vector<BackendEntry> entries;
+  for (const auto& [key, record] : registry_.All()) {
+    BackendEntry entry;
+    if (format_.ReadBackend(record, entry)) {
+      entries.push_back(std::move(entry));
+      continue;
+    }
+    Log(LogLevel::Debug, "backend.entry_unusable", { { "key", key } });
+  }
+  runs_.ApplyRegistry(entries);
+}
+
+const QueuePolicy*
+JobControl::FindQueue(const std::string& aHost, const std::string& aPath) const
+{
+  const QueuePolicy* best = nullptr;
+  for (const QueuePolicy& queue : config_.queues_) {
+    if (queue.host_ != aHost || aPath.rfind(queue.prefix_, 0) != 0) {
+      continue;
+    }
+    if (!best || queue.prefix_.size() > best->prefix_.size()) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+JobAnswer
+JobControl::UnknownJob() const
+{
+  // Only the owner for certain knows that no other host has accepted it.
+  return leadership_.IsCertain()
+           ? Answer(JobAnswerKind::NoJob)
+           : Answer(JobAnswerKind::Refused, "the ownership of the pools is not confirmed");
+}
+
+JobAnswer
+JobControl::StateAnswer(const Job& aJob) const
+{
+  JobAnswer answer = Answer(JobAnswerKind::State);
+  const JobState now = JobTable::StateOf(aJob);
+  const bool isFinal = now != JobState::Queued && now != JobState::Running;
+  answer.state_ = now;
+  if (isFinal && aJob.shown_ != now) {
+    answer.state_ = JobState::Running;
+  }
+  return answer;
+}
+
+void
+JobControl::Handle(const JobCall& aCall, AnswerCall aAnswer)
+{
+  const QueuePolicy* queue = FindQueue(aCall.host_, aCall.path_);
+  if (!queue) {
+    aAnswer(Answer(JobAnswerKind::NoQueue));
+    return;
+  }
+  const std::string id = aCall.path_.substr(queue->prefix_.size());
+  if (aCall.kind_ == JobCallKind::Submit) {
+    Submit(aCall, *queue, std::move(aAnswer));
+    return;
+  }
+  if (id.empty()) {
+    JobAnswer answer = Answer(JobAnswerKind::Pending);
+    answer.pending_ = jobs_.Pending(queue->name_);
+    aAnswer(answer);
+    return;
+  }
+  Job* job = jobs_.Find(id);
+  if (!job) {
+    aAnswer(UnknownJob());
+    return;
+  }
+  if (!job->stored_) {
+    aAnswer(Answer(JobAnswerKind::Unknown, "the job is being stored"));
+    return;
+  }
+  if (aCall.kind_ == JobCallKind::State) {
+    aAnswer(StateAnswer(*job));
+    return;
+  }
+  TaskRef ref;
+  jobs_.Locate(TaskId{ id, 0, 0, 0 }, ref);
+  Cancel(ref.job_, std::move(aAnswer));
+}
+
+void
+JobControl::Submit(const JobCall& aCall, const QueuePolicy& aQueue, AnswerCall aAnswer)
+{
+  const std::string id = aCall.path_.substr(aQueue.prefix_.size());
+  constexpr size_t kIdLength = 16;
+  const bool isHex = id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+  if (!aCall.problem_.empty() || id.size() != kIdLength || !isHex) {
+    aAnswer(Answer(JobAnswerKind::Invalid,
+                   aCall.problem_.empty() ? "a job id has 16 hexadecimal digits" : aCall.problem_));
+    return;
+  }
+  Job* known = jobs_.Find(id);
+  if (known && known->stored_) {
+    aAnswer(Answer(JobAnswerKind::Accepted));
+    return;
+  }
+  if (known || !leadership_.MayOrder() || journal_.IsStalled()) {
+    aAnswer(
+      Answer(known ? JobAnswerKind::Unknown : JobAnswerKind::Refused, "the store does not answer"));
+    return;
+  }
+  JobSpec spec = aCall.spec_;
+  spec.id_ = id;
+  spec.queue_ = aQueue.name_;
+  const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
+  jobs_.OpenDue(jobs_.At(index), wall_);
+  journal_.Submit(index, [this, index, id, aAnswer](JournalOutcome aOutcome) {
+    Log(LogLevel::Info,
+        "job.submitted",
+        { { "job", id },
+          { "queue", jobs_.At(index).spec_.queue_ },
+          { "stored", static_cast<int>(aOutcome) } });
+    if (aOutcome == JournalOutcome::Stored) {
+      nextSchedule_ = TimePoint{};
+      aAnswer(Answer(JobAnswerKind::Accepted));
+      return;
+    }
+    if (aOutcome == JournalOutcome::NotStored) {
+      jobs_.Remove(index);
+      aAnswer(Answer(JobAnswerKind::Refused, "the store does not answer"));
+      return;
+    }
+    aAnswer(Answer(JobAnswerKind::Unknown, "the store has not confirmed the job"));
+  });
+}
+
+void
+JobControl::Cancel(uint32_t aJob, AnswerCall aAnswer)
+{
+  Job& job = jobs_.At(aJob);
+  if (job.IsOver() && job.shown_ == JobTable::StateOf(job)) {
+    aAnswer(Answer(JobAnswerKind::Cancelled));
+    return;
+  }
+  if (!job.IsOver()) {
+    job.cancelled_ = true;
+    job.endedAt_ = clock_.Now();
+    runs_.StopJob(aJob);
+    Log(LogLevel::Info, "job.cancelled", { { "job", job.spec_.id_ } });
+  }
+  jobs_.Touch(aJob);
+  journal_.AfterStored(aJob, [aAnswer](JournalOutcome aOutcome) {
+    aAnswer(aOutcome == JournalOutcome::Stored
+              ? Answer(JobAnswerKind::Cancelled)
+              : Answer(JobAnswerKind::Unknown, "the store has not confirmed the cancellation"));
+  });
+}
+
+void
+JobControl::WatchStuckRuns()
+{
+  const TimePoint now = clock_.Now();
+  for (const BackendHandle handle : backends_.Live()) {
+    Backend& backend = backends_.At(handle);
+    if (backend.looksFailed_ > 0) {
+      continue;
+    }
+    for (BackendRun& run : backend.runs_) {
+      if (!run.task_ || run.phase_ != RunPhase::Running || run.serves_ || run.fills_ ||
+          jobs_.SpecOf(*run.task_).lasting_) {
+        continue;
+      }
+      const Job& job = jobs_.At(run.task_->job_);
+      const auto expected =
+        durations_.Expected(job, jobs_.StepOf(*run.task_), run.task_->step_) / 2;
+      // Progress is read with each look; only what a look after that time confirms counts.
+      const auto still = backend.answeredLookSent_ - run.progressAt_;
+      if (still < std::max(kStuckTime, milliseconds(expected))) {
+        continue;
+      }
+      Log(LogLevel::Info,
+          "run.stuck",
+          { { "task", run.id_.task_ },
+            { "backend", backend.entry_.id_ },
+            { "percent", run.percent_ } });
+      jobs_.At(*run.task_).avoid_ = handle;
+      backend.shunnedUntil_ = now + milliseconds(3000);
+      runs_.Stop(handle, run);
+    }
+  }
+}
+
+void
+JobControl::ThrottleFillers(BackendHandle aBackend, uint32_t aPercent)
+{
+  Backend& backend = backends_.At(aBackend);
+  for (BackendRun& run : backend.runs_) {
+    if (!run.fills_ || run.throttle_ == aPercent || run.phase_ != RunPhase::Running) {
+      continue;
+    }
+    run.throttle_ = aPercent;
+    Log(LogLevel::Info,
+        "run.throttled",
+        { { "task", run.id_.task_ }, { "backend", backend.entry_.id_ }, { "percent", aPercent } });
+    const RunId id = run.id_;
+    const std::weak_ptr<bool> alive = alive_;
+    orders_.Throttle(ThrottleOrder{ backend.Address(), id, aPercent, leadership_.Fence() },
+                     [this, alive, aBackend, id](const OrderResult& aResult) {
+                       if (!alive.lock() || aResult.outcome_ == OrderOutcome::Done) {
+                         return;
+                       }
+                       // Sent again with the next judgement.
+                       if (BackendRun* sent = backends_.At(aBackend).FindRun(id)) {
+                         sent->throttle_ = kFullThrottle + 1;
+                       }
+                     });
+  }
+}
+
+void
+JobControl::Throttle()
+{
+  const TimePoint now = clock_.Now();
+  for (const BackendHandle handle : backends_.Live()) {
+    Backend& backend = backends_.At(handle);
+    bool hasFiller = false;
+    bool disturbed = false;
+    for (BackendRun& run : backend.runs_) {
+      hasFiller = hasFiller || run.fills_;
+      if (!run.serves_ || !run.task_) {
+        continue;
+      }
+      const bool over = run.load_ > jobs_.SpecOf(*run.task_).latencyTarget_.count();
+      if (over && !run.overTarget_) {
+        run.overTargetSince_ = now;
+      }
+      run.overTarget_ = over;
+      disturbed = disturbed || (over && now - run.overTargetSince_ >= kOverTarget);
+    }
+    if (hasFiller && disturbed) {
+      ThrottleFillers(handle, 0);
+    }
+  }
+}
+
+void
+JobControl::ForgetEnded()
+{
+  const TimePoint now = clock_.Now();
+  for (uint32_t index = 0; index < jobs_.Jobs().size(); ++index) {
+    const Job* job = jobs_.Jobs()[index].get();
+    if (!job || !job->IsOver() || !job->stored_ || job->touched_ ||
+        job->shown_ != JobTable::StateOf(*job) || now - job->endedAt_ < settings_.keepEnded_) {
+      continue;
+    }
+    const bool active = std::any_of(
+      job->occurrences_.begin(), job->occurrences_.end(), [](const Occurrence& aOccurrence) {
+        return std::any_of(aOccurrence.steps_.begin(),
+                           aOccurrence.steps_.end(),
+                           [](const Step& aStep) { return aStep.active_ > 0; });
+      });
+    if (active || !journal_.IsIdle()) {
+      continue;
+    }
+    journal_.Delete(JobJournal::JobKey(job->spec_.id_));
+    journal_.Delete(JobJournal::ProgressKey(job->spec_.id_));
+    jobs_.Remove(index);
+  }
+}
+
+void
+JobControl::Tick(milliseconds aWall)
+{
+  wall_ = aWall;
+  registry_.Tick();
+  operator_.Tick();
+  if (!loaded_) {
+    if (partsLoaded_ < PartCount || !registry_.IsLoaded()) {
+      return;
+    }
+    ReadParts();
+  }
+  if (operator_.TakeChanged()) {
+    ReadOperator();
+  }
+  if (registry_.TakeChanged()) {
+    ReadRegistry();
+  }
+  if (!leadership_.MayOrder()) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  if (now >= nextSlow_) {
+    nextSlow_ = now + kSlowPeriod;
+    for (const uint32_t index : jobs_.Open()) {
+      jobs_.OpenDue(jobs_.At(index), wall_);
+    }
+    WatchStuckRuns();
+    Throttle();
+    mover_.Tick(config_, rollouts_);
+    ForgetEnded();
+  }
+  const bool changed = runs_.TakeChanged();
+  if (changed || now >= nextSchedule_) {
+    nextSchedule_ = now + kSchedulePeriod;
+    scheduler_.Run();
+  }
+  runs_.Tick();
+  journal_.Tick();
+  if (runs_.IsFenced()) {
+    leadership_.Lose("a backend server has seen a higher fence");
+  }
+}
+
+TimePoint
+JobControl::NextDue() const
+{
+  TimePoint due = std::min(registry_.NextDue(), operator_.NextDue());
+  if (!loaded_) {
+    return due;
+  }
+  due = std::min({ due, nextSlow_, nextSchedule_, runs_.NextDue(), journal_.NextDue() });
+  return due;
+}
+
+}
--- /dev/null
+++ b/src/job_journal.cpp
@@ -0,0 +1,380 @@
+#include "sardinespoke/job_journal.h"
+
+#include "sardinespoke/job_record.h"
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The store accepts 32 entries in a change; three are the owner's record and the journal's.
+constexpr size_t kEntriesPerChange = 29;
+// Progress that nobody waits for is written this long after its first change.
+constexpr milliseconds kProgressDelay{ 120 };
+constexpr milliseconds kRetryDelay{ 60 };
+// A change without an answer for this long means that the store is away.
+constexpr milliseconds kStallLimit{ 500 };
+// How long a caller waits for the store before it hears that the outcome is unknown.
+constexpr milliseconds kWaiterLimit{ 1500 };
+
+}
+
+JobJournal::JobJournal(RecordStoreI& aStore,
+                       const ClockI& aClock,
+                       JobTable& aJobs,
+                       BackendTable& aBackends,
+                       RunTracker& aRuns,
+                       Leadership& aLeadership)
+  : store_(aStore)
+  , clock_(aClock)
+  , jobs_(aJobs)
+  , backends_(aBackends)
+  , runs_(aRuns)
+  , leadership_(aLeadership)
+{
+}
+
+std::string
+JobJournal::JobKey(const std::string& aId)
+{
+  return std::string(kPrefix) + "job/" + aId;
+}
+
+std::string
+JobJournal::ProgressKey(const std::string& aId)
+{
+  return std::string(kPrefix) + "progress/" + aId;
+}
+
+std::string
+JobJournal::BackendKey(const std::string& aId)
+{
+  return std::string(kPrefix) + "backend/" + aId;
+}
+
+std::string
+JobJournal::JournalKey()
+{
+  return std::string(kPrefix) + "journal";
+}
+
+void
+JobJournal::Submit(uint32_t aJob, Done aDone)
+{
+  submitted_.push_back(aJob);
+  waiters_.push_back(Waiter{ aJob, std::move(aDone), clock_.Now(), true });
+}
+
+void
+JobJournal::AfterStored(uint32_t aJob, Done aDone)
+{
+  waiters_.push_back(Waiter{ aJob, std::move(aDone), clock_.Now(), false });
+}
+
+void
+JobJournal::Write(RecordWrite aWrite)
+{
+  writes_.push_back(std::move(aWrite));
+}
+
+void
+JobJournal::Delete(const std::string& aKey)
+{
+  deletes_.push_back(aKey);
+}
+
+bool
+JobJournal::IsStalled() const
+{
+  const TimePoint now = clock_.Now();
+  return (inFlight_ && now - sentAt_ > kStallLimit) ||
+         (failing_ && now - failingSince_ > kStallLimit);
+}
+
+bool
+JobJournal::IsIdle() const
+{
+  return !hasBatch_ && waiters_.empty() && progress_.empty() && writes_.empty();
+}
+
+bool
+JobJournal::IsUrgent() const
+{
+  if (!submitted_.empty() || !writes_.empty() || !waiters_.empty()) {
+    return true;
+  }
+  const bool over = std::any_of(progress_.begin(), progress_.end(), [this](uint32_t aJob) {
+    const Job& job = jobs_.At(aJob);
+    return job.IsOver() && job.shown_ != JobTable::StateOf(job);
+  });
+  return over || (dirty_ && clock_.Now() - dirtySince_ >= kProgressDelay);
+}
+
+size_t
+JobJournal::Room(const Batch& aBatch) const
+{
+  const size_t used = aBatch.jobs_.size() + aBatch.progress_.size() + aBatch.recorded_.size() +
+                      aBatch.writes_.size() + aBatch.deletes_.size();
+  return kEntriesPerChange - std::min(kEntriesPerChange, used);
+}
+
+void
+JobJournal::Gather()
+{
+  for (const uint32_t job : jobs_.TakeTouched()) {
+    if (std::find(progress_.begin(), progress_.end(), job) == progress_.end()) {
+      progress_.push_back(job);
+    }
+  }
+  const bool unrecorded =
+    std::any_of(backends_.Live().begin(), backends_.Live().end(), [this](BackendHandle aBackend) {
+      return backends_.At(aBackend).listed_ && !backends_.At(aBackend).recorded_;
+    });
+  const bool dirty =
+    !progress_.empty() || unrecorded || !runs_.EndsApplied().empty() || !deletes_.empty();
+  if (dirty && !dirty_) {
+    dirtySince_ = clock_.Now();
+  }
+  dirty_ = dirty;
+}
+
+void
+JobJournal::Send()
+{
+  Batch batch;
+  const auto take = [&](auto& aFrom, auto aInto) {
+    const size_t count = std::min(aFrom.size(), Room(batch));
+    for (size_t index = 0; index < count; ++index) {
+      aInto(aFrom[index]);
+    }
+    aFrom.erase(aFrom.begin(), aFrom.begin() + static_cast<ptrdiff_t>(count));
+  };
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (backend.listed_ && !backend.recorded_ && Room(batch) > 0) {
+      batch.recorded_.push_back(handle);
+    }
+  }
+  take(submitted_, [&](uint32_t aJob) { batch.jobs_.push_back(aJob); });
+  take(progress_, [&](uint32_t aJob) {
+    batch.progress_.push_back(aJob);
+    batch.shown_.push_back(JobTable::StateOf(jobs_.At(aJob)));
+  });
+  take(writes_, [&](RecordWrite& aWrite) { batch.writes_.push_back(std::move(aWrite)); });
+  take(deletes_, [&](std::string& aKey) { batch.deletes_.push_back(std::move(aKey)); });
+  if (progress_.empty()) {
+    batch.ends_ = runs_.EndsApplied();
+  }
+  batch_ = std::move(batch);
+  hasBatch_ = true;
+  dirty_ = false;
+  Commit();
+}
+
+void
+JobJournal::Commit()
+{
+  RecordChange change;
+  change.expect_.push_back(leadership_.Claim());
+  change.expect_.push_back(RecordExpectation{ JournalKey(), revision_ });
+  change.writes_.push_back(RecordWrite{ JournalKey(), "" });
+  for (const uint32_t job : batch_.jobs_) {
+    change.writes_.push_back(
+      RecordWrite{ JobKey(jobs_.At(job).spec_.id_), EncodeJob(jobs_.At(job)) });
+  }
+  for (size_t index = 0; index < batch_.progress_.size(); ++index) {
+    const Job& job = jobs_.At(batch_.progress_[index]);
+    batch_.shown_[index] = JobTable::StateOf(job);
+    change.writes_.push_back(RecordWrite{ ProgressKey(job.spec_.id_), EncodeProgress(job) });
+  }
+  for (const BackendHandle handle : batch_.recorded_) {
+    const BackendEntry& entry = backends_.At(handle).entry_;
+    change.writes_.push_back(RecordWrite{ BackendKey(entry.id_), EncodeBackend(entry) });
+  }
+  change.writes_.insert(change.writes_.end(), batch_.writes_.begin(), batch_.writes_.end());
+  change.deletes_ = batch_.deletes_;
+  for (Waiter& waiter : waiters_) {
+    const auto& carried = waiter.isSubmission_ ? batch_.jobs_ : batch_.progress_;
+    waiter.sent_ =
+      waiter.sent_ || std::find(carried.begin(), carried.end(), waiter.job_) != carried.end();
+  }
+  inFlight_ = true;
+  sentAt_ = clock_.Now();
+  const std::weak_ptr<bool> alive = alive_;
+  store_.Change(change, [this, alive](const RecordReply& aReply) {
+    if (alive.lock()) {
+      OnChanged(aReply);
+    }
+  });
+}
+
+void
+JobJournal::OnChanged(const RecordReply& aReply)
+{
+  inFlight_ = false;
+  if (aReply.outcome_ == RecordOutcome::Conflict) {
+    for (const Record& record : aReply.records_) {
+      const bool isJournal = record.key_ == JournalKey();
+      if (!isJournal && record.revision_ != leadership_.Fence()) {
+        leadership_.Lose("a change was refused: the leader's record differs");
+        return;
+      }
+      if (isJournal) {
+        revision_ = record.revision_;
+      }
+    }
+    Retry(false);
+    return;
+  }
+  if (aReply.outcome_ != RecordOutcome::Ok) {
+    uncertain_ = uncertain_ || aReply.outcome_ != RecordOutcome::Refused;
+    if (!uncertain_) {
+      Unsend();
+    }
+    Retry(true);
+    return;
+  }
+  failing_ = false;
+  uncertain_ = false;
+  revision_ = aReply.revision_;
+  hasBatch_ = false;
+  for (const uint32_t job : batch_.jobs_) {
+    jobs_.At(job).stored_ = true;
+  }
+  for (size_t index = 0; index < batch_.progress_.size(); ++index) {
+    jobs_.At(batch_.progress_[index]).shown_ = batch_.shown_[index];
+  }
+  for (const BackendHandle handle : batch_.recorded_) {
+    backends_.At(handle).recorded_ = true;
+  }
+  runs_.EndsStored(batch_.ends_);
+  std::vector<Waiter> done;
+  std::vector<Waiter> left;
+  for (Waiter& waiter : waiters_) {
+    const auto& carried = waiter.isSubmission_ ? batch_.jobs_ : batch_.progress_;
+    const bool here = std::find(carried.begin(), carried.end(), waiter.job_) != carried.end();
+    (here ? done : left).push_back(std::move(waiter));
+  }
+  waiters_ = std::move(left);
+  for (const Waiter& waiter : done) {
+    if (!waiter.answered_) {
+      waiter.done_(JournalOutcome::Stored);
+    }
+  }
+}
+
+void
+JobJournal::Retry(bool aMayHaveChanged)
+{
+  if (aMayHaveChanged) {
+    if (!failing_) {
+      failingSince_ = sentAt_;
+      Log(LogLevel::Warn, "journal.unanswered", { { "waiters", waiters_.size() } });
+    }
+    failing_ = true;
+  }
+  next_ = clock_.Now() + (aMayHaveChanged ? kRetryDelay : milliseconds(0));
+}
+
+void
+JobJournal::Unsend()
+{
+  const auto giveBack = [](auto& aTo, auto& aFrom) {
+    aTo.insert(aTo.begin(), aFrom.begin(), aFrom.end());
+  };
+  for (Waiter& waiter : waiters_) {
+    const auto& carried = waiter.isSubmission_ ? batch_.jobs_ : batch_.progress_;
+    if (std::find(carried.begin(), carried.end(), waiter.job_) != carried.end()) {
+      waiter.sent_ = false;
+    }
+  }
+  giveBack(submitted_, batch_.jobs_);
+  giveBack(progress_, batch_.progress_);
+  giveBack(writes_, batch_.writes_);
+  giveBack(deletes_, batch_.deletes_);
+  hasBatch_ = false;
+}
+
+void
+JobJournal::ExpireWaiters()
+{
+  const TimePoint now = clock_.Now();
+  const bool stalled = IsStalled();
+  std::vector<Waiter> left;
+  std::vector<Waiter> refused;
+  for (Waiter& waiter : waiters_) {
+    if (!waiter.sent_ && waiter.isSubmission_ && stalled) {
+      submitted_.erase(std::remove(submitted_.begin(), submitted_.end(), waiter.job_),
+                       submitted_.end());
+      refused.push_back(std::move(waiter));
+      continue;
+    }
+    if (!waiter.answered_ && now - waiter.since_ > kWaiterLimit) {
+      waiter.answered_ = true;
+      waiter.done_(JournalOutcome::Unknown);
+    }
+    left.push_back(std::move(waiter));
+  }
+  waiters_ = std::move(left);
+  for (const Waiter& waiter : refused) {
+    if (!waiter.answered_) {
+      waiter.done_(JournalOutcome::NotStored);
+    }
+  }
+}
+
+void
+JobJournal::Abandon()
+{
+  std::vector<Waiter> waiters;
+  waiters.swap(waiters_);
+  for (const Waiter& waiter : waiters) {
+    if (!waiter.answered_) {
+      waiter.done_(waiter.sent_ || !waiter.isSubmission_ ? JournalOutcome::Unknown
+                                                         : JournalOutcome::NotStored);
+    }
+  }
+}
+
+void
+JobJournal::Tick()
+{
+  if (!leadership_.IsOwner()) {
+    return;
+  }
+  Gather();
+  if (!waiters_.empty()) {
+    ExpireWaiters();
+  }
+  if (inFlight_ || clock_.Now() < next_) {
+    return;
+  }
+  if (hasBatch_) {
+    Commit();
+    return;
+  }
+  if (IsUrgent()) {
+    Send();
+  }
+}
+
+TimePoint
+JobJournal::NextDue() const
+{
+  if (inFlight_) {
+    return waiters_.empty() ? TimePoint::max() : sentAt_ + kStallLimit;
+  }
+  TimePoint due = dirty_ ? dirtySince_ + kProgressDelay : TimePoint::max();
+  if (hasBatch_) {
+    due = std::min(due, next_);
+  }
+  return due;
+}
+
+}
--- /dev/null
+++ b/src/job_record.cpp
@@ -0,0 +1,249 @@
+#include "sardinespoke/job_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace sardinespoke {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json
+EncodeStep(const StepSpec& aStep)
+{
+  return json{ { "count", aStep.taskCount_ },
+               { "cpu_milli", aStep.cpuMilli_ },
+               { "memory_mb", aStep.memoryMb_ },
+               { "accelerators", aStep.accelerators_ },
+               { "estimate_ms", aStep.estimate_.count() },
+               { "after", aStep.after_ },
+               { "checkpointing", aStep.checkpointing_ },
+               { "gang", aStep.gang_ },
+               { "same_rack", aStep.sameRack_ },
+               { "label", aStep.requiredLabel_ },
+               { "data_rack", aStep.dataRack_ },
+               { "max_per_server", aStep.maxPerServer_ },
+               { "speculative", aStep.speculative_ },
+               { "lasting", aStep.lasting_ },
+               { "image", aStep.image_ },
+               { "latency_target_ms", aStep.latencyTarget_.count() },
+               { "fills_idle", aStep.fillsIdle_ },
+               { "may_miss", aStep.mayMiss_ } };
+}
+
+StepSpec
+DecodeStep(const json& aStep)
+{
+  StepSpec step;
+  aStep.at("count").get_to(step.taskCount_);
+  aStep.at("cpu_milli").get_to(step.cpuMilli_);
+  aStep.at("memory_mb").get_to(step.memoryMb_);
+  aStep.at("accelerators").get_to(step.accelerators_);
+  step.estimate_ = milliseconds(aStep.at("estimate_ms").get<int64_t>());
+  aStep.at("after").get_to(step.after_);
+  aStep.at("checkpointing").get_to(step.checkpointing_);
+  aStep.at("gang").get_to(step.gang_);
+  aStep.at("same_rack").get_to(step.sameRack_);
+  aStep.at("label").get_to(step.requiredLabel_);
+  aStep.at("data_rack").get_to(step.dataRack_);
+  aStep.at("max_per_server").get_to(step.maxPerServer_);
+  aStep.at("speculative").get_to(step.speculative_);
+  aStep.at("lasting").get_to(step.lasting_);
+  aStep.at("image").get_to(step.image_);
+  step.latencyTarget_ = milliseconds(aStep.at("latency_target_ms").get<int64_t>());
+  aStep.at("fills_idle").get_to(step.fillsIdle_);
+  aStep.at("may_miss").get_to(step.mayMiss_);
+  return step;
+}
+
+json
+EncodePolicy(const QueuePolicy& aPolicy)
+{
+  return json{
+    { "name", aPolicy.name_ },         { "service", aPolicy.service_ },
+    { "priority", aPolicy.priority_ }, { "max_attempts", aPolicy.maxAttempts_ },
+    { "stretch", aPolicy.stretch_ },   { "latency_target_ms", aPolicy.latencyTarget_.count() },
+    { "advised", aPolicy.advised_ }
+  };
+}
+
+QueuePolicy
+DecodePolicy(const json& aPolicy)
+{
+  QueuePolicy policy;
+  aPolicy.at("name").get_to(policy.name_);
+  aPolicy.at("service").get_to(policy.service_);
+  aPolicy.at("priority").get_to(policy.priority_);
+  aPolicy.at("max_attempts").get_to(policy.maxAttempts_);
+  aPolicy.at("stretch").get_to(policy.stretch_);
+  policy.latencyTarget_ = milliseconds(aPolicy.at("latency_target_ms").get<int64_t>());
+  aPolicy.at("advised").get_to(policy.advised_);
+  return policy;
+}
+
+/// Runs a decoder; a text of another form makes it throw.
+bool
+Decoded(const std::string& aText, const std::function<void(const json&)>& aDecode)
+{
+  try {
+    aDecode(json::parse(aText));
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+}
+
+std::string
+EncodeJob(const Job& aJob)
+{
+  json steps = json::array();
+  for (const StepSpec& step : aJob.spec_.steps_) {
+    steps.push_back(EncodeStep(step));
+  }
+  return json{
+    { "id", aJob.spec_.id_ },
+    { "payload", aJob.spec_.payload_ },
+    { "steps", std::move(steps) },
+    { "first_due_ms", aJob.spec_.firstDue_.count() },
+    { "interval_ms", aJob.spec_.interval_.count() },
+    { "repeats", aJob.spec_.repeats_ },
+    { "queue", EncodePolicy(aJob.policy_) },
+    { "accepted_ms", aJob.acceptedWall_.count() }
+  }.dump();
+}
+
+bool
+DecodeJob(const std::string& aText, JobSpec& aSpec, QueuePolicy& aPolicy, int64_t& aAcceptedWallMs)
+{
+  return Decoded(aText, [&](const json& aRecord) {
+    aRecord.at("id").get_to(aSpec.id_);
+    aRecord.at("payload").get_to(aSpec.payload_);
+    for (const json& step : aRecord.at("steps")) {
+      aSpec.steps_.push_back(DecodeStep(step));
+    }
+    aSpec.firstDue_ = milliseconds(aRecord.at("first_due_ms").get<int64_t>());
+    aSpec.interval_ = milliseconds(aRecord.at("interval_ms").get<int64_t>());
+    aRecord.at("repeats").get_to(aSpec.repeats_);
+    aPolicy = DecodePolicy(aRecord.at("queue"));
+    aSpec.queue_ = aPolicy.name_;
+    aRecord.at("accepted_ms").get_to(aAcceptedWallMs);
+  });
+}
+
+std::string
+EncodeProgress(const Job& aJob)
+{
+  json done = json::array();
+  json failed = json::array();
+  json checkpoints = json::array();
+  for (uint32_t occurrence = 0; occurrence < aJob.occurrences_.size(); ++occurrence) {
+    const auto& steps = aJob.occurrences_[occurrence].steps_;
+    for (uint32_t step = 0; step < steps.size(); ++step) {
+      json finished = json::array();
+      for (uint32_t index = 0; index < steps[step].tasks_.size(); ++index) {
+        const Task& task = steps[step].tasks_[index];
+        if (task.phase_ == TaskPhase::Done) {
+          finished.push_back(index);
+        }
+        if (!task.failedRuns_.empty()) {
+          failed.push_back({ occurrence, step, index, task.failedRuns_ });
+        }
+        if (!task.checkpoint_.empty()) {
+          checkpoints.push_back({ occurrence, step, index, task.checkpoint_ });
+        }
+      }
+      if (!finished.empty()) {
+        done.push_back({ occurrence, step, std::move(finished) });
+      }
+    }
+  }
+  return json{
+    { "id", aJob.spec_.id_ },
+    { "started", aJob.started_ },
+    { "cancelled", aJob.cancelled_ },
+    { "failed", aJob.failed_ },
+    { "done", std::move(done) },
+    { "failed_runs", std::move(failed) },
+    { "checkpoints", std::move(checkpoints) }
+  }.dump();
+}
+
+bool
+DecodeProgress(const std::string& aText, JobTable& aTable, uint32_t aJob)
+{
+  Job& job = aTable.At(aJob);
+  return Decoded(aText, [&](const json& aRecord) {
+    const auto locate = [&](const json& aRow, const json& aIndex) {
+      TaskRef ref;
+      const TaskId id{ job.spec_.id_,
+                       aRow.at(0).get<uint32_t>(),
+                       aRow.at(1).get<uint32_t>(),
+                       aIndex.get<uint32_t>() };
+      return aTable.Locate(id, ref) ? std::optional<TaskRef>(ref) : std::nullopt;
+    };
+    for (const json& row : aRecord.at("done")) {
+      for (const json& index : row.at(2)) {
+        if (const auto ref = locate(row, index)) {
+          aTable.Finish(*ref, job.accepted_);
+        }
+      }
+    }
+    for (const json& row : aRecord.at("failed_runs")) {
+      if (const auto ref = locate(row, row.at(2))) {
+        row.at(3).get_to(aTable.At(*ref).failedRuns_);
+      }
+    }
+    for (const json& row : aRecord.at("checkpoints")) {
+      if (const auto ref = locate(row, row.at(2))) {
+        row.at(3).get_to(aTable.At(*ref).checkpoint_);
+      }
+    }
+    aRecord.at("started").get_to(job.started_);
+    aRecord.at("cancelled").get_to(job.cancelled_);
+    aRecord.at("failed").get_to(job.failed_);
+  });
+}
+
+std::string
+EncodeBackend(const BackendEntry& aEntry)
+{
+  return json{
+    { "id", aEntry.id_ },
+    { "service", aEntry.service_ },
+    { "address", aEntry.address_ },
+    { "zone", aEntry.zone_ },
+    { "host", aEntry.host_ },
+    { "rack", aEntry.rack_ },
+    { "labels", aEntry.labels_ },
+    { "cpu_milli", aEntry.capacity_.cpuMilli_ },
+    { "memory_mb", aEntry.capacity_.memoryMb_ },
+    { "accelerators", aEntry.capacity_.accelerators_ },
+    { "born_ms", aEntry.born_ }
+  }.dump();
+}
+
+bool
+DecodeBackend(const std::string& aText, BackendEntry& aEntry)
+{
+  return Decoded(aText, [&](const json& aRecord) {
+    aRecord.at("id").get_to(aEntry.id_);
+    aRecord.at("service").get_to(aEntry.service_);
+    aRecord.at("address").get_to(aEntry.address_);
+    aRecord.at("zone").get_to(aEntry.zone_);
+    aRecord.at("host").get_to(aEntry.host_);
+    aRecord.at("rack").get_to(aEntry.rack_);
+    aRecord.at("labels").get_to(aEntry.labels_);
+    aRecord.at("cpu_milli").get_to(aEntry.capacity_.cpuMilli_);
+    aRecord.at("memory_mb").get_to(aEntry.capacity_.memoryMb_);
+    aRecord.at("accelerators").get_to(aEntry.capacity_.accelerators_);
+    aRecord.at("born_ms").get_to(aEntry.born_);
+  });
+}
+
+}
--- /dev/null
+++ b/src/job_table.cpp
@@ -0,0 +1,286 @@
+#include "sardinespoke/job_table.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+bool
+Job::HasLasting() const
+{
+  return std::any_of(
+    spec_.steps_.begin(), spec_.steps_.end(), [](const StepSpec& aStep) { return aStep.lasting_; });
+}
+
+uint32_t
+JobTable::Add(JobSpec aSpec, QueuePolicy aPolicy, TimePoint aNow, std::chrono::milliseconds aWall)
+{
+  auto job = std::make_unique<Job>();
+  job->spec_ = std::move(aSpec);
+  job->policy_ = std::move(aPolicy);
+  job->accepted_ = aNow;
+  job->acceptedWall_ = aWall;
+  const auto index = static_cast<uint32_t>(jobs_.size());
+  byId_[job->spec_.id_] = index;
+  open_.push_back(index);
+  jobs_.push_back(std::move(job));
+  return index;
+}
+
+void
+JobTable::Remove(uint32_t aJob)
+{
+  byId_.erase(jobs_[aJob]->spec_.id_);
+  open_.erase(std::remove(open_.begin(), open_.end(), aJob), open_.end());
+  jobs_[aJob].reset();
+}
+
+Job*
+JobTable::Find(const std::string& aId)
+{
+  const auto found = byId_.find(aId);
+  return found == byId_.end() ? nullptr : jobs_[found->second].get();
+}
+
+Task&
+JobTable::At(const TaskRef& aRef)
+{
+  return StepOf(aRef).tasks_[aRef.index_];
+}
+
+const StepSpec&
+JobTable::SpecOf(const TaskRef& aRef) const
+{
+  return jobs_[aRef.job_]->spec_.steps_[aRef.step_];
+}
+
+Step&
+JobTable::StepOf(const TaskRef& aRef)
+{
+  return jobs_[aRef.job_]->occurrences_[aRef.occurrence_].steps_[aRef.step_];
+}
+
+TaskId
+JobTable::IdOf(const TaskRef& aRef) const
+{
+  return TaskId{ jobs_[aRef.job_]->spec_.id_, aRef.occurrence_, aRef.step_, aRef.index_ };
+}
+
+bool
+JobTable::Locate(const TaskId& aId, TaskRef& aRef)
+{
+  const auto found = byId_.find(aId.job_);
+  if (found == byId_.end()) {
+    return false;
+  }
+  Job& job = *jobs_[found->second];
+  if (aId.occurrence_ >= job.OccurrenceCount() || aId.step_ >= job.spec_.steps_.size() ||
+      aId.index_ >= job.spec_.steps_[aId.step_].taskCount_) {
+    return false;
+  }
+  while (job.occurrences_.size() <= aId.occurrence_) {
+    OpenOccurrence(job);
+  }
+  aRef = TaskRef{ found->second, aId.occurrence_, aId.step_, aId.index_ };
+  return true;
+}
+
+void
+JobTable::OpenOccurrence(Job& aJob)
+{
+  Occurrence occurrence;
+  for (const StepSpec& spec : aJob.spec_.steps_) {
+    Step step;
+    step.tasks_.resize(spec.taskCount_);
+    occurrence.steps_.push_back(std::move(step));
+  }
+  aJob.occurrences_.push_back(std::move(occurrence));
+}
+
+void
+JobTable::OpenDue(Job& aJob, std::chrono::milliseconds aWall)
+{
+  while (aJob.occurrences_.size() < aJob.OccurrenceCount()) {
+    const auto due =
+      aJob.spec_.firstDue_ + aJob.spec_.interval_ * static_cast<int64_t>(aJob.occurrences_.size());
+    if (aJob.spec_.repeats_ > 0 && due > aWall) {
+      return;
+    }
+    OpenOccurrence(aJob);
+  }
+}
+
+bool
+JobTable::IsReady(const Job& aJob, uint32_t aOccurrence, uint32_t aStep) const
+{
+  const auto& steps = aJob.occurrences_[aOccurrence].steps_;
+  const auto& after = aJob.spec_.steps_[aStep].after_;
+  return std::all_of(after.begin(), after.end(), [&steps](uint32_t aEarlier) {
+    return steps[aEarlier].done_ == steps[aEarlier].tasks_.size();
+  });
+}
+
+void
+JobTable::Activate(const TaskRef& aRef, int64_t aRun, BackendHandle aBackend, TimePoint aNow)
+{
+  Task& task = At(aRef);
+  Step& step = StepOf(aRef);
+  step.active_ += task.phase_ == TaskPhase::Active ? 0 : 1;
+  task.phase_ = TaskPhase::Active;
+  task.run_ = aRun;
+  task.backend_ = aBackend;
+  task.startedAt_ = aNow;
+  jobs_[aRef.job_]->started_ = true;
+}
+
+void
+JobTable::Release(const TaskRef& aRef, const std::string& aCheckpoint, TimePoint aNow)
+{
+  Task& task = At(aRef);
+  if (task.phase_ != TaskPhase::Active) {
+    return;
+  }
+  --StepOf(aRef).active_;
+  task.phase_ = TaskPhase::Waiting;
+  task.backend_ = BackendHandle{};
+  task.waitsSince_ = aNow;
+  if (!aCheckpoint.empty() && aCheckpoint != task.checkpoint_) {
+    task.checkpoint_ = aCheckpoint;
+    Touch(aRef.job_);
+  }
+}
+
+void
+JobTable::FinishOne(Step& aStep, Task& aTask)
+{
+  if (aTask.phase_ == TaskPhase::Done) {
+    return;
+  }
+  aStep.active_ -= aTask.phase_ == TaskPhase::Active ? 1 : 0;
+  aTask.phase_ = TaskPhase::Done;
+  aTask.checkpoint_.clear();
+  ++aStep.done_;
+}
+
+void
+JobTable::Finish(const TaskRef& aRef, TimePoint aNow)
+{
+  Job& job = *jobs_[aRef.job_];
+  Occurrence& occurrence = job.occurrences_[aRef.occurrence_];
+  Step& step = occurrence.steps_[aRef.step_];
+  Task& task = step.tasks_[aRef.index_];
+  if (task.phase_ == TaskPhase::Done) {
+    return;
+  }
+  if (task.phase_ == TaskPhase::Active && task.startedAt_ != TimePoint{}) {
+    const auto lasted =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aNow - task.startedAt_);
+    const auto before = static_cast<int64_t>(step.done_);
+    step.measured_ = (step.measured_ * before + lasted) / (before + 1);
+  }
+  Touch(aRef.job_);
+  if (job.spec_.steps_[aRef.step_].gang_) {
+    for (Task& member : step.tasks_) {
+      FinishOne(step, member);
+    }
+  } else {
+    FinishOne(step, task);
+  }
+  if (step.done_ < step.tasks_.size()) {
+    return;
+  }
+  ++occurrence.stepsDone_;
+  const bool allOpen = job.occurrences_.size() == job.OccurrenceCount();
+  job.finished_ =
+    allOpen && std::all_of(job.occurrences_.begin(),
+                           job.occurrences_.end(),
+                           [](const Occurrence& aOccurrence) {
+                             return aOccurrence.stepsDone_ == aOccurrence.steps_.size();
+                           });
+  if (job.finished_) {
+    job.endedAt_ = aNow;
+  }
+}
+
+bool
+JobTable::Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow)
+{
+  Job& job = *jobs_[aRef.job_];
+  const StepSpec& spec = job.spec_.steps_[aRef.step_];
+  // A group fails as one; its attempts are kept with its first task.
+  TaskRef counted = aRef;
+  counted.index_ = spec.gang_ ? 0 : aRef.index_;
+  auto& runs = At(counted).failedRuns_;
+  if (std::find(runs.begin(), runs.end(), aRun) != runs.end()) {
+    return false;
+  }
+  runs.push_back(aRun);
+  Touch(aRef.job_);
+  if (spec.lasting_ || job.IsOver() || runs.size() < job.policy_.maxAttempts_) {
+    return false;
+  }
+  job.failed_ = true;
+  job.endedAt_ = aNow;
+  return true;
+}
+
+const std::vector<uint32_t>&
+JobTable::Open()
+{
+  open_.erase(std::remove_if(open_.begin(),
+                             open_.end(),
+                             [this](uint32_t aJob) { return jobs_[aJob]->IsOver(); }),
+              open_.end());
+  return open_;
+}
+
+size_t
+JobTable::Pending(const std::string& aQueue) const
+{
+  size_t count = 0;
+  for (const auto& job : jobs_) {
+    if (!job || job->started_ || job->IsOver() || !job->stored_) {
+      continue;
+    }
+    count += job->spec_.queue_ == aQueue ? 1 : 0;
+  }
+  return count;
+}
+
+void
+JobTable::Touch(uint32_t aJob)
+{
+  if (!jobs_[aJob]->touched_) {
+    jobs_[aJob]->touched_ = true;
+    touched_.push_back(aJob);
+  }
+}
+
+std::vector<uint32_t>
+JobTable::TakeTouched()
+{
+  std::vector<uint32_t> touched;
+  touched.swap(touched_);
+  for (const uint32_t job : touched) {
+    if (jobs_[job]) {
+      jobs_[job]->touched_ = false;
+    }
+  }
+  return touched;
+}
+
+JobState
+JobTable::StateOf(const Job& aJob)
+{
+  if (aJob.cancelled_) {
+    return JobState::Cancelled;
+  }
+  if (aJob.failed_) {
+    return JobState::Failed;
+  }
+  if (aJob.finished_) {
+    return JobState::Done;
+  }
+  return aJob.started_ ? JobState::Running : JobState::Queued;
+}
+
+}
--- /dev/null
+++ b/src/leadership.cpp
@@ -0,0 +1,247 @@
+#include "sardinespoke/leadership.h"
+
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWatchWait{ 2000 };
+constexpr milliseconds kCampaignRetry{ 300 };
+// Renewals in one lease time; three may be lost.
+constexpr int kRenewalsPerLease = 4;
+// Subtracted from the lease for the resolution of both clocks.
+constexpr milliseconds kLeaseMargin{ 50 };
+
+}
+
+Leadership::Leadership(RecordStoreI& aStore, const ClockI& aClock, LeadershipSettings aSettings)
+  : store_(aStore)
+  , clock_(aClock)
+  , settings_(std::move(aSettings))
+  , feed_(aStore, aClock, FeedSettings{ settings_.key_, kWatchWait, milliseconds(0) })
+{
+}
+
+std::string
+Leadership::Value() const
+{
+  return nlohmann::json{
+    { "name", settings_.name_ },
+    { "incarnation", settings_.incarnation_ },
+    { "address", settings_.address_ }
+  }.dump();
+}
+
+void
+Leadership::Tick()
+{
+  feed_.Tick();
+  if (feed_.TakeChanged()) {
+    ReadLeader();
+  }
+  const TimePoint now = clock_.Now();
+  if (owner_) {
+    if (!renewing_ && now >= nextRenewal_) {
+      Renew();
+    }
+    return;
+  }
+  if (resigned_ || campaigning_ || !feed_.IsLoaded() || !leader_.address_.empty()) {
+    return;
+  }
+  if (now >= nextCampaign_) {
+    Campaign();
+  }
+}
+
+void
+Leadership::ReadLeader()
+{
+  const auto found = feed_.All().find(settings_.key_);
+  if (found == feed_.All().end()) {
+    leader_ = LeaderInfo{};
+    nextCampaign_ = clock_.Now() + settings_.campaignDelay_;
+    if (owner_) {
+      Lose("the leader's record is gone");
+    }
+    return;
+  }
+  const Record& record = found->second;
+  const auto value = nlohmann::json::parse(record.value_, nullptr, false);
+  if (!value.is_object()) {
+    Log(LogLevel::Warn, "leader.unreadable", { { "revision", record.revision_ } });
+    return;
+  }
+  leader_.name_ = value.value("name", "");
+  leader_.address_ = value.value("address", "");
+  leader_.fence_ = record.revision_;
+  const bool mine = value.value("incarnation", "") == settings_.incarnation_;
+  if (mine && !owner_ && !resigned_ && record.lease_ == lease_ && lease_ != 0) {
+    Win(record.revision_); // The answer to the claim was lost.
+    return;
+  }
+  if (owner_ && !mine && record.revision_ > fence_) {
+    Lose("another host owns the pools");
+  }
+  Log(LogLevel::Info, "leader.seen", { { "leader", leader_.name_ }, { "fence", leader_.fence_ } });
+}
+
+void
+Leadership::Campaign()
+{
+  campaigning_ = true;
+  lease_ = 0;
+  const TimePoint sent = clock_.Now();
+  const std::weak_ptr<bool> alive = alive_;
+  store_.Grant(settings_.ttl_, [this, alive, sent](const RecordReply& aReply) {
+    if (alive.lock()) {
+      OnGranted(sent, aReply);
+    }
+  });
+}
+
+void
+Leadership::OnGranted(TimePoint aSent, const RecordReply& aReply)
+{
+  if (aReply.outcome_ != RecordOutcome::Ok || resigned_) {
+    campaigning_ = false;
+    nextCampaign_ = clock_.Now() + kCampaignRetry;
+    return;
+  }
+  lease_ = aReply.lease_;
+  leaseSent_ = aSent;
+  RecordChange change;
+  change.expect_.push_back(RecordExpectation{ settings_.key_, 0 });
+  change.writes_.push_back(RecordWrite{ settings_.key_, Value(), lease_ });
+  const std::weak_ptr<bool> alive = alive_;
+  store_.Change(change, [this, alive](const RecordReply& aReply) {
+    if (alive.lock()) {
+      OnClaimed(aReply);
+    }
+  });
+}
+
+void
+Leadership::OnClaimed(const RecordReply& aReply)
+{
+  campaigning_ = false;
+  nextCampaign_ = clock_.Now() + kCampaignRetry;
+  if (aReply.outcome_ == RecordOutcome::Ok && !owner_) {
+    Win(aReply.revision_);
+  }
+}
+
+void
+Leadership::Win(int64_t aFence)
+{
+  owner_ = true;
+  mustConfirm_ = false;
+  fence_ = aFence;
+  validUntil_ = leaseSent_ + settings_.ttl_ - kLeaseMargin;
+  nextRenewal_ = leaseSent_ + settings_.ttl_ / kRenewalsPerLease;
+  leader_ = LeaderInfo{ settings_.name_, settings_.address_, fence_ };
+  Log(LogLevel::Info, "leader.won", { { "fence", fence_ } });
+}
+
+void
+Leadership::Renew()
+{
+  renewing_ = true;
+  const TimePoint sent = clock_.Now();
+  const std::weak_ptr<bool> alive = alive_;
+  store_.Renew(lease_, [this, alive, sent](const RecordReply& aReply) {
+    if (alive.lock()) {
+      OnRenewed(sent, aReply);
+    }
+  });
+}
+
+void
+Leadership::OnRenewed(TimePoint aSent, const RecordReply& aReply)
+{
+  renewing_ = false;
+  nextRenewal_ = std::max(clock_.Now(), aSent + settings_.ttl_ / kRenewalsPerLease);
+  if (!owner_) {
+    return;
+  }
+  if (aReply.outcome_ == RecordOutcome::NotFound) {
+    Lose("the lease has ended");
+    return;
+  }
+  if (aReply.outcome_ != RecordOutcome::Ok) {
+    return; // Tried again; IsCertain() tells how long the lease lasts.
+  }
+  validUntil_ = aSent + settings_.ttl_ - kLeaseMargin;
+  mustConfirm_ = mustConfirm_ && clock_.Now() >= validUntil_;
+}
+
+bool
+Leadership::IsCertain() const
+{
+  return owner_ && clock_.Now() < validUntil_;
+}
+
+bool
+Leadership::MayOrder() const
+{
+  return owner_ && (IsCertain() || !mustConfirm_);
+}
+
+void
+Leadership::OnPause()
+{
+  mustConfirm_ = clock_.Now() >= validUntil_;
+  nextRenewal_ = clock_.Now();
+}
+
+void
+Leadership::Lose(const char* aReason)
+{
+  if (!owner_) {
+    return;
+  }
+  owner_ = false;
+  lease_ = 0;
+  Log(LogLevel::Warn, "leader.lost", { { "fence", fence_ }, { "reason", aReason } });
+  if (leader_.name_ == settings_.name_) {
+    leader_ = LeaderInfo{};
+  }
+  nextCampaign_ = clock_.Now() + settings_.campaignDelay_;
+}
+
+void
+Leadership::Resign()
+{
+  resigned_ = true;
+  if (!owner_) {
+    return;
+  }
+  RecordChange change;
+  change.expect_.push_back(Claim());
+  change.deletes_.push_back(settings_.key_);
+  // A lost answer costs the next owner the rest of the lease, nothing else.
+  store_.Change(change, [](const RecordReply&) {});
+  Lose("resigned");
+}
+
+TimePoint
+Leadership::NextDue() const
+{
+  TimePoint due = feed_.NextDue();
+  if (owner_ && !renewing_) {
+    due = std::min(due, nextRenewal_);
+  }
+  if (!owner_ && !campaigning_ && leader_.address_.empty()) {
+    due = std::min(due, nextCampaign_);
+  }
+  return due;
+}
+
+}
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -69,10 +69,11 @@
 }
 
 void
-InitLogging(const std::string& aProcess, const std::string& aLevel)
+InitLogging(const std::string& aProcess, const std::string& aLevel, LogTarget aTarget)
 {
   Library() = std::make_unique<log4cplus::Initializer>();
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(aTarget == LogTarget::Error, true));
   appender->setLayout(std::make_unique<JsonLayout>(aProcess));
   auto root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
--- /dev/null
+++ b/src/node_settings.cpp
@@ -0,0 +1,116 @@
+#include "sardinespoke/node_settings.h"
+
+#include "json_document_p.h"
+#include "json_schema_p.h"
+
+#include <charconv>
+
+namespace sardinespoke {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr uint64_t kMaxMilliseconds = 3600000;
+constexpr double kMaxSeconds = 3600.0;
+constexpr double kMaxCores = 1024.0;
+
+json
+Address()
+{
+  return JsonSchema::Pattern("^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$",
+                             "an IPv4 address and port, \"address:port\"");
+}
+
+json
+Number(double aMaximum, const std::string& aUnit)
+{
+  return json{ { "type", "number" },
+               { "minimum", 0 },
+               { "maximum", aMaximum },
+               { "description", "a number of " + aUnit + " from 0" } };
+}
+
+const JsonSchema&
+Schema()
+{
+  static const JsonSchema kSchema(JsonSchema::ClosedObject(
+    { { "id", JsonSchema::Pattern("^.+$", "the name of this entry host") },
+      { "zone", JsonSchema::Pattern("^.+$", "the name of a data centre") },
+      { "caller", Address() },
+      { "health", Address() },
+      { "peer", Address() },
+      { "store", Address() },
+      { "host_control", Address() },
+      { "cores", Number(kMaxCores, "cores") },
+      { "min_lease_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "hold_max_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "stop_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
+      { "stop_limit_s", Number(kMaxSeconds, "seconds") },
+      { "thaw_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "move_s", Number(kMaxSeconds, "seconds") },
+      { "maintenance_s", Number(kMaxSeconds, "seconds") },
+      { "notice_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
+      { "keep_ended_s", Number(kMaxSeconds, "seconds") },
+      { "log", JsonSchema::OneOf({ "debug", "info", "warn", "error" }) } },
+    { "id", "zone", "caller", "health", "peer", "store", "host_control" }));
+  return kSchema;
+}
+
+Endpoint
+EndpointOf(const json& aValue)
+{
+  const auto text = aValue.get<std::string>();
+  const size_t colon = text.find(':');
+  Endpoint endpoint{ text.substr(0, colon), 0 };
+  std::from_chars(text.data() + colon + 1, text.data() + text.size(), endpoint.port_);
+  return endpoint;
+}
+
+void
+ReadMilliseconds(const json& aDocument, const char* aName, milliseconds& aValue)
+{
+  aValue = milliseconds(aDocument.value(aName, aValue.count()));
+}
+
+void
+ReadSeconds(const json& aDocument, const char* aName, milliseconds& aValue)
+{
+  constexpr double kMillisecondsPerSecond = 1000.0;
+  if (aDocument.contains(aName)) {
+    aValue = milliseconds(
+      static_cast<int64_t>(aDocument.at(aName).get<double>() * kMillisecondsPerSecond));
+  }
+}
+
+}
+
+leaf::result<NodeSettings>
+NodeSettings::Parse(const std::string& aText)
+{
+  BOOST_LEAF_AUTO(document, ParseStrict(aText, ""));
+  BOOST_LEAF_CHECK(Schema().Check(document));
+  NodeSettings settings;
+  settings.id_ = document.at("id").get<std::string>();
+  settings.zone_ = document.at("zone").get<std::string>();
+  settings.caller_ = EndpointOf(document.at("caller"));
+  settings.health_ = EndpointOf(document.at("health"));
+  settings.peer_ = EndpointOf(document.at("peer"));
+  settings.store_ = EndpointOf(document.at("store"));
+  settings.hostControl_ = EndpointOf(document.at("host_control"));
+  settings.cores_ = document.value("cores", settings.cores_);
+  ReadMilliseconds(document, "min_lease_ms", settings.minLease_);
+  ReadMilliseconds(document, "hold_max_ms", settings.holdMax_);
+  ReadMilliseconds(document, "stop_ms", settings.stopTime_);
+  ReadSeconds(document, "stop_limit_s", settings.stopLimit_);
+  ReadMilliseconds(document, "thaw_ms", settings.thawLimit_);
+  ReadSeconds(document, "move_s", settings.moveTime_);
+  ReadSeconds(document, "maintenance_s", settings.maintenanceTime_);
+  ReadMilliseconds(document, "notice_ms", settings.noticeTime_);
+  ReadSeconds(document, "keep_ended_s", settings.keepEnded_);
+  settings.logLevel_ = document.value("log", settings.logLevel_);
+  return settings;
+}
+
+}
--- /dev/null
+++ b/src/run_tracker.cpp
@@ -0,0 +1,712 @@
+#include "sardinespoke/run_tracker.h"
+
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A start that is carried out later than this after it was sent is refused there. Longer than the
+// slowest answer of a backend server in service, shorter than most delayed orders.
+constexpr milliseconds kStartLease{ 1500 };
+// Pause between looks at one backend server, so that ends that come together cost one look.
+constexpr milliseconds kLookGap{ 60 };
+// Longest wait of a look for an end; the protocol's bound.
+constexpr milliseconds kLookWait{ 2000 };
+// Wait of a look while the outcome of an order is open.
+constexpr milliseconds kUnsettledWait{ 150 };
+constexpr milliseconds kLookRetry{ 150 };
+constexpr milliseconds kLookRetryMax{ 500 };
+// A stop is sent again when its run is still there after this.
+constexpr milliseconds kStopRetry{ 500 };
+// Added to a lease for the time that its order was on its way.
+constexpr milliseconds kLeaseSlack{ 150 };
+// Failures of different jobs in a row after which a backend server gets no work for a while.
+constexpr uint32_t kFailuresToShun = 2;
+constexpr milliseconds kShunTime{ 4000 };
+// Numbers of runs that one owner may use; the fence stands above them.
+constexpr int64_t kRunsPerFence = 1 << 20;
+
+/// Lease time as it may pass on a clock that is 2 % slow.
+milliseconds
+Stretched(milliseconds aLease)
+{
+  return aLease * 103 / 100 + kLeaseSlack;
+}
+
+Resources
+Everything(const Backend& aBackend)
+{
+  return aBackend.entry_.capacity_;
+}
+
+}
+
+RunTracker::RunTracker(JobTable& aJobs,
+                       BackendTable& aBackends,
+                       BackendOrdersI& aOrders,
+                       const ClockI& aClock,
+                       RunLimits aLimits,
+                       int64_t aFence)
+  : jobs_(aJobs)
+  , backends_(aBackends)
+  , orders_(aOrders)
+  , clock_(aClock)
+  , limits_(aLimits)
+  , fence_(aFence)
+  , nextRun_(aFence * kRunsPerFence + 1)
+  , ownedSince_(aClock.Now())
+{
+}
+
+BackendHandle
+RunTracker::AddRecorded(const BackendEntry& aEntry)
+{
+  const BackendHandle handle = backends_.Add(aEntry);
+  Backend& backend = backends_.At(handle);
+  backend.recorded_ = true;
+  backend.leaseEnd_ = ownedSince_ + Stretched(limits_.holdMax_);
+  return handle;
+}
+
+void
+RunTracker::ApplyRegistry(const std::vector<BackendEntry>& aEntries)
+{
+  for (const BackendHandle handle : backends_.Live()) {
+    backends_.At(handle).listed_ = false;
+  }
+  for (const BackendEntry& entry : aEntries) {
+    BackendHandle handle = backends_.Find(entry.id_);
+    if (handle.IsValid()) {
+      const int64_t known = backends_.At(handle).entry_.born_;
+      if (known != 0 && entry.born_ != 0 && known < entry.born_) {
+        EndLife(handle, "restarted");
+        handle = BackendHandle{};
+      } else if (known > entry.born_) {
+        continue;
+      }
+    }
+    if (!handle.IsValid()) {
+      handle = backends_.Add(entry);
+      changed_ = true;
+    }
+    Backend& backend = backends_.At(handle);
+    const bool wasDraining = backend.entry_.draining_;
+    const int64_t born = backend.entry_.born_;
+    backend.entry_ = entry;
+    backend.entry_.born_ = entry.born_ != 0 ? entry.born_ : born;
+    backend.listed_ = true;
+    if (entry.draining_ && !wasDraining) {
+      Log(
+        LogLevel::Info, "backend.draining", { { "backend", entry.id_ }, { "host", entry.host_ } });
+    }
+  }
+  // A host or an address has one backend server at a time; an earlier one is over.
+  const auto live = backends_.Live();
+  for (const BackendHandle older : live) {
+    const Backend& before = backends_.At(older);
+    const bool replaced = std::any_of(live.begin(), live.end(), [&](const BackendHandle& aNewer) {
+      const Backend& after = backends_.At(aNewer);
+      const bool samePlace =
+        (!before.entry_.host_.empty() && before.entry_.host_ == after.entry_.host_) ||
+        before.entry_.address_ == after.entry_.address_;
+      return after.listed_ && samePlace && before.entry_.born_ < after.entry_.born_ &&
+             before.entry_.born_ != 0;
+    });
+    if (replaced) {
+      EndLife(older, "replaced at its place");
+    }
+  }
+}
+
+bool
+RunTracker::IsUsable(const Backend& aBackend) const
+{
+  return aBackend.listed_ && aBackend.verified_ && aBackend.recorded_ && !aBackend.over_ &&
+         !aBackend.leaving_ && !aBackend.entry_.draining_ && aBackend.looksFailed_ == 0 &&
+         aBackend.clock_ != 0 && aBackend.shunnedUntil_ <= clock_.Now();
+}
+
+bool
+RunTracker::AllVerified() const
+{
+  const auto& live = backends_.Live();
+  return std::all_of(live.begin(), live.end(), [this](const BackendHandle& aHandle) {
+    const Backend& backend = backends_.At(aHandle);
+    return backend.verified_ || !backend.recorded_ || clock_.Now() > backend.leaseEnd_;
+  });
+}
+
+Resources
+RunTracker::UseOf(const StepSpec& aSpec) const
+{
+  return Resources{ aSpec.fillsIdle_ ? 0 : aSpec.cpuMilli_, aSpec.memoryMb_, aSpec.accelerators_ };
+}
+
+void
+RunTracker::Start(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun)
+{
+  const TimePoint now = clock_.Now();
+  Backend& backend = backends_.At(aBackend);
+  const StepSpec& spec = jobs_.SpecOf(aTask);
+  BackendRun run;
+  run.task_ = aTask;
+  run.id_ = RunId{ jobs_.IdOf(aTask).Text(), aRun };
+  run.sentAt_ = now;
+  run.progressAt_ = now;
+  run.deadline_ = backend.ClockNow(now) + kStartLease.count();
+  run.use_ = UseOf(spec);
+  run.serves_ = spec.latencyTarget_ > milliseconds(0);
+  run.fills_ = spec.fillsIdle_;
+  StartOrder order;
+  order.to_ = backend.Address();
+  order.run_ = run.id_;
+  order.payload_ = jobs_.At(aTask.job_).spec_.payload_;
+  order.checkpoint_ = jobs_.At(aTask).checkpoint_;
+  order.deadline_ = run.deadline_;
+  order.fence_ = fence_;
+  backend.leaseEnd_ = std::max(backend.leaseEnd_, now + Stretched(kStartLease));
+  jobs_.Activate(aTask, aRun, aBackend, now);
+  const RunId id = run.id_;
+  backends_.AddRun(aBackend, std::move(run));
+  const std::weak_ptr<bool> alive = alive_;
+  orders_.Start(order, [this, alive, aBackend, id](const OrderResult& aResult) {
+    if (alive.lock()) {
+      OnStarted(aBackend, id, aResult);
+    }
+  });
+}
+
+void
+RunTracker::ReadClock(Backend& aBackend, const OrderResult& aResult)
+{
+  if (aResult.clock_ == 0) {
+    return;
+  }
+  aBackend.clock_ = aResult.clock_;
+  aBackend.clockAt_ = clock_.Now();
+}
+
+void
+RunTracker::OnStarted(BackendHandle aBackend, const RunId& aRun, const OrderResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  if (backend.over_) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  ReadClock(backend, aResult);
+  BackendRun* run = backend.FindRun(aRun);
+  switch (aResult.outcome_) {
+    case OrderOutcome::Done:
+      backend.lastAnswer_ = now;
+      if (run) {
+        run->everConfirmed_ = true;
+        run->confirmedAt_ = now;
+        run->phase_ = run->phase_ == RunPhase::Stopping ? run->phase_ : RunPhase::Running;
+      }
+      if (backend.looksInFlight_ == 0) {
+        backend.nextLook_ = std::min(backend.nextLook_, now + kLookGap);
+      }
+      return;
+    case OrderOutcome::Fenced:
+      fenced_ = true;
+      return;
+    case OrderOutcome::OtherLife:
+      EndLife(aBackend, "another incarnation answers");
+      return;
+    case OrderOutcome::Unknown:
+      if (run && !run->everConfirmed_) {
+        run->phase_ = RunPhase::Uncertain;
+        Stop(aBackend, *run);
+      }
+      backend.nextLook_ = now;
+      return;
+    default:
+      Log(LogLevel::Info,
+          "run.refused",
+          { { "task", aRun.task_ },
+            { "run", aRun.run_ },
+            { "backend", backend.entry_.id_ },
+            { "outcome", static_cast<int>(aResult.outcome_) } });
+      if (aResult.outcome_ == OrderOutcome::Dead) {
+        ++backend.looksFailed_;
+        backend.nextLook_ = now;
+      }
+      if (aResult.outcome_ == OrderOutcome::Refused) {
+        backend.shunnedUntil_ = now + kUnsettledWait;
+      }
+      DropRun(aBackend, aRun, "");
+      return;
+  }
+}
+
+void
+RunTracker::Stop(BackendHandle aBackend, BackendRun& aRun)
+{
+  aRun.phase_ = RunPhase::Stopping;
+  aRun.stopSentAt_ = clock_.Now();
+  aRun.stopDone_ = false;
+  Backend& backend = backends_.At(aBackend);
+  const RunId id = aRun.id_;
+  const std::weak_ptr<bool> alive = alive_;
+  orders_.Stop(StopOrder{ backend.Address(), id, fence_ },
+               [this, alive, aBackend, id](const OrderResult& aResult) {
+                 if (alive.lock()) {
+                   OnStopped(aBackend, id, aResult);
+                 }
+               });
+}
+
+void
+RunTracker::OnStopped(BackendHandle aBackend, const RunId& aRun, const OrderResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  if (backend.over_) {
+    return;
+  }
+  ReadClock(backend, aResult);
+  if (aResult.outcome_ == OrderOutcome::Fenced) {
+    fenced_ = true;
+  }
+  if (aResult.outcome_ == OrderOutcome::OtherLife) {
+    EndLife(aBackend, "another incarnation answers");
+    return;
+  }
+  BackendRun* run = backend.FindRun(aRun);
+  if (!run || aResult.outcome_ != OrderOutcome::Done) {
+    return;
+  }
+  run->stopDone_ = true;
+  run->stopDoneAt_ = clock_.Now();
+  if (!run->everConfirmed_ || backend.looksInFlight_ == 0) {
+    backend.nextLook_ = std::min(backend.nextLook_, run->stopDoneAt_ + milliseconds(5));
+  }
+}
+
+void
+RunTracker::StopJob(uint32_t aJob)
+{
+  for (const BackendHandle handle : backends_.Live()) {
+    for (BackendRun& run : backends_.At(handle).runs_) {
+      if (run.task_ && run.task_->job_ == aJob && run.phase_ != RunPhase::Stopping) {
+        Stop(handle, run);
+      }
+    }
+  }
+}
+
+void
+RunTracker::DropRun(BackendHandle aBackend, const RunId& aRun, const std::string& aCheckpoint)
+{
+  const BackendRun* run = backends_.At(aBackend).FindRun(aRun);
+  if (!run) {
+    return;
+  }
+  if (run->task_) {
+    const Task& task = jobs_.At(*run->task_);
+    if (task.phase_ == TaskPhase::Active && task.run_ == aRun.run_ && task.backend_ == aBackend) {
+      jobs_.Release(
+        *run->task_, aCheckpoint.empty() ? run->checkpoint_ : aCheckpoint, clock_.Now());
+    }
+  }
+  backends_.RemoveRun(aBackend, aRun);
+  changed_ = true;
+}
+
+void
+RunTracker::EndLife(BackendHandle aBackend, const char* aReason)
+{
+  Backend& backend = backends_.At(aBackend);
+  Log(LogLevel::Info,
+      "backend.over",
+      { { "backend", backend.entry_.id_ },
+        { "host", backend.entry_.host_ },
+        { "reason", aReason },
+        { "runs", backend.runs_.size() } });
+  while (!backend.runs_.empty()) {
+    const RunId id = backend.runs_.back().id_;
+    DropRun(aBackend, id, "");
+  }
+  backends_.Close(aBackend);
+  changed_ = true;
+}
+
+bool
+RunTracker::NeedsLook(const Backend& aBackend) const
+{
+  if (!aBackend.verified_) {
+    return aBackend.listed_ || clock_.Now() <= aBackend.leaseEnd_;
+  }
+  return !aBackend.runs_.empty() || aBackend.stored_ > aBackend.told_ ||
+         (aBackend.looksFailed_ > 0 && aBackend.listed_);
+}
+
+void
+RunTracker::SendLook(BackendHandle aBackend, bool aWait)
+{
+  const TimePoint now = clock_.Now();
+  Backend& backend = backends_.At(aBackend);
+  LookOrder order;
+  order.to_ = backend.Address();
+  order.fence_ = fence_;
+  order.seenUpTo_ = backend.looksFailed_ == 0 ? backend.stored_ : 0;
+  if (backend.clock_ != 0 && backend.verified_ && !backend.runs_.empty()) {
+    order.deadline_ = backend.ClockNow(now) + limits_.leaseTime_.count();
+    backend.leaseEnd_ = std::max(backend.leaseEnd_, now + Stretched(limits_.leaseTime_));
+  }
+  if (aWait && backend.verified_ && backend.looksFailed_ == 0 && !backend.runs_.empty()) {
+    const bool settled =
+      std::all_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
+        return aRun.phase_ == RunPhase::Running;
+      });
+    order.wait_ = settled ? kLookWait : kUnsettledWait;
+  }
+  ++backend.looksInFlight_;
+  const std::weak_ptr<bool> alive = alive_;
+  orders_.Look(order, [this, alive, aBackend, now, order](const LookResult& aResult) {
+    if (!alive.lock()) {
+      return;
+    }
+    Backend& answered = backends_.At(aBackend);
+    --answered.looksInFlight_;
+    if (aResult.outcome_ == OrderOutcome::Done) {
+      answered.told_ = std::max(answered.told_, order.seenUpTo_);
+    }
+    OnLook(aBackend, now, aResult);
+  });
+}
+
+bool
+RunTracker::NewLife(BackendHandle aBackend, const OrderResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  if (aResult.born_ == 0 || backend.entry_.born_ == 0 || aResult.born_ == backend.entry_.born_) {
+    backend.entry_.born_ = aResult.born_ != 0 ? aResult.born_ : backend.entry_.born_;
+    return false;
+  }
+  BackendEntry entry = backend.entry_;
+  const bool listed = backend.listed_;
+  const bool recorded = backend.recorded_;
+  EndLife(aBackend, "restarted under the same id");
+  entry.born_ = aResult.born_;
+  Backend& next = backends_.At(backends_.Add(entry));
+  next.listed_ = listed;
+  next.recorded_ = recorded;
+  next.leaseEnd_ = clock_.Now() + Stretched(kStartLease);
+  return true;
+}
+
+void
+RunTracker::LookFailed(BackendHandle aBackend, const LookResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  if (aResult.outcome_ == OrderOutcome::Fenced) {
+    fenced_ = true;
+    return;
+  }
+  if (aResult.outcome_ == OrderOutcome::OtherLife) {
+    EndLife(aBackend, "another incarnation answers");
+    return;
+  }
+  if (backend.looksFailed_ == 0) {
+    Log(LogLevel::Info,
+        "backend.silent",
+        { { "backend", backend.entry_.id_ },
+          { "runs", backend.runs_.size() },
+          { "outcome", static_cast<int>(aResult.outcome_) } });
+  }
+  ++backend.looksFailed_;
+  const auto pause = std::min(kLookRetry * backend.looksFailed_, kLookRetryMax);
+  backend.nextLook_ = clock_.Now() + pause;
+}
+
+void
+RunTracker::OnLook(BackendHandle aBackend, TimePoint aSent, const LookResult& aResult)
+{
+  if (backends_.At(aBackend).over_) {
+    return;
+  }
+  if (aResult.outcome_ != OrderOutcome::Done) {
+    LookFailed(aBackend, aResult);
+    return;
+  }
+  if (NewLife(aBackend, aResult)) {
+    return; // The new life is looked at afresh, without an acknowledgement of ends.
+  }
+  const TimePoint now = clock_.Now();
+  Backend& backend = backends_.At(aBackend);
+  ReadClock(backend, aResult);
+  backend.lastAnswer_ = now;
+  if (!backend.verified_ || backend.looksFailed_ > 0) {
+    backend.verified_ = true;
+    backend.looksFailed_ = 0;
+    changed_ = true;
+  }
+  for (const EndedTask& end : aResult.ended_) {
+    if (end.number_ > backend.applied_) {
+      ApplyEnd(aBackend, end);
+      backend.applied_ = end.number_;
+    }
+  }
+  if (aSent >= backend.answeredLookSent_) {
+    backend.answeredLookSent_ = aSent;
+    ApplyRunning(aBackend, aSent, aResult);
+  }
+  const bool quiet = aResult.ended_.empty() && !backend.runs_.empty();
+  backend.nextLook_ = now + (quiet ? milliseconds(0) : kLookGap);
+}
+
+void
+RunTracker::ApplyRunning(BackendHandle aBackend, TimePoint aSent, const LookResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  std::vector<RunId> listed;
+  for (const RunningTask& running : aResult.running_) {
+    listed.push_back(running.run_);
+    if (BackendRun* run = backend.FindRun(running.run_)) {
+      Confirm(*run, running);
+      continue;
+    }
+    Adopt(aBackend, running, aSent);
+  }
+  RemoveMissing(aBackend, aSent, aResult, listed);
+}
+
+void
+RunTracker::Confirm(BackendRun& aRun, const RunningTask& aRunning)
+{
+  const TimePoint now = clock_.Now();
+  if (!aRun.everConfirmed_) {
+    aRun.everConfirmed_ = true;
+    aRun.confirmedAt_ = now;
+  }
+  if (aRun.phase_ == RunPhase::Starting || aRun.phase_ == RunPhase::Uncertain) {
+    aRun.phase_ = RunPhase::Running;
+  }
+  if (aRunning.percent_ != aRun.percent_) {
+    aRun.percent_ = aRunning.percent_;
+    aRun.progressAt_ = now;
+  }
+  aRun.load_ = aRunning.load_;
+  aRun.checkpoint_ = aRunning.checkpoint_;
+}
+
+void
+RunTracker::Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent)
+{
+  Backend& backend = backends_.At(aBackend);
+  const TimePoint now = clock_.Now();
+  BackendRun run;
+  run.id_ = aRunning.run_;
+  run.everConfirmed_ = true;
+  run.confirmedAt_ = aSent;
+  run.sentAt_ = aSent;
+  run.phase_ = RunPhase::Running;
+  run.progressAt_ = now;
+  run.use_ = Everything(backend);
+  TaskId id;
+  TaskRef ref;
+  bool wanted = false;
+  if (TaskId::Parse(aRunning.run_.task_, id) && jobs_.Locate(id, ref)) {
+    const StepSpec& spec = jobs_.SpecOf(ref);
+    run.task_ = ref;
+    run.use_ = UseOf(spec);
+    run.serves_ = spec.latencyTarget_ > milliseconds(0);
+    run.fills_ = spec.fillsIdle_;
+    wanted = jobs_.At(ref).phase_ == TaskPhase::Waiting && !jobs_.At(ref.job_).IsOver();
+  }
+  Confirm(run, aRunning);
+  if (wanted) {
+    jobs_.Activate(ref, run.id_.run_, aBackend, TimePoint{});
+  }
+  Log(LogLevel::Info,
+      wanted ? "run.adopted" : "run.unwanted",
+      { { "task", run.id_.task_ }, { "run", run.id_.run_ }, { "backend", backend.entry_.id_ } });
+  const RunId runId = run.id_;
+  backends_.AddRun(aBackend, std::move(run));
+  if (!wanted) {
+    Stop(aBackend, *backend.FindRun(runId));
+  }
+}
+
+void
+RunTracker::RemoveMissing(BackendHandle aBackend,
+                          TimePoint aSent,
+                          const LookResult& aResult,
+                          const std::vector<RunId>& aListed)
+{
+  Backend& backend = backends_.At(aBackend);
+  std::vector<RunId> gone;
+  for (const BackendRun& run : backend.runs_) {
+    const bool isListed = std::any_of(aListed.begin(), aListed.end(), [&run](const RunId& aId) {
+      return aId.run_ == run.id_.run_ && aId.task_ == run.id_.task_;
+    });
+    if (isListed) {
+      continue;
+    }
+    const bool seenBefore = run.everConfirmed_ && run.confirmedAt_ < aSent;
+    const bool stopped =
+      run.phase_ == RunPhase::Stopping && run.stopDone_ && run.stopDoneAt_ < aSent;
+    const bool expired = run.deadline_ != 0 && aResult.clock_ > run.deadline_ &&
+                         run.phase_ != RunPhase::Starting && !run.everConfirmed_;
+    if (seenBefore || stopped || expired) {
+      gone.push_back(run.id_);
+    }
+  }
+  for (const RunId& id : gone) {
+    Log(LogLevel::Info,
+        "run.gone",
+        { { "task", id.task_ }, { "run", id.run_ }, { "backend", backend.entry_.id_ } });
+    DropRun(aBackend, id, "");
+  }
+}
+
+void
+RunTracker::JudgeBackend(Backend& aBackend, const BackendRun* aRun, const EndedTask& aEnd)
+{
+  if (aEnd.kind_ == EndKind::Done) {
+    aBackend.failuresInRow_ = 0;
+    return;
+  }
+  if (aEnd.kind_ != EndKind::Failed || !aRun || !aRun->task_) {
+    return;
+  }
+  // One job that fails everywhere says nothing about the backend server.
+  const std::string& job = jobs_.At(aRun->task_->job_).spec_.id_;
+  if (job == aBackend.lastFailedJob_) {
+    return;
+  }
+  aBackend.lastFailedJob_ = job;
+  ++aBackend.failuresInRow_;
+  if (aBackend.failuresInRow_ >= kFailuresToShun) {
+    aBackend.shunnedUntil_ = clock_.Now() + kShunTime;
+    Log(LogLevel::Info,
+        "backend.shunned",
+        { { "backend", aBackend.entry_.id_ }, { "failures", aBackend.failuresInRow_ } });
+  }
+}
+
+void
+RunTracker::ApplyEnd(BackendHandle aBackend, const EndedTask& aEnd)
+{
+  Backend& backend = backends_.At(aBackend);
+  const TimePoint now = clock_.Now();
+  const BackendRun* run = backend.FindRun(aEnd.run_);
+  JudgeBackend(backend, run, aEnd);
+  TaskId id;
+  TaskRef ref;
+  if (!TaskId::Parse(aEnd.run_.task_, id) || !jobs_.Locate(id, ref)) {
+    Log(LogLevel::Warn, "run.end_of_unknown_task", { { "task", aEnd.run_.task_ } });
+    backends_.RemoveRun(aBackend, aEnd.run_);
+    return;
+  }
+  RunEvent event{ ref, aEnd.run_, aBackend, aEnd.kind_, milliseconds(0) };
+  if (run) {
+    event.lasted_ = std::chrono::duration_cast<milliseconds>(now - run->sentAt_);
+  }
+  if (aEnd.kind_ == EndKind::Done) {
+    const Task& task = jobs_.At(ref);
+    if (task.phase_ == TaskPhase::Active && task.run_ != aEnd.run_.run_) {
+      Backend& other = backends_.At(task.backend_);
+      if (BackendRun* second = other.FindRun(RunId{ aEnd.run_.task_, task.run_ })) {
+        Stop(task.backend_, *second);
+      }
+    }
+    jobs_.Finish(ref, now);
+  }
+  if (aEnd.kind_ == EndKind::Failed) {
+    jobs_.At(ref).avoid_ = aBackend;
+    if (jobs_.Fail(ref, aEnd.run_.run_, now)) {
+      StopJob(ref.job_);
+    }
+  }
+  DropRun(aBackend, aEnd.run_, aEnd.checkpoint_);
+  changed_ = true;
+  if (listener_) {
+    listener_(event);
+  }
+}
+
+void
+RunTracker::Tick()
+{
+  const TimePoint now = clock_.Now();
+  const auto live = backends_.Live();
+  for (const BackendHandle handle : live) {
+    Backend& backend = backends_.At(handle);
+    const bool silent = backend.looksFailed_ > 0 || !backend.verified_;
+    if (silent && now > backend.leaseEnd_ && !backend.runs_.empty()) {
+      Log(LogLevel::Info,
+          "backend.lapsed",
+          { { "backend", backend.entry_.id_ }, { "runs", backend.runs_.size() } });
+      while (!backend.runs_.empty()) {
+        const RunId id = backend.runs_.back().id_;
+        DropRun(handle, id, "");
+      }
+    }
+    if (!backend.listed_ && backend.runs_.empty() && now > backend.leaseEnd_ && silent) {
+      EndLife(handle, "gone from the registry and silent");
+      continue;
+    }
+    for (BackendRun& run : backend.runs_) {
+      if (run.phase_ == RunPhase::Stopping && now - run.stopSentAt_ > kStopRetry) {
+        Stop(handle, run);
+      }
+    }
+    if (backend.looksInFlight_ == 0 && now >= backend.nextLook_ && NeedsLook(backend)) {
+      SendLook(handle, true);
+    }
+  }
+}
+
+TimePoint
+RunTracker::NextDue() const
+{
+  TimePoint due = clock_.Now() + kLookRetryMax;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (backend.looksInFlight_ == 0 && NeedsLook(backend)) {
+      due = std::min(due, backend.nextLook_);
+    }
+  }
+  return due;
+}
+
+std::map<uint32_t, int64_t>
+RunTracker::EndsApplied() const
+{
+  std::map<uint32_t, int64_t> applied;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (backend.applied_ > backend.stored_) {
+      applied[handle.index_] = backend.applied_;
+    }
+  }
+  return applied;
+}
+
+void
+RunTracker::EndsStored(const std::map<uint32_t, int64_t>& aUpTo)
+{
+  for (const auto& [index, number] : aUpTo) {
+    Backend& backend = backends_.At(BackendHandle{ index });
+    backend.stored_ = std::max(backend.stored_, number);
+  }
+}
+
+bool
+RunTracker::TakeChanged()
+{
+  const bool changed = changed_;
+  changed_ = false;
+  return changed;
+}
+
+}
--- /dev/null
+++ b/src/task_scheduler.cpp
@@ -0,0 +1,246 @@
+#include "sardinespoke/task_scheduler.h"
+
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+Resources
+NeedOf(const StepSpec& aSpec)
+{
+  return Resources{ aSpec.fillsIdle_ ? 0 : aSpec.cpuMilli_, aSpec.memoryMb_, aSpec.accelerators_ };
+}
+
+double
+UsedShare(const Backend& aBackend)
+{
+  const auto cpu = static_cast<double>(aBackend.used_.cpuMilli_) /
+                   static_cast<double>(std::max<int64_t>(aBackend.entry_.capacity_.cpuMilli_, 1));
+  const auto memory =
+    static_cast<double>(aBackend.used_.memoryMb_) /
+    static_cast<double>(std::max<int64_t>(aBackend.entry_.capacity_.memoryMb_, 1));
+  return std::max(cpu, memory);
+}
+
+}
+
+TaskScheduler::TaskScheduler(JobTable& aJobs,
+                             BackendTable& aBackends,
+                             RunTracker& aRuns,
+                             const WaitOrder& aOrder,
+                             const ClockI& aClock)
+  : jobs_(aJobs)
+  , backends_(aBackends)
+  , runs_(aRuns)
+  , order_(aOrder)
+  , clock_(aClock)
+{
+}
+
+int64_t
+TaskScheduler::WaitingCpu(const std::string& aService) const
+{
+  const auto found = waitingCpu_.find(aService);
+  return found == waitingCpu_.end() ? 0 : found->second;
+}
+
+size_t
+TaskScheduler::Run()
+{
+  waitingCpu_.clear();
+  std::map<std::string, std::vector<uint32_t>> waiting;
+  const bool allVerified = runs_.AllVerified();
+  for (const uint32_t index : jobs_.Open()) {
+    const Job& job = jobs_.At(index);
+    if (!job.stored_ || (job.inherited_ && !allVerified)) {
+      continue;
+    }
+    waiting[job.policy_.service_].push_back(index);
+  }
+  std::map<std::string, Pool> pools;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (runs_.IsUsable(backend)) {
+      pools[backend.entry_.service_].push_back(handle);
+    }
+  }
+  size_t started = 0;
+  for (auto& [service, jobs] : waiting) {
+    order_.Sort(jobs_, clock_.Now(), jobs);
+    const Pool& pool = pools[service];
+    for (const uint32_t job : jobs) {
+      started += PlaceJob(job, pool);
+    }
+  }
+  return started;
+}
+
+size_t
+TaskScheduler::PlaceJob(uint32_t aJob, const Pool& aPool)
+{
+  size_t started = 0;
+  const Job& job = jobs_.At(aJob);
+  for (uint32_t occurrence = 0; occurrence < job.occurrences_.size(); ++occurrence) {
+    if (job.occurrences_[occurrence].stepsDone_ == job.spec_.steps_.size()) {
+      continue;
+    }
+    for (uint32_t step = 0; step < job.spec_.steps_.size(); ++step) {
+      const Step& state = job.occurrences_[occurrence].steps_[step];
+      const size_t waiting = state.tasks_.size() - state.done_ - state.active_;
+      if (waiting == 0 || !jobs_.IsReady(job, occurrence, step)) {
+        continue;
+      }
+      const size_t placed = job.spec_.steps_[step].gang_ ? PlaceGroup(aJob, occurrence, step, aPool)
+                                                         : PlaceStep(aJob, occurrence, step, aPool);
+      started += placed;
+      waitingCpu_[job.policy_.service_] +=
+        static_cast<int64_t>(waiting - placed) * job.spec_.steps_[step].cpuMilli_;
+    }
+  }
+  return started;
+}
+
+size_t
+TaskScheduler::PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool)
+{
+  const StepSpec& spec = jobs_.At(aJob).spec_.steps_[aStep];
+  size_t started = 0;
+  for (uint32_t index = 0; index < spec.taskCount_; ++index) {
+    const TaskRef ref{ aJob, aOccurrence, aStep, index };
+    const Task& task = jobs_.At(ref);
+    if (task.phase_ != TaskPhase::Waiting) {
+      continue;
+    }
+    const BackendHandle backend = Pick(ref, spec, aPool);
+    if (!backend.IsValid()) {
+      if (!task.avoid_.IsValid()) {
+        break; // The tasks of a step are equal: no other fits either.
+      }
+      continue;
+    }
+    runs_.Start(ref, backend, runs_.NextRun());
+    ++started;
+  }
+  return started;
+}
+
+size_t
+TaskScheduler::PlaceGroup(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool)
+{
+  const StepSpec& spec = jobs_.At(aJob).spec_.steps_[aStep];
+  if (jobs_.At(aJob).occurrences_[aOccurrence].steps_[aStep].active_ > 0) {
+    return 0; // Members of the run before have not all ended.
+  }
+  // Packs whole racks first, the rack with the most room in front.
+  std::map<std::string, int64_t> roomOfRack;
+  std::vector<Resources> room(aPool.size());
+  for (size_t index = 0; index < aPool.size(); ++index) {
+    const Backend& backend = backends_.At(aPool[index]);
+    roomOfRack[backend.entry_.rack_] +=
+      backend.entry_.capacity_.cpuMilli_ - backend.used_.cpuMilli_;
+  }
+  std::vector<BackendHandle> pool = aPool;
+  std::stable_sort(pool.begin(), pool.end(), [&](BackendHandle aLeft, BackendHandle aRight) {
+    return roomOfRack[backends_.At(aLeft).entry_.rack_] >
+           roomOfRack[backends_.At(aRight).entry_.rack_];
+  });
+  const Resources need = NeedOf(spec);
+  std::vector<BackendHandle> places;
+  for (const BackendHandle handle : pool) {
+    const Backend& backend = backends_.At(handle);
+    const TaskRef first{ aJob, aOccurrence, aStep, 0 };
+    if (!Suits(backend, first, spec)) {
+      continue;
+    }
+    Resources sum;
+    const size_t bound = spec.maxPerServer_ > 0 ? spec.maxPerServer_ : spec.taskCount_;
+    for (size_t count = 0; count < bound && places.size() < spec.taskCount_; ++count) {
+      sum.cpuMilli_ += need.cpuMilli_;
+      sum.memoryMb_ += need.memoryMb_;
+      sum.accelerators_ += need.accelerators_;
+      if (!backend.Fits(sum)) {
+        break;
+      }
+      places.push_back(handle);
+    }
+  }
+  if (places.size() < spec.taskCount_) {
+    return 0;
+  }
+  const int64_t run = runs_.NextRun();
+  for (uint32_t index = 0; index < spec.taskCount_; ++index) {
+    runs_.Start(TaskRef{ aJob, aOccurrence, aStep, index }, places[index], run);
+  }
+  return spec.taskCount_;
+}
+
+bool
+TaskScheduler::Suits(const Backend& aBackend, const TaskRef& aTask, const StepSpec& aSpec) const
+{
+  if (!aSpec.requiredLabel_.empty()) {
+    const auto& labels = aBackend.entry_.labels_;
+    if (std::find(labels.begin(), labels.end(), aSpec.requiredLabel_) == labels.end()) {
+      return false;
+    }
+  }
+  if (aSpec.maxPerServer_ == 0) {
+    return true;
+  }
+  const auto same =
+    std::count_if(aBackend.runs_.begin(), aBackend.runs_.end(), [&](const BackendRun& aRun) {
+      return aRun.task_ && aRun.task_->job_ == aTask.job_ &&
+             aRun.task_->occurrence_ == aTask.occurrence_ && aRun.task_->step_ == aTask.step_;
+    });
+  return same < aSpec.maxPerServer_;
+}
+
+double
+TaskScheduler::Score(const Backend& aBackend, const StepSpec& aSpec) const
+{
+  // Weights: the wrong rack doubles the duration, a neighbour that disturbs costs less than that,
+  // and the load decides among equals.
+  constexpr double kWrongRack = 10.0;
+  constexpr double kDisturbs = 3.0;
+  double score = UsedShare(aBackend);
+  if (!aSpec.dataRack_.empty() && aBackend.entry_.rack_ != aSpec.dataRack_) {
+    score += kWrongRack;
+  }
+  const bool serves = aSpec.latencyTarget_ > std::chrono::milliseconds(0);
+  if (!serves && !aSpec.fillsIdle_) {
+    return score;
+  }
+  for (const BackendRun& run : aBackend.runs_) {
+    score += (serves && run.fills_) || (aSpec.fillsIdle_ && run.serves_) ? kDisturbs : 0.0;
+    score += (serves && run.serves_) || (aSpec.fillsIdle_ && run.fills_) ? 1.0 : 0.0;
+  }
+  return score;
+}
+
+BackendHandle
+TaskScheduler::Pick(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool) const
+{
+  const Resources need = NeedOf(aSpec);
+  const BackendHandle avoid = jobs_.StepOf(aTask).tasks_[aTask.index_].avoid_;
+  BackendHandle best;
+  double bestScore = 0.0;
+  for (const BackendHandle handle : aPool) {
+    const Backend& backend = backends_.At(handle);
+    const bool avoided = handle == avoid && aPool.size() > 1;
+    if (avoided || !backend.Fits(need) || !Suits(backend, aTask, aSpec)) {
+      continue;
+    }
+    const double score = Score(backend, aSpec);
+    if (!best.IsValid() || score < bestScore) {
+      best = handle;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+}
