Count hosts that were ordered away against availability budgets

Cause: two hosts with tasks of one step were sent to maintenance in the same tick; the second did not yet see the first as away. Lasting tasks also left a host only all at once, so that two hosts of 24 were late. Change: tasks on a host that was ordered away count as away; an emptying host gives up lasting tasks one by one within their budget.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -54,6 +54,7 @@
   bool verified_ = false; ///< It has answered under the present fence.
   bool over_ = false;     ///< This life has ended; nothing runs there.
   bool recorded_ = false; ///< The store lists it as possibly in use.
+  bool goingDown_ = false; ///< Its host was ordered away; what runs there counts as away.
   bool leaving_ = false;  ///< No new work: its host is about to move or be maintained.
   uint32_t looksInFlight_ = 0;
   uint32_t looksFailed_ = 0; ///< Since the last answer.
--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -68,7 +68,7 @@
     }
     const Backend& backend = backends_.At(task.backend_);
     const bool atWork =
-      backend.looksFailed_ == 0 &&
+      backend.looksFailed_ == 0 && !backend.goingDown_ &&
       std::any_of(backend.runs_.begin(), backend.runs_.end(), [&](const BackendRun& aRun) {
         return aRun.task_ && aRun.id_.run_ == task.run_ && aRun.task_->job_ == aTask.job_ &&
                aRun.phase_ == RunPhase::Running && aRun.percent_ >= kAtWork;
@@ -78,32 +78,54 @@
   return away;
 }
 
+uint32_t
+HostMover::SameStep(const Backend& aBackend, const TaskRef& aTask) const
+{
+  return static_cast<uint32_t>(
+    std::count_if(aBackend.runs_.begin(), aBackend.runs_.end(), [&aTask](const BackendRun& aRun) {
+      return aRun.task_ && aRun.task_->job_ == aTask.job_ && aRun.task_->step_ == aTask.step_;
+    }));
+}
+
 bool
 HostMover::MayInterrupt(const Backend& aBackend) const
 {
   for (const BackendRun& run : aBackend.runs_) {
-    if (!run.task_ || run.phase_ == RunPhase::Starting || run.phase_ == RunPhase::Uncertain) {
+    if (!run.task_ || run.phase_ != RunPhase::Running) {
       return false;
     }
     const StepSpec& spec = jobs_.SpecOf(*run.task_);
     if (!spec.lasting_) {
       return false;
     }
-    if (spec.mayMiss_ == 0) {
-      continue;
-    }
-    const auto here = static_cast<uint32_t>(
-      std::count_if(aBackend.runs_.begin(), aBackend.runs_.end(), [&run](const BackendRun& aOther) {
-        return aOther.task_ && aOther.task_->job_ == run.task_->job_ &&
-               aOther.task_->step_ == run.task_->step_;
-      }));
-    if (Away(*run.task_) + here > spec.mayMiss_) {
+    // Those here count whether they are at work or not.
+    if (spec.mayMiss_ > 0 &&
+        Away(*run.task_) + SameStep(aBackend, *run.task_) > spec.mayMiss_) {
       return false;
     }
   }
   return true;
 }
 
+void
+HostMover::Empty(BackendHandle aBackend, TimePoint aSince)
+{
+  Backend& backend = backends_.At(aBackend);
+  backend.leaving_ = true;
+  const bool patient = clock_.Now() - aSince < kEmptyPatience;
+  for (BackendRun& run : backend.runs_) {
+    if (!run.task_ || run.phase_ != RunPhase::Running) {
+      continue;
+    }
+    const StepSpec& spec = jobs_.SpecOf(*run.task_);
+    const bool spared = spec.lasting_ ? spec.mayMiss_ > 0 && Away(*run.task_) >= spec.mayMiss_
+                                      : patient || !spec.checkpointing_;
+    if (!spared) {
+      runs_.Stop(aBackend, run);
+    }
+  }
+}
+
 void
 HostMover::RefreshHosts()
 {
@@ -212,20 +234,16 @@
     }
     const BackendHandle handle = BackendOf(host);
     if (handle.IsValid()) {
-      Backend& backend = backends_.At(handle);
-      backend.leaving_ = true;
-      for (BackendRun& run : backend.runs_) {
-        const bool resumes = run.task_ && jobs_.SpecOf(*run.task_).checkpointing_;
-        if (now - task.since_ > kEmptyPatience && resumes && run.phase_ == RunPhase::Running) {
-          runs_.Stop(handle, run);
-        }
-      }
-      if (!MayInterrupt(backend)) {
+      Empty(handle, task.since_);
+      if (!MayInterrupt(backends_.At(handle))) {
         continue;
       }
     }
     if (down < aRollout.request_.maxDown_ && now >= task.since_) {
       task.oldBackend_ = handle.IsValid() ? backends_.At(handle).entry_.id_ : "";
+      if (handle.IsValid()) {
+        backends_.At(handle).goingDown_ = true;
+      }
       Order(aRollout, host, task);
       --emptying;
       ++down;
@@ -303,10 +321,15 @@
       // It counts as down until an answer tells; the order can be repeated.
       Order(rollout, aHost, task);
       return;
-    default:
+    default: {
+      const BackendHandle kept = backends_.Find(task.oldBackend_);
+      if (kept.IsValid()) {
+        backends_.At(kept).goingDown_ = false;
+      }
       task.stage_ = Stage::Emptying;
       task.since_ = now + kOrderRetry;
       return;
+    }
   }
 }
 
