Let silent leases run out and tell maintained hosts from living ones

Records of ended backend servers stayed in the store and held up every new owner for a lease time. The registry lists a life for seconds after its end, and it was taken in again. A new owner that repeated a maintenance order took the living backend server for ended. Change: no renewal while silent; records are deleted with the life; an ended life is not taken in again; maintained hosts are recorded, and an inherited roll-out is settled by a look.

--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/host_mover.h
@@ -36,6 +36,13 @@
             Leadership& aLeadership,
             HostMoverSettings aSettings);
 
+  /// Takes over the record of a roll-out that an earlier owner began.
+  /// @returns False if the text is not such a record.
+  bool Inherit(const std::string& aText);
+
+  /// @returns Prefix of the records of roll-outs.
+  static std::string RecordPrefix();
+
   void Tick(const FleetConfig& aConfig, const std::map<int64_t, RolloutRequest>& aRequests);
 
 private:
@@ -60,11 +67,15 @@
     RolloutRequest request_;
     TimePoint seenAt_{};
     std::map<std::string, HostTask> hosts_;
+    bool inherited_ = false; ///< An earlier owner may have ordered hosts that are not noted.
+    std::set<std::string> noted_; ///< Hosts that are maintained, as the store has it.
     bool saidRunning_ = false;
     bool saidDone_ = false;
   };
 
   void Advance(Rollout& aRollout);
+  void Settle(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
+  void Note(const Rollout& aRollout);
   void Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
   void OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult);
   BackendHandle BackendOf(const std::string& aHost) const;
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -83,6 +83,12 @@
 
   void OnEnd(std::function<void(const RunEvent&)> aListener) { listener_ = std::move(aListener); }
 
+  /// Called with the id of each recorded backend server whose life has ended.
+  void OnOver(std::function<void(const std::string&)> aListener)
+  {
+    onOver_ = std::move(aListener);
+  }
+
 private:
   void SendLook(BackendHandle aBackend, bool aWait);
   void OnStarted(BackendHandle aBackend, const RunId& aRun, const OrderResult& aResult);
@@ -115,6 +121,8 @@
   bool fenced_ = false;
   bool changed_ = true;
   std::function<void(const RunEvent&)> listener_;
+  std::function<void(const std::string&)> onOver_;
+  std::map<std::string, int64_t> over_; ///< Lives that ended, by id: when the latest was born.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -165,7 +165,9 @@
     rollout.seenAt_ = clock_.Now();
     for (const std::string& host : request.hosts_) {
       rollout.hosts_[host] = HostTask{};
+      rollout.hosts_[host].stage_ = rollout.noted_.count(host) > 0 ? Stage::Back : Stage::Planned;
     }
+    Note(rollout);
     Log(LogLevel::Info,
         "rollout.seen",
         { { "rollout", number },
@@ -191,6 +193,61 @@
   }
 }
 
+std::string
+HostMover::RecordPrefix()
+{
+  return std::string(JobJournal::kPrefix) + "rollout/";
+}
+
+bool
+HostMover::Inherit(const std::string& aText)
+{
+  const auto record = nlohmann::json::parse(aText, nullptr, false);
+  if (!record.is_object() || !record.contains("number") || !record.contains("maintained")) {
+    return false;
+  }
+  Rollout& rollout = rollouts_[record.at("number").get<int64_t>()];
+  rollout.inherited_ = true;
+  rollout.noted_ = record.at("maintained").get<std::set<std::string>>();
+  return true;
+}
+
+void
+HostMover::Note(const Rollout& aRollout)
+{
+  const nlohmann::json record{ { "number", aRollout.request_.number_ },
+                               { "maintained", aRollout.noted_ } };
+  journal_.Write(
+    RecordWrite{ RecordPrefix() + std::to_string(aRollout.request_.number_), record.dump() });
+}
+
+void
+HostMover::Settle(Rollout& aRollout, const std::string& aHost, HostTask& aTask)
+{
+  const auto age = clock_.Now() - aTask.since_;
+  const BackendHandle handle = BackendOf(aHost);
+  const bool same = handle.IsValid() && backends_.At(handle).entry_.id_ == aTask.oldBackend_;
+  // A backend server that still answers shows that the host had been maintained before.
+  const bool before = same && backends_.At(handle).verified_;
+  const bool returned = handle.IsValid() && !same;
+  const auto listed = hosts_.find(aHost);
+  const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up &&
+                  age > settings_.maintenanceTime_ + kListPeriod;
+  if (!before && !returned && !up) {
+    return;
+  }
+  if (same) {
+    backends_.At(handle).leaving_ = false;
+    backends_.At(handle).goingDown_ = false;
+  }
+  aTask.stage_ = Stage::Back;
+  aRollout.noted_.insert(aHost);
+  Note(aRollout);
+  Log(LogLevel::Info,
+      "host.maintained",
+      { { "host", aHost }, { "rollout", aRollout.request_.number_ }, { "before", before } });
+}
+
 void
 HostMover::Advance(Rollout& aRollout)
 {
@@ -203,20 +260,8 @@
   uint32_t emptying = 0;
   uint32_t back = 0;
   for (auto& [host, task] : aRollout.hosts_) {
-    const auto listed = hosts_.find(host);
     if (task.stage_ == Stage::Down) {
-      const BackendHandle handle = BackendOf(host);
-      const bool returned = handle.IsValid() &&
-                            backends_.At(handle).entry_.id_ != task.oldBackend_ &&
-                            now - task.since_ > settings_.maintenanceTime_ / 2;
-      const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up &&
-                      now - task.since_ > settings_.maintenanceTime_ + kListPeriod;
-      if (returned || up) {
-        task.stage_ = Stage::Back;
-        Log(LogLevel::Info,
-            "host.maintained",
-            { { "host", host }, { "rollout", aRollout.request_.number_ } });
-      }
+      Settle(aRollout, host, task);
     }
     down += task.stage_ == Stage::Ordered || task.stage_ == Stage::Down ? 1 : 0;
     emptying += task.stage_ == Stage::Emptying ? 1 : 0;
@@ -306,7 +351,11 @@
       task.stage_ = Stage::Down;
       task.since_ = now;
       const BackendHandle old = backends_.Find(task.oldBackend_);
-      if (old.IsValid()) {
+      if (old.IsValid() && rollout.inherited_) {
+        // Done now or by an earlier owner: a look tells whether it still lives.
+        backends_.At(old).verified_ = false;
+        backends_.At(old).nextLook_ = now;
+      } else if (old.IsValid()) {
         runs_.EndLife(old, "its host is maintained");
       }
       return;
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -35,6 +35,7 @@
   PartProgress,
   PartBackends,
   PartJournal,
+  PartRollouts,
   PartCount
 };
 
@@ -100,11 +101,13 @@
           { "backend", backends_.At(aEvent.backend_).entry_.id_ },
           { "lasted_ms", aEvent.lasted_.count() } });
   });
+  runs_.OnOver([this](const std::string& aId) { journal_.Delete(JobJournal::BackendKey(aId)); });
   const std::string root = JobJournal::kPrefix;
   Load(root + "job/", "", PartJobs);
   Load(root + "progress/", "", PartProgress);
   Load(root + "backend/", "", PartBackends);
   Load(JobJournal::JournalKey(), "", PartJournal);
+  Load(HostMover::RecordPrefix(), "", PartRollouts);
 }
 
 JobControl::~JobControl()
@@ -180,6 +183,11 @@
     }
     runs_.AddRecorded(entry);
   }
+  for (const auto& [key, record] : parts_[PartRollouts]) {
+    if (!mover_.Inherit(record.value_)) {
+      Log(LogLevel::Error, "rollout.unreadable", { { "key", key } });
+    }
+  }
   const auto& journal = parts_[PartJournal];
   const auto revision = journal.find(JobJournal::JournalKey());
   journal_.SetRevision(revision == journal.end() ? 0 : revision->second.revision_);
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -159,6 +159,9 @@
     const Backend& backend = backends_.At(handle);
     if (backend.listed_ && !backend.recorded_ && Room(batch) > 0) {
       batch.recorded_.push_back(handle);
+      // An earlier life may have had the same id.
+      const std::string key = BackendKey(backend.entry_.id_);
+      deletes_.erase(std::remove(deletes_.begin(), deletes_.end(), key), deletes_.end());
     }
   }
   take(submitted_, [&](uint32_t aJob) { batch.jobs_.push_back(aJob); });
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -82,6 +82,11 @@
     backends_.At(handle).listed_ = false;
   }
   for (const BackendEntry& entry : aEntries) {
+    // The registry lists a life for some time after its end.
+    const auto over = over_.find(entry.id_);
+    if (over != over_.end() && entry.born_ <= over->second) {
+      continue;
+    }
     BackendHandle handle = backends_.Find(entry.id_);
     if (handle.IsValid()) {
       const int64_t known = backends_.At(handle).entry_.born_;
@@ -334,6 +339,10 @@
     const RunId id = backend.runs_.back().id_;
     DropRun(aBackend, id, "");
   }
+  over_[backend.entry_.id_] = backend.entry_.born_;
+  if (backend.recorded_ && onOver_) {
+    onOver_(backend.entry_.id_);
+  }
   backends_.Close(aBackend);
   changed_ = true;
 }
@@ -357,7 +366,9 @@
   order.to_ = backend.Address();
   order.fence_ = fence_;
   order.seenUpTo_ = backend.looksFailed_ == 0 ? backend.stored_ : 0;
-  if (backend.clock_ != 0 && backend.verified_ && !backend.runs_.empty()) {
+  // A silent backend server's lease is left to run out, so that its tasks can start elsewhere.
+  if (backend.clock_ != 0 && backend.verified_ && backend.looksFailed_ == 0 &&
+      !backend.runs_.empty()) {
     order.deadline_ = backend.ClockNow(now) + limits_.leaseTime_.count();
     backend.leaseEnd_ = std::max(backend.leaseEnd_, now + Stretched(limits_.leaseTime_));
   }
@@ -393,12 +404,10 @@
   }
   BackendEntry entry = backend.entry_;
   const bool listed = backend.listed_;
-  const bool recorded = backend.recorded_;
   EndLife(aBackend, "restarted under the same id");
   entry.born_ = aResult.born_;
   Backend& next = backends_.At(backends_.Add(entry));
   next.listed_ = listed;
-  next.recorded_ = recorded;
   next.leaseEnd_ = clock_.Now() + Stretched(kStartLease);
   return true;
 }
@@ -653,6 +662,7 @@
     }
     if (!backend.listed_ && backend.runs_.empty() && now > backend.leaseEnd_ && silent) {
       EndLife(handle, "gone from the registry and silent");
+      over_.erase(backends_.At(handle).entry_.id_); // It may come back: only its lease is over.
       continue;
     }
     for (BackendRun& run : backend.runs_) {
