Note chosen hosts before maintenance; stand-ins and tests for jobs

Change: hosts are noted in the store before they are emptied; hosts in doubt count as down until host control's list, asked for after earlier orders have settled, tells their state. Backend servers that leave several starts in a row unanswered pause. Stand-ins: the store and the fleet on a manual clock, with faults.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -50,12 +50,12 @@
 struct Backend
 {
   BackendEntry entry_;
-  bool listed_ = false;   ///< In the registry.
-  bool verified_ = false; ///< It has answered under the present fence.
-  bool over_ = false;     ///< This life has ended; nothing runs there.
-  bool recorded_ = false; ///< The store lists it as possibly in use.
+  bool listed_ = false;    ///< In the registry.
+  bool verified_ = false;  ///< It has answered under the present fence.
+  bool over_ = false;      ///< This life has ended; nothing runs there.
+  bool recorded_ = false;  ///< The store lists it as possibly in use.
   bool goingDown_ = false; ///< Its host was ordered away; what runs there counts as away.
-  bool leaving_ = false;  ///< No new work: its host is about to move or be maintained.
+  bool leaving_ = false;   ///< No new work: its host is about to move or be maintained.
   uint32_t looksInFlight_ = 0;
   uint32_t looksFailed_ = 0; ///< Since the last answer.
   TimePoint nextLook_{};
@@ -71,6 +71,7 @@
   Resources used_;
   TimePoint shunnedUntil_{};
   uint32_t failuresInRow_ = 0;
+  uint32_t startsUnanswered_ = 0; ///< In a row.
   std::string lastFailedJob_;
   TimePoint idleSince_{};
 
--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/host_mover.h
@@ -60,7 +60,9 @@
     Stage stage_ = Stage::Planned;
     TimePoint since_{};
     std::string oldBackend_; ///< Its backend server before the maintenance.
-    uint32_t attempts_ = 0;
+    bool inDoubt_ = false;   ///< An earlier owner may have ordered it; it counts as down.
+    bool byList_ = false;    ///< Taken down by an earlier owner; only the list tells its return.
+    uint64_t notedBy_ = 0;   ///< The write that tells later owners of it.
   };
   struct Rollout
   {
@@ -68,14 +70,17 @@
     TimePoint seenAt_{};
     std::map<std::string, HostTask> hosts_;
     bool inherited_ = false; ///< An earlier owner may have ordered hosts that are not noted.
-    std::set<std::string> noted_; ///< Hosts that are maintained, as the store has it.
+    std::set<std::string> maintained_; ///< As the store has it.
+    std::set<std::string> begun_;      ///< Chosen for maintenance, as the store has it.
     bool saidRunning_ = false;
     bool saidDone_ = false;
   };
 
   void Advance(Rollout& aRollout);
   void Settle(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
-  void Note(const Rollout& aRollout);
+  uint64_t Note(const Rollout& aRollout);
+  void ResolveDoubts(Rollout& aRollout);
+  void Choose(Rollout& aRollout, uint32_t aDown, uint32_t aEmptying);
   void Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
   void OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult);
   BackendHandle BackendOf(const std::string& aHost) const;
@@ -100,6 +105,8 @@
   bool listing_ = false;
   bool listed_ = false;
   TimePoint nextList_{};
+  TimePoint listSent_{}; ///< When the newest list that was answered had been asked for.
+  const TimePoint ownedSince_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -48,7 +48,9 @@
   void AfterStored(uint32_t aJob, Done aDone);
 
   /// Adds a record that is written with the next change.
-  void Write(RecordWrite aWrite);
+  /// @returns Its number; WritesStored() reaches it when the record is in the store.
+  uint64_t Write(RecordWrite aWrite);
+  uint64_t WritesStored() const { return writesStored_; }
   void Delete(const std::string& aKey);
 
   void Tick();
@@ -113,6 +115,8 @@
   std::vector<uint32_t> progress_;  ///< Touched, not yet in a batch.
   std::vector<RecordWrite> writes_;
   std::vector<std::string> deletes_;
+  uint64_t writesAdded_ = 0;
+  uint64_t writesStored_ = 0;
   Batch batch_; ///< In flight or to be sent again.
   bool hasBatch_ = false;
   bool uncertain_ = false; ///< An attempt of the batch got no answer.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -84,10 +84,7 @@
   void OnEnd(std::function<void(const RunEvent&)> aListener) { listener_ = std::move(aListener); }
 
   /// Called with the id of each recorded backend server whose life has ended.
-  void OnOver(std::function<void(const std::string&)> aListener)
-  {
-    onOver_ = std::move(aListener);
-  }
+  void OnOver(std::function<void(const std::string&)> aListener) { onOver_ = std::move(aListener); }
 
 private:
   void SendLook(BackendHandle aBackend, bool aWait);
--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -14,6 +14,9 @@
 
 constexpr milliseconds kListPeriod{ 2000 };
 constexpr milliseconds kListRetry{ 300 };
+constexpr milliseconds kInheritedListPeriod{ 400 };
+// After this, an order that an earlier owner sent has been carried out or is refused by its fence.
+constexpr milliseconds kOrderSettles{ 1600 };
 constexpr milliseconds kOrderRetry{ 400 };
 // After this, work that can resume from a checkpoint is interrupted to empty a host.
 constexpr milliseconds kEmptyPatience{ 2500 };
@@ -41,6 +44,7 @@
   , clock_(aClock)
   , leadership_(aLeadership)
   , settings_(std::move(aSettings))
+  , ownedSince_(aClock.Now())
 {
 }
 
@@ -99,8 +103,7 @@
       return false;
     }
     // Those here count whether they are at work or not.
-    if (spec.mayMiss_ > 0 &&
-        Away(*run.task_) + SameStep(aBackend, *run.task_) > spec.mayMiss_) {
+    if (spec.mayMiss_ > 0 && Away(*run.task_) + SameStep(aBackend, *run.task_) > spec.mayMiss_) {
       return false;
     }
   }
@@ -135,15 +138,21 @@
   }
   listing_ = true;
   const std::weak_ptr<bool> alive = alive_;
-  orders_.ListHosts([this, alive](const HostListResult& aResult) {
+  orders_.ListHosts([this, alive, now](const HostListResult& aResult) {
     if (!alive.lock()) {
       return;
     }
     listing_ = false;
-    nextList_ = clock_.Now() + (aResult.ok_ ? kListPeriod : kListRetry);
+    const bool inherited =
+      std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& aRollout) {
+        return aRollout.second.inherited_ && !aRollout.second.saidDone_;
+      });
+    const auto period = inherited ? kInheritedListPeriod : kListPeriod;
+    nextList_ = clock_.Now() + (aResult.ok_ ? period : kListRetry);
     if (!aResult.ok_) {
       return;
     }
+    listSent_ = now;
     hosts_.clear();
     for (const HostEntry& host : aResult.hosts_) {
       hosts_[host.id_] = host;
@@ -165,7 +174,9 @@
     rollout.seenAt_ = clock_.Now();
     for (const std::string& host : request.hosts_) {
       rollout.hosts_[host] = HostTask{};
-      rollout.hosts_[host].stage_ = rollout.noted_.count(host) > 0 ? Stage::Back : Stage::Planned;
+      HostTask& task = rollout.hosts_[host];
+      task.stage_ = rollout.maintained_.count(host) > 0 ? Stage::Back : Stage::Planned;
+      task.inDoubt_ = task.stage_ == Stage::Planned && rollout.begun_.count(host) > 0;
     }
     Note(rollout);
     Log(LogLevel::Info,
@@ -208,16 +219,18 @@
   }
   Rollout& rollout = rollouts_[record.at("number").get<int64_t>()];
   rollout.inherited_ = true;
-  rollout.noted_ = record.at("maintained").get<std::set<std::string>>();
+  rollout.maintained_ = record.at("maintained").get<std::set<std::string>>();
+  rollout.begun_ = record.value("begun", std::set<std::string>());
   return true;
 }
 
-void
+uint64_t
 HostMover::Note(const Rollout& aRollout)
 {
   const nlohmann::json record{ { "number", aRollout.request_.number_ },
-                               { "maintained", aRollout.noted_ } };
-  journal_.Write(
+                               { "begun", aRollout.begun_ },
+                               { "maintained", aRollout.maintained_ } };
+  return journal_.Write(
     RecordWrite{ RecordPrefix() + std::to_string(aRollout.request_.number_), record.dump() });
 }
 
@@ -233,7 +246,10 @@
   const auto listed = hosts_.find(aHost);
   const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up &&
                   age > settings_.maintenanceTime_ + kListPeriod;
-  if (!before && !returned && !up) {
+  const bool back = aTask.byList_ ? listed != hosts_.end() && listSent_ > aTask.since_ &&
+                                      listed->second.state_ == HostState::Up
+                                  : before || returned || up;
+  if (!back) {
     return;
   }
   if (same) {
@@ -241,13 +257,32 @@
     backends_.At(handle).goingDown_ = false;
   }
   aTask.stage_ = Stage::Back;
-  aRollout.noted_.insert(aHost);
+  aRollout.maintained_.insert(aHost);
   Note(aRollout);
   Log(LogLevel::Info,
       "host.maintained",
       { { "host", aHost }, { "rollout", aRollout.request_.number_ }, { "before", before } });
 }
 
+void
+HostMover::ResolveDoubts(Rollout& aRollout)
+{
+  if (listSent_ < ownedSince_ + kOrderSettles) {
+    return;
+  }
+  for (auto& [host, task] : aRollout.hosts_) {
+    if (!task.inDoubt_) {
+      continue;
+    }
+    task.inDoubt_ = false;
+    const auto listed = hosts_.find(host);
+    const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up;
+    task.byList_ = !up;
+    task.since_ = clock_.Now();
+    task.stage_ = up ? Stage::Planned : Stage::Down;
+  }
+}
+
 void
 HostMover::Advance(Rollout& aRollout)
 {
@@ -256,6 +291,7 @@
     aRollout.saidRunning_ = true;
     journal_.Write(format_.RolloutStatus(aRollout.request_.number_, false));
   }
+  ResolveDoubts(aRollout);
   uint32_t down = 0;
   uint32_t emptying = 0;
   uint32_t back = 0;
@@ -263,7 +299,9 @@
     if (task.stage_ == Stage::Down) {
       Settle(aRollout, host, task);
     }
-    down += task.stage_ == Stage::Ordered || task.stage_ == Stage::Down ? 1 : 0;
+    const bool isDown =
+      task.inDoubt_ || task.stage_ == Stage::Ordered || task.stage_ == Stage::Down;
+    down += isDown ? 1 : 0;
     emptying += task.stage_ == Stage::Emptying ? 1 : 0;
     back += task.stage_ == Stage::Back ? 1 : 0;
   }
@@ -284,7 +322,8 @@
         continue;
       }
     }
-    if (down < aRollout.request_.maxDown_ && now >= task.since_) {
+    const bool noted = journal_.WritesStored() >= task.notedBy_;
+    if (noted && down < aRollout.request_.maxDown_ && now >= task.since_) {
       task.oldBackend_ = handle.IsValid() ? backends_.At(handle).entry_.id_ : "";
       if (handle.IsValid()) {
         backends_.At(handle).goingDown_ = true;
@@ -294,25 +333,34 @@
       ++down;
     }
   }
-  // One host more than may be down is emptied ahead, so that no time passes between two.
+  Choose(aRollout, down, emptying);
+}
+
+void
+HostMover::Choose(Rollout& aRollout, uint32_t aDown, uint32_t aEmptying)
+{
   std::vector<std::pair<int64_t, std::string>> planned;
   for (const auto& [host, task] : aRollout.hosts_) {
-    if (task.stage_ != Stage::Planned) {
+    if (task.stage_ != Stage::Planned || task.inDoubt_) {
       continue;
     }
     const BackendHandle handle = BackendOf(host);
-    const int64_t used = handle.IsValid() ? backends_.At(handle).used_.cpuMilli_ : 0;
-    planned.emplace_back(used, host);
+    planned.emplace_back(handle.IsValid() ? backends_.At(handle).used_.cpuMilli_ : 0, host);
   }
+  // One host more than may be down is emptied ahead, so that no time passes between two.
+  const uint32_t most = aRollout.request_.maxDown_ + 1;
+  const uint32_t room = most - std::min(most, aDown + aEmptying);
   std::sort(planned.begin(), planned.end());
+  planned.resize(std::min<size_t>(planned.size(), room));
+  for (const auto& [used, host] : planned) {
+    aRollout.begun_.insert(host);
+  }
+  const uint64_t noted = planned.empty() ? 0 : Note(aRollout);
   for (const auto& [used, host] : planned) {
-    if (down + emptying >= aRollout.request_.maxDown_ + 1) {
-      break;
-    }
     HostTask& task = aRollout.hosts_[host];
     task.stage_ = Stage::Emptying;
-    task.since_ = now;
-    ++emptying;
+    task.since_ = clock_.Now();
+    task.notedBy_ = noted;
   }
 }
 
@@ -321,7 +369,6 @@
 {
   aTask.stage_ = Stage::Ordered;
   aTask.since_ = clock_.Now();
-  ++aTask.attempts_;
   HostOrder order;
   order.host_ = aHost;
   order.rollout_ = aRollout.request_.number_;
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -77,10 +77,11 @@
   waiters_.push_back(Waiter{ aJob, std::move(aDone), clock_.Now(), false });
 }
 
-void
+uint64_t
 JobJournal::Write(RecordWrite aWrite)
 {
   writes_.push_back(std::move(aWrite));
+  return ++writesAdded_;
 }
 
 void
@@ -256,6 +257,7 @@
   for (const BackendHandle handle : batch_.recorded_) {
     backends_.At(handle).recorded_ = true;
   }
+  writesStored_ += batch_.writes_.size();
   runs_.EndsStored(batch_.ends_);
   std::vector<Waiter> done;
   std::vector<Waiter> left;
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -30,6 +30,8 @@
 // Failures of different jobs in a row after which a backend server gets no work for a while.
 constexpr uint32_t kFailuresToShun = 2;
 constexpr milliseconds kShunTime{ 4000 };
+// Pause for each further start in a row without an answer.
+constexpr milliseconds kUnansweredPause{ 500 };
 // Numbers of runs that one owner may use; the fence stands above them.
 constexpr int64_t kRunsPerFence = 1 << 20;
 
@@ -211,6 +213,7 @@
   switch (aResult.outcome_) {
     case OrderOutcome::Done:
       backend.lastAnswer_ = now;
+      backend.startsUnanswered_ = 0;
       if (run) {
         run->everConfirmed_ = true;
         run->confirmedAt_ = now;
@@ -232,6 +235,11 @@
         Stop(aBackend, *run);
       }
       backend.nextLook_ = now;
+      // A single answer may be lost anywhere; several in a row speak against the backend server.
+      if (++backend.startsUnanswered_ > 1) {
+        const auto pause = kUnansweredPause * (backend.startsUnanswered_ - 1);
+        backend.shunnedUntil_ = now + std::min<milliseconds>(pause, kShunTime);
+      }
       return;
     default:
       Log(LogLevel::Info,
--- /dev/null
+++ b/standins/event_queue.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "sardinespoke/manual_clock.h"
+
+#include <functional>
+#include <map>
+
+namespace sardinespoke {
+
+/// Runs functions at set times of a manual clock.
+class EventQueue
+{
+public:
+  explicit EventQueue(ManualClock& aClock)
+    : clock_(aClock)
+  {
+  }
+
+  void After(std::chrono::milliseconds aDelay, std::function<void()> aEvent)
+  {
+    events_.emplace(clock_.Now() + aDelay, std::move(aEvent));
+  }
+
+  /// Runs what is due; an event may add further ones.
+  void Run()
+  {
+    while (!events_.empty() && events_.begin()->first <= clock_.Now()) {
+      auto event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+    }
+  }
+
+private:
+  ManualClock& clock_;
+  std::multimap<TimePoint, std::function<void()>> events_;
+};
+
+}
--- /dev/null
+++ b/standins/job_world.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "plain_fleet_format.h"
+#include "sardinespoke/job_control.h"
+#include "simulated_fleet.h"
+
+#include <memory>
+#include <optional>
+
+namespace sardinespoke {
+
+/// A small deployment on a manual clock: entry hosts, the store and the fleet.
+class JobWorld
+{
+public:
+  /// @param aHosts Number of entry hosts.
+  explicit JobWorld(size_t aHosts = 2);
+
+  /// Adds a pool with a queue of the same name, reached at host "callers" and path "/<name>/".
+  void AddPool(const std::string& aName,
+               size_t aHosts,
+               Resources aCapacity,
+               uint32_t aMaxAttempts = 3,
+               bool aSpare = false);
+
+  /// Writes the configuration as an operator does.
+  void Configure();
+  void RequestRollout(const RolloutRequest& aRequest);
+
+  /// Advances the clock in steps of 5 ms.
+  void Run(std::chrono::milliseconds aTime);
+
+  /// Runs until a condition holds.
+  /// @returns False if it does not hold within the limit.
+  bool RunUntil(const std::function<bool()>& aCondition, std::chrono::milliseconds aLimit);
+
+  /// @returns Index of the entry host that owns the pools and serves; none while there is none.
+  std::optional<size_t> Owner() const;
+
+  /// Sends a call to the owner and waits for the answer.
+  JobAnswer Call(const JobCall& aCall);
+
+  /// Hands in a job of one step.
+  JobAnswer Submit(const std::string& aPool, const std::string& aId, const StepSpec& aStep);
+  JobAnswer Submit(const std::string& aPool, const std::string& aId, std::vector<StepSpec> aSteps);
+  JobState StateOf(const std::string& aPool, const std::string& aId);
+  JobAnswer Cancel(const std::string& aPool, const std::string& aId);
+
+  /// An entry host stands still: nothing of it runs until it is thawed.
+  void Freeze(size_t aHost) { nodes_[aHost].frozen_ = true; }
+  void Thaw(size_t aHost);
+
+  /// An entry host loses all that it knows and starts again.
+  void Restart(size_t aHost);
+
+  /// Sets the duration of all tasks of a job; others last their estimate.
+  void SetDuration(const std::string& aJob, std::chrono::milliseconds aDuration);
+  void SetPoison(const std::string& aJob) { poison_.insert(aJob); }
+
+  MemoryRecordStore::Client& StoreOf(size_t aHost) { return *nodes_[aHost].store_; }
+  SimulatedFleet::Client& FleetOf(size_t aHost) { return *nodes_[aHost].orders_; }
+  SimulatedFleet& Fleet() { return *fleet_; }
+  MemoryRecordStore& Store() { return *store_; }
+  ManualClock& Clock() { return clock_; }
+  FleetConfig& Config() { return config_; }
+
+private:
+  struct Node
+  {
+    std::unique_ptr<MemoryRecordStore::Client> store_;
+    std::unique_ptr<SimulatedFleet::Client> orders_;
+    std::unique_ptr<Leadership> leadership_;
+    std::unique_ptr<JobControl> control_;
+    bool frozen_ = false;
+    size_t life_ = 0;
+  };
+
+  void Boot(size_t aHost);
+  void Tick(Node& aNode);
+  SimulatedFleet::TaskShape ShapeOf(const std::string& aTask) const;
+
+  ManualClock clock_;
+  EventQueue events_{ clock_ };
+  PlainFleetFormat format_;
+  std::unique_ptr<MemoryRecordStore> store_;
+  std::unique_ptr<SimulatedFleet> fleet_;
+  std::vector<Node> nodes_;
+  FleetConfig config_;
+  std::map<std::string, std::vector<StepSpec>> specs_;
+  std::map<std::string, std::chrono::milliseconds> durations_;
+  std::set<std::string> poison_;
+  std::chrono::milliseconds wall_{ 1000000 };
+};
+
+}
--- /dev/null
+++ b/standins/memory_record_store.cpp
@@ -0,0 +1,258 @@
+#include "memory_record_store.h"
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLatency{ 4 };
+constexpr milliseconds kCallLimit{ 700 };
+
+}
+
+MemoryRecordStore::MemoryRecordStore(ManualClock& aClock, EventQueue& aEvents)
+  : clock_(aClock)
+  , events_(aEvents)
+{
+}
+
+void
+MemoryRecordStore::Client::Call(std::function<RecordReply()> aEffect, bool aIsChange, Done aDone)
+{
+  ++calls_;
+  EventQueue& events = store_.events_;
+  if (fault_ == Fault::Refusing) {
+    events.After(kLatency, [aDone] {
+      RecordReply reply;
+      reply.outcome_ = RecordOutcome::Refused;
+      aDone(reply);
+    });
+    return;
+  }
+  if (fault_ == Fault::Silent) {
+    events.After(kCallLimit, [aDone] { aDone(RecordReply()); });
+    return;
+  }
+  const bool lost = aIsChange && fault_ == Fault::AnswersLost;
+  events.After(kLatency / 2, [&events, aEffect, aDone, lost] {
+    const RecordReply reply = aEffect();
+    events.After(lost ? kCallLimit : kLatency / 2,
+                 [aDone, reply, lost] { aDone(lost ? RecordReply() : reply); });
+  });
+}
+
+void
+MemoryRecordStore::Client::Range(const std::string& aPrefix, const std::string& aAfter, Done aDone)
+{
+  Call([this, aPrefix, aAfter] { return store_.Read(aPrefix, aAfter); }, false, aDone);
+}
+
+void
+MemoryRecordStore::Client::Watch(const std::string& aPrefix,
+                                 int64_t aAfter,
+                                 milliseconds aWait,
+                                 Done aDone)
+{
+  ++calls_;
+  if (fault_ == Fault::Silent || fault_ == Fault::Refusing) {
+    store_.events_.After(kCallLimit, [aDone] { aDone(RecordReply()); });
+    return;
+  }
+  store_.waiting_.push_back(
+    Waiting{ this, aPrefix, aAfter, store_.clock_.Now() + aWait, std::move(aDone) });
+}
+
+void
+MemoryRecordStore::Client::Change(const RecordChange& aChange, Done aDone)
+{
+  Call([this, aChange] { return store_.Apply(aChange); }, true, aDone);
+}
+
+void
+MemoryRecordStore::Client::Grant(milliseconds aTtl, Done aDone)
+{
+  Call(
+    [this, aTtl] {
+      RecordReply reply;
+      reply.outcome_ = RecordOutcome::Ok;
+      reply.lease_ = store_.nextLease_++;
+      reply.ttl_ = aTtl;
+      store_.leases_[reply.lease_] = { aTtl, store_.clock_.Now() + aTtl };
+      return reply;
+    },
+    false,
+    aDone);
+}
+
+void
+MemoryRecordStore::Client::Renew(uint64_t aLease, Done aDone)
+{
+  Call(
+    [this, aLease] {
+      RecordReply reply;
+      const auto found = store_.leases_.find(aLease);
+      reply.outcome_ = found == store_.leases_.end() ? RecordOutcome::NotFound : RecordOutcome::Ok;
+      if (found != store_.leases_.end()) {
+        found->second.second = store_.clock_.Now() + found->second.first;
+      }
+      return reply;
+    },
+    false,
+    aDone);
+}
+
+RecordReply
+MemoryRecordStore::Read(const std::string& aPrefix, const std::string& aAfter) const
+{
+  constexpr size_t kPage = 500;
+  RecordReply reply;
+  reply.outcome_ = RecordOutcome::Ok;
+  reply.revision_ = revision_;
+  for (auto next = records_.upper_bound(aAfter); next != records_.end(); ++next) {
+    if (next->first.rfind(aPrefix, 0) != 0) {
+      continue;
+    }
+    if (reply.records_.size() == kPage) {
+      reply.more_ = true;
+      break;
+    }
+    reply.records_.push_back(next->second);
+  }
+  return reply;
+}
+
+RecordReply
+MemoryRecordStore::Apply(const RecordChange& aChange)
+{
+  RecordReply reply;
+  reply.outcome_ = RecordOutcome::Ok;
+  for (const RecordExpectation& expected : aChange.expect_) {
+    const auto found = records_.find(expected.key_);
+    Record present;
+    present.key_ = expected.key_;
+    present = found == records_.end() ? present : found->second;
+    reply.records_.push_back(present);
+    if (present.revision_ != expected.revision_) {
+      reply.outcome_ = RecordOutcome::Conflict;
+    }
+  }
+  for (const RecordWrite& write : aChange.writes_) {
+    if (write.lease_ != 0 && leases_.count(write.lease_) == 0) {
+      reply.outcome_ = RecordOutcome::NotFound;
+    }
+  }
+  if (reply.outcome_ != RecordOutcome::Ok) {
+    return reply;
+  }
+  ++revision_;
+  for (const RecordWrite& write : aChange.writes_) {
+    Record& record = records_[write.key_];
+    record.created_ = record.key_.empty() ? revision_ : record.created_;
+    record.key_ = write.key_;
+    record.value_ = write.value_;
+    record.revision_ = revision_;
+    record.lease_ = write.lease_;
+    history_.push_back(record);
+  }
+  for (const std::string& key : aChange.deletes_) {
+    Erase(key);
+  }
+  reply.revision_ = revision_;
+  reply.records_.clear();
+  return reply;
+}
+
+void
+MemoryRecordStore::Erase(const std::string& aKey)
+{
+  if (records_.erase(aKey) == 0) {
+    return;
+  }
+  Record gone;
+  gone.key_ = aKey;
+  gone.revision_ = revision_;
+  gone.removed_ = true;
+  history_.push_back(gone);
+}
+
+void
+MemoryRecordStore::Put(const std::string& aKey, const std::string& aValue)
+{
+  RecordChange change;
+  change.writes_.push_back(RecordWrite{ aKey, aValue });
+  Apply(change);
+}
+
+void
+MemoryRecordStore::Remove(const std::string& aKey)
+{
+  ++revision_;
+  Erase(aKey);
+}
+
+void
+MemoryRecordStore::DropHistory()
+{
+  history_.clear();
+  firstKept_ = revision_;
+}
+
+bool
+MemoryRecordStore::Answer(const Waiting& aWaiting)
+{
+  if (aWaiting.client_->fault_ == Fault::Silent) {
+    return false;
+  }
+  RecordReply reply;
+  reply.outcome_ = RecordOutcome::Ok;
+  reply.revision_ = revision_;
+  if (aWaiting.after_ < firstKept_) {
+    reply.outcome_ = RecordOutcome::HistoryLost;
+  }
+  for (const Record& record : history_) {
+    if (record.revision_ > aWaiting.after_ && record.key_.rfind(aWaiting.prefix_, 0) == 0) {
+      reply.records_.push_back(record);
+    }
+  }
+  const bool due = clock_.Now() >= aWaiting.until_;
+  if (reply.records_.empty() && reply.outcome_ == RecordOutcome::Ok && !due) {
+    return false;
+  }
+  const auto done = aWaiting.done_;
+  events_.After(kLatency / 2, [done, reply] { done(reply); });
+  return true;
+}
+
+void
+MemoryRecordStore::Step()
+{
+  for (auto lease = leases_.begin(); lease != leases_.end();) {
+    if (clock_.Now() < lease->second.second) {
+      ++lease;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, record] : records_) {
+      if (record.lease_ == lease->first) {
+        keys.push_back(key);
+      }
+    }
+    for (const std::string& key : keys) {
+      Remove(key);
+    }
+    lease = leases_.erase(lease);
+  }
+  for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+    const bool silent = waiting->client_->fault_ == Fault::Silent;
+    if (silent && clock_.Now() > waiting->until_ + kCallLimit) {
+      const auto done = waiting->done_;
+      waiting = waiting_.erase(waiting);
+      done(RecordReply());
+      continue;
+    }
+    waiting = Answer(*waiting) ? waiting_.erase(waiting) : std::next(waiting);
+  }
+}
+
+}
--- /dev/null
+++ b/standins/plain_fleet_format.cpp
@@ -0,0 +1,110 @@
+#include "plain_fleet_format.h"
+
+#include "sardinespoke/job_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sardinespoke {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string
+PlainFleetFormat::EncodeEntry(const BackendEntry& aEntry)
+{
+  return json{ { "entry", EncodeBackend(aEntry) }, { "draining", aEntry.draining_ } }.dump();
+}
+
+std::string
+PlainFleetFormat::EncodeConfig(const FleetConfig& aConfig)
+{
+  json queues = json::array();
+  for (const QueuePolicy& queue : aConfig.queues_) {
+    queues.push_back({ { "name", queue.name_ },
+                       { "host", queue.host_ },
+                       { "prefix", queue.prefix_ },
+                       { "service", queue.service_ },
+                       { "priority", queue.priority_ },
+                       { "max_attempts", queue.maxAttempts_ },
+                       { "stretch", queue.stretch_ },
+                       { "latency_target_ms", queue.latencyTarget_.count() } });
+  }
+  json services = json::array();
+  for (const ServicePolicy& service : aConfig.services_) {
+    services.push_back({ { "name", service.name_ }, { "spare", service.spare_ } });
+  }
+  return json{
+    { "version", aConfig.version_ }, { "queues", queues }, { "services", services }
+  }.dump();
+}
+
+std::string
+PlainFleetFormat::EncodeRollout(const RolloutRequest& aRequest)
+{
+  return json{
+    { "rollout", aRequest.number_ },
+    { "hosts", aRequest.hosts_ },
+    { "duration_ms", aRequest.duration_.count() },
+    { "max_down", aRequest.maxDown_ }
+  }.dump();
+}
+
+bool
+PlainFleetFormat::ReadBackend(const Record& aRecord, BackendEntry& aEntry) const
+{
+  const json body = json::parse(aRecord.value_, nullptr, false);
+  if (!body.is_object() || !DecodeBackend(body.value("entry", ""), aEntry)) {
+    return false;
+  }
+  aEntry.draining_ = body.value("draining", false);
+  return true;
+}
+
+bool
+PlainFleetFormat::ReadConfig(const Record& aRecord, FleetConfig& aConfig) const
+{
+  const json body = json::parse(aRecord.value_, nullptr, false);
+  if (!body.is_object() || !body.contains("version")) {
+    return false;
+  }
+  aConfig.version_ = body.at("version").get<int64_t>();
+  for (const json& row : body.at("queues")) {
+    QueuePolicy queue;
+    row.at("name").get_to(queue.name_);
+    row.at("host").get_to(queue.host_);
+    row.at("prefix").get_to(queue.prefix_);
+    row.at("service").get_to(queue.service_);
+    row.at("priority").get_to(queue.priority_);
+    row.at("max_attempts").get_to(queue.maxAttempts_);
+    row.at("stretch").get_to(queue.stretch_);
+    queue.latencyTarget_ = milliseconds(row.at("latency_target_ms").get<int64_t>());
+    aConfig.queues_.push_back(std::move(queue));
+  }
+  for (const json& row : body.at("services")) {
+    aConfig.services_.push_back(
+      ServicePolicy{ row.at("name").get<std::string>(), false, row.at("spare").get<bool>() });
+  }
+  return true;
+}
+
+bool
+PlainFleetFormat::ReadRollout(const Record& aRecord, RolloutRequest& aRequest) const
+{
+  const json body = json::parse(aRecord.value_, nullptr, false);
+  if (!body.is_object() || !body.contains("rollout")) {
+    return false;
+  }
+  aRequest.number_ = body.at("rollout").get<int64_t>();
+  body.at("hosts").get_to(aRequest.hosts_);
+  aRequest.duration_ = milliseconds(body.at("duration_ms").get<int64_t>());
+  body.at("max_down").get_to(aRequest.maxDown_);
+  return true;
+}
+
+RecordWrite
+PlainFleetFormat::RolloutStatus(int64_t aNumber, bool aDone) const
+{
+  return RecordWrite{ "rollout-status/" + std::to_string(aNumber), aDone ? "done" : "running" };
+}
+
+}
--- /dev/null
+++ b/standins/simulated_fleet.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "event_queue.h"
+#include "memory_record_store.h"
+#include "sardinespoke/backend_orders.h"
+#include "sardinespoke/fleet_format.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace sardinespoke {
+
+/// What the simulated fleet saw that must not happen.
+struct FleetViolations
+{
+  size_t twice_ = 0;        ///< Two runs of a task at once, or a start after its end was noted.
+  size_t overCapacity_ = 0; ///< A start beyond a backend server's room.
+  size_t tooManyDown_ = 0;  ///< More hosts of a roll-out down than allowed.
+  std::string first_;
+
+  bool Any() const { return twice_ + overCapacity_ + tooManyDown_ > 0; }
+};
+
+/// Backend servers and host control on a manual clock: leases, fences, lists of ends, and faults.
+class SimulatedFleet
+{
+public:
+  /// What a backend server does with a start, besides running it.
+  struct Behaviour
+  {
+    bool silent_ = false;      ///< Receives and answers nothing.
+    bool losesStarts_ = false; ///< Carries starts out one second late and does not answer them.
+    bool failsAll_ = false;    ///< Every task fails.
+    bool hangs_ = false;       ///< Tasks make no progress.
+    double slowdown_ = 1.0;
+  };
+
+  /// Size and duration of a task, by its text name.
+  struct TaskShape
+  {
+    Resources use_;
+    std::chrono::milliseconds duration_{ 1000 };
+    bool lasting_ = false;
+    bool fails_ = false;
+  };
+  using ShapeOf = std::function<TaskShape(const std::string&)>;
+
+  SimulatedFleet(ManualClock& aClock,
+                 EventQueue& aEvents,
+                 MemoryRecordStore& aStore,
+                 const FleetFormatI& aFormat,
+                 ShapeOf aShapes);
+
+  /// Adds hosts to a pool; each starts a backend server and its registry entry.
+  void AddHosts(const std::string& aPool, size_t aCount, Resources aCapacity);
+
+  /// Applies a change to the behaviour of the nth backend server of a pool.
+  Behaviour& Of(const std::string& aPool, size_t aIndex);
+
+  /// The host of the nth backend server of a pool.
+  std::string HostOf(const std::string& aPool, size_t aIndex) const;
+
+  /// Ends a life at once; its registry entry stays for a heartbeat or three.
+  void Crash(const std::string& aPool, size_t aIndex);
+  void SetDraining(const std::string& aPool, size_t aIndex);
+
+  /// Lets tasks and leases run to the present time.
+  void Step();
+
+  /// An entry host's connections to the fleet.
+  class Client final : public BackendOrdersI
+  {
+  public:
+    explicit Client(SimulatedFleet& aFleet)
+      : fleet_(aFleet)
+    {
+    }
+
+    void Start(const StartOrder& aOrder, OnResult aDone) override;
+    void Stop(const StopOrder& aOrder, OnResult aDone) override;
+    void Throttle(const ThrottleOrder& aOrder, OnResult aDone) override;
+    void Look(const LookOrder& aOrder, OnLook aDone) override;
+    void Change(const HostOrder& aOrder, OnResult aDone) override;
+    void ListHosts(OnHosts aDone) override;
+
+    bool cut_ = false; ///< Nothing of this entry host reaches the fleet.
+
+  private:
+    SimulatedFleet& fleet_;
+  };
+
+  const FleetViolations& Violations() const { return violations_; }
+  size_t Starts() const { return starts_; }
+  size_t Looks() const { return looks_; }
+  size_t Maintained() const { return maintained_.size(); }
+  size_t RunsOf(const std::string& aTask) const;
+
+private:
+  friend class Client;
+
+  struct Run
+  {
+    std::string task_;
+    int64_t run_ = 0;
+    TaskShape shape_;
+    TimePoint begin_{};
+    TimePoint worked_{}; ///< Until when its progress is counted.
+    double progress_ = 0.0;
+    bool stopping_ = false;
+    TimePoint stopAt_{};
+  };
+  struct Waiting
+  {
+    int64_t seen_ = 0;
+    TimePoint until_{};
+    BackendOrdersI::OnLook done_;
+  };
+  struct Server
+  {
+    BackendEntry entry_;
+    Behaviour behaviour_;
+    TimePoint born_{};
+    bool alive_ = true;
+    int64_t fence_ = 0;
+    TimePoint leaseEnd_{};
+    int64_t nextEnd_ = 1;
+    std::vector<Run> runs_;
+    std::vector<EndedTask> ended_;
+    std::map<std::string, int64_t> stopped_; ///< Highest run that was stopped or ended, by task.
+    std::vector<Waiting> waiting_;
+  };
+
+  Server* Reach(const BackendAddress& aTo);
+  std::string Boot(const std::string& aHost);
+  void Publish(const Server& aServer);
+  OrderResult Answer(const Server& aServer, OrderOutcome aOutcome) const;
+  OrderResult StartOn(Server& aServer, const StartOrder& aOrder);
+  LookResult Lists(const Server& aServer) const;
+  void Extend(Server& aServer, int64_t aDeadline);
+  void End(Server& aServer, size_t aRun, EndKind aKind);
+  void Work(Server& aServer);
+  void Note(Server& aServer, int64_t aSeen);
+  OrderResult Apply(const HostOrder& aOrder);
+  void Violate(size_t& aCounter, const std::string& aWhat);
+  void Drop(const std::string& aId);
+
+  ManualClock& clock_;
+  EventQueue& events_;
+  MemoryRecordStore& store_;
+  const FleetFormatI& format_;
+  ShapeOf shapes_;
+  std::map<std::string, Server> servers_;
+  std::map<std::string, HostEntry> hosts_;
+  std::map<std::string, std::vector<std::string>> pools_; ///< Hosts in the order of AddHosts().
+  std::map<std::string, int64_t> hostFences_;
+  std::set<std::pair<int64_t, std::string>> maintained_;
+  std::map<int64_t, size_t> down_;
+  std::set<std::string> doneNoted_;
+  FleetViolations violations_;
+  size_t starts_ = 0;
+  size_t looks_ = 0;
+  size_t nextId_ = 1;
+
+public:
+  uint32_t maxDown_ = 1000; ///< Bound for tooManyDown_.
+};
+
+}
