Move hosts to the pools where work waits and switch idle ones off

Cause: a queue in its turn asks for more than its pool holds while the others' hosts idle; hosts in pools are the dearest price. Change: PoolSizing decides moves of empty hosts by used and waiting processor time; HostAllocator orders them; tasks are packed on hosts that cannot be emptied anyway.

--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/host_mover.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "sardinespoke/fleet_format.h"
+#include "sardinespoke/host_directory.h"
 #include "sardinespoke/job_journal.h"
-#include "sardinespoke/task_scheduler.h"
 
 #include <map>
 #include <set>
@@ -28,9 +28,9 @@
   HostMover(JobTable& aJobs,
             BackendTable& aBackends,
             RunTracker& aRuns,
-            TaskScheduler& aScheduler,
             JobJournal& aJournal,
             BackendOrdersI& aOrders,
+            HostDirectory& aDirectory,
             const FleetFormatI& aFormat,
             const ClockI& aClock,
             Leadership& aLeadership,
@@ -43,7 +43,16 @@
   /// @returns Prefix of the records of roll-outs.
   static std::string RecordPrefix();
 
-  void Tick(const FleetConfig& aConfig, const std::map<int64_t, RolloutRequest>& aRequests);
+  void Tick(const std::map<int64_t, RolloutRequest>& aRequests);
+
+  /// @returns True if a roll-out is about to maintain the host or does so.
+  bool IsBusy(const std::string& aHost) const;
+
+  /// @returns The listed backend server of a host, or an invalid handle.
+  BackendHandle BackendOf(const std::string& aHost) const;
+
+  /// @returns How old the host list may be for the roll-outs under way.
+  std::chrono::milliseconds ListPeriod() const;
 
 private:
   enum class Stage
@@ -83,29 +92,22 @@
   void Choose(Rollout& aRollout, uint32_t aDown, uint32_t aEmptying);
   void Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
   void OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult);
-  BackendHandle BackendOf(const std::string& aHost) const;
   void Empty(BackendHandle aBackend, TimePoint aSince);
   bool MayInterrupt(const Backend& aBackend) const;
   uint32_t Away(const TaskRef& aTask) const;
   uint32_t SameStep(const Backend& aBackend, const TaskRef& aTask) const;
-  void RefreshHosts();
 
   JobTable& jobs_;
   BackendTable& backends_;
   RunTracker& runs_;
-  TaskScheduler& scheduler_;
   JobJournal& journal_;
   BackendOrdersI& orders_;
+  HostDirectory& directory_;
   const FleetFormatI& format_;
   const ClockI& clock_;
   Leadership& leadership_;
   const HostMoverSettings settings_;
   std::map<int64_t, Rollout> rollouts_;
-  std::map<std::string, HostEntry> hosts_;
-  bool listing_ = false;
-  bool listed_ = false;
-  TimePoint nextList_{};
-  TimePoint listSent_{}; ///< When the newest list that was answered had been asked for.
   const TimePoint ownedSince_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "sardinespoke/fleet_format.h"
-#include "sardinespoke/host_mover.h"
+#include "sardinespoke/host_allocator.h"
 #include "sardinespoke/job_call.h"
 #include "sardinespoke/job_journal.h"
 #include "sardinespoke/task_scheduler.h"
@@ -76,7 +76,9 @@
   WaitOrder waitOrder_;
   TaskScheduler scheduler_;
   JobJournal journal_;
+  HostDirectory directory_;
   HostMover mover_;
+  HostAllocator allocator_;
   PrefixFeed registry_;
   PrefixFeed operator_;
   FleetConfig config_;
--- /dev/null
+++ b/include/sardinespoke/pool_sizing.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sardinespoke {
+
+/// A host that could be moved.
+struct SizedHost
+{
+  std::string id_;
+  int64_t cpuMilli_ = 0;
+  bool movable_ = false; ///< Nothing runs there and nothing else is planned for it.
+  std::chrono::milliseconds idleFor_{ 0 };
+};
+
+/// A pool as it is now.
+struct SizedPool
+{
+  std::string name_;
+  bool spare_ = false;      ///< Its hosts are switched off.
+  int64_t usedCpu_ = 0;     ///< Thousandths of a core that run tasks.
+  int64_t waitingCpu_ = 0;  ///< Of ready tasks that have no place.
+  int64_t forecastCpu_ = 0; ///< Of demand that is expected within the time of a move.
+  int64_t capacityCpu_ = 0; ///< Of hosts that take work.
+  int64_t arrivingCpu_ = 0; ///< Of hosts on their way here.
+  uint32_t hostsInUse_ = 0; ///< Hosts that take work or are on their way here.
+  uint32_t minHosts_ = 0;   ///< Hosts that its jobs need for spreading.
+  std::vector<SizedHost> hosts_;
+};
+
+struct HostMove
+{
+  std::string host_;
+  std::string from_;
+  std::string to_;
+};
+
+/// What a move costs, as a time that a host in a pool costs as much.
+struct MoveCosts
+{
+  std::chrono::milliseconds idleBeforeOff_{ 1500 }; ///< Idle time after which off is cheaper.
+  std::chrono::milliseconds idleBeforeMove_{ 150 }; ///< Leaves time for work that follows.
+};
+
+/// Decides which hosts change their pool.
+///
+/// Load pattern: the queues ask by turns for several times their mean, more than their pools hold,
+/// and for a twentieth in between. Hosts that are idle in one pool go to the pool where work waits;
+/// when none waits, they are switched off after the time in which a return would cost more. Only
+/// hosts on which nothing runs are moved, so that no work is lost.
+class PoolSizing
+{
+public:
+  explicit PoolSizing(MoveCosts aCosts);
+
+  /// @param aPools All pools; updated as if the moves had been done.
+  /// @returns The moves, the most urgent first.
+  std::vector<HostMove> Decide(std::vector<SizedPool>& aPools) const;
+
+private:
+  static int64_t Needed(const SizedPool& aPool);
+  static bool CanSpare(const SizedPool& aPool, const SizedHost& aHost);
+  bool Feed(std::vector<SizedPool>& aPools, SizedPool& aPool, std::vector<HostMove>& aMoves) const;
+  void SwitchOff(std::vector<SizedPool>& aPools, std::vector<HostMove>& aMoves) const;
+  static void Move(SizedPool& aFrom, SizedPool& aTo, size_t aHost, std::vector<HostMove>& aMoves);
+
+  const MoveCosts costs_;
+};
+
+}
--- /dev/null
+++ b/src/host_directory.cpp
@@ -0,0 +1,52 @@
+#include "sardinespoke/host_directory.h"
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetry{ 300 };
+
+}
+
+HostDirectory::HostDirectory(BackendOrdersI& aOrders, const ClockI& aClock)
+  : orders_(aOrders)
+  , clock_(aClock)
+{
+}
+
+const HostEntry*
+HostDirectory::Find(const std::string& aId) const
+{
+  const auto found = hosts_.find(aId);
+  return found == hosts_.end() ? nullptr : &found->second;
+}
+
+void
+HostDirectory::Tick(std::chrono::milliseconds aPeriod)
+{
+  const TimePoint now = clock_.Now();
+  if (asking_ || now < retryAt_ || (loaded_ && now < answeredAt_ + aPeriod)) {
+    return;
+  }
+  asking_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  orders_.ListHosts([this, alive, now](const HostListResult& aResult) {
+    if (!alive.lock()) {
+      return;
+    }
+    asking_ = false;
+    if (!aResult.ok_) {
+      retryAt_ = clock_.Now() + kRetry;
+      return;
+    }
+    hosts_.clear();
+    for (const HostEntry& host : aResult.hosts_) {
+      hosts_[host.id_] = host;
+    }
+    loaded_ = true;
+    askedAt_ = now;
+    answeredAt_ = clock_.Now();
+  });
+}
+
+}
--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -12,8 +12,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kListPeriod{ 2000 };
-constexpr milliseconds kListRetry{ 300 };
+constexpr milliseconds kListPeriod{ 700 };
 constexpr milliseconds kInheritedListPeriod{ 400 };
 // After this, an order that an earlier owner sent has been carried out or is refused by its fence.
 constexpr milliseconds kOrderSettles{ 1600 };
@@ -27,9 +26,9 @@
 HostMover::HostMover(JobTable& aJobs,
                      BackendTable& aBackends,
                      RunTracker& aRuns,
-                     TaskScheduler& aScheduler,
                      JobJournal& aJournal,
                      BackendOrdersI& aOrders,
+                     HostDirectory& aDirectory,
                      const FleetFormatI& aFormat,
                      const ClockI& aClock,
                      Leadership& aLeadership,
@@ -37,9 +36,9 @@
   : jobs_(aJobs)
   , backends_(aBackends)
   , runs_(aRuns)
-  , scheduler_(aScheduler)
   , journal_(aJournal)
   , orders_(aOrders)
+  , directory_(aDirectory)
   , format_(aFormat)
   , clock_(aClock)
   , leadership_(aLeadership)
@@ -129,42 +128,28 @@
   }
 }
 
-void
-HostMover::RefreshHosts()
+milliseconds
+HostMover::ListPeriod() const
 {
-  const TimePoint now = clock_.Now();
-  if (listing_ || now < nextList_) {
-    return;
-  }
-  listing_ = true;
-  const std::weak_ptr<bool> alive = alive_;
-  orders_.ListHosts([this, alive, now](const HostListResult& aResult) {
-    if (!alive.lock()) {
-      return;
-    }
-    listing_ = false;
-    const bool inherited =
-      std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& aRollout) {
-        return aRollout.second.inherited_ && !aRollout.second.saidDone_;
-      });
-    const auto period = inherited ? kInheritedListPeriod : kListPeriod;
-    nextList_ = clock_.Now() + (aResult.ok_ ? period : kListRetry);
-    if (!aResult.ok_) {
-      return;
-    }
-    listSent_ = now;
-    hosts_.clear();
-    for (const HostEntry& host : aResult.hosts_) {
-      hosts_[host.id_] = host;
-    }
-    listed_ = true;
+  const bool inherited = std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& aRollout) {
+    return aRollout.second.inherited_ && !aRollout.second.saidDone_;
+  });
+  return inherited ? kInheritedListPeriod : kListPeriod;
+}
+
+bool
+HostMover::IsBusy(const std::string& aHost) const
+{
+  return std::any_of(rollouts_.begin(), rollouts_.end(), [&aHost](const auto& aRollout) {
+    const auto found = aRollout.second.hosts_.find(aHost);
+    return found != aRollout.second.hosts_.end() && found->second.stage_ != Stage::Planned &&
+           found->second.stage_ != Stage::Back;
   });
 }
 
 void
-HostMover::Tick(const FleetConfig& aConfig, const std::map<int64_t, RolloutRequest>& aRequests)
+HostMover::Tick(const std::map<int64_t, RolloutRequest>& aRequests)
 {
-  (void)aConfig;
   for (const auto& [number, request] : aRequests) {
     Rollout& rollout = rollouts_[number];
     if (rollout.seenAt_ != TimePoint{}) {
@@ -186,15 +171,7 @@
           { "max_down", request.maxDown_ },
           { "duration_ms", request.duration_.count() } });
   }
-  bool open = false;
-  for (const auto& [number, rollout] : rollouts_) {
-    open = open || !rollout.saidDone_;
-  }
-  if (!open) {
-    return;
-  }
-  RefreshHosts();
-  if (!listed_ || !leadership_.IsCertain()) {
+  if (!directory_.IsLoaded() || !leadership_.IsCertain()) {
     return;
   }
   for (auto& [number, rollout] : rollouts_) {
@@ -243,12 +220,12 @@
   // A backend server that still answers shows that the host had been maintained before.
   const bool before = same && backends_.At(handle).verified_;
   const bool returned = handle.IsValid() && !same;
-  const auto listed = hosts_.find(aHost);
-  const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up &&
-                  age > settings_.maintenanceTime_ + kListPeriod;
-  const bool back = aTask.byList_ ? listed != hosts_.end() && listSent_ > aTask.since_ &&
-                                      listed->second.state_ == HostState::Up
-                                  : before || returned || up;
+  const HostEntry* listed = directory_.Find(aHost);
+  const bool isUp = listed && listed->state_ == HostState::Up;
+  const bool fresh = directory_.AskedAt() > aTask.since_;
+  const bool up = isUp && fresh && age > settings_.maintenanceTime_;
+  // Without a backend server before, only the list tells.
+  const bool back = aTask.byList_ ? isUp && fresh : before || returned || up;
   if (!back) {
     return;
   }
@@ -267,7 +244,7 @@
 void
 HostMover::ResolveDoubts(Rollout& aRollout)
 {
-  if (listSent_ < ownedSince_ + kOrderSettles) {
+  if (directory_.AskedAt() < ownedSince_ + kOrderSettles) {
     return;
   }
   for (auto& [host, task] : aRollout.hosts_) {
@@ -275,8 +252,8 @@
       continue;
     }
     task.inDoubt_ = false;
-    const auto listed = hosts_.find(host);
-    const bool up = listed != hosts_.end() && listed->second.state_ == HostState::Up;
+    const HostEntry* listed = directory_.Find(host);
+    const bool up = listed && listed->state_ == HostState::Up;
     task.byList_ = !up;
     task.since_ = clock_.Now();
     task.stage_ = up ? Stage::Planned : Stage::Down;
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -67,16 +67,27 @@
   , waitOrder_(durations_)
   , scheduler_(jobs_, backends_, runs_, waitOrder_, aClock)
   , journal_(aStore, aClock, jobs_, backends_, runs_, aLeadership)
+  , directory_(aOrders, aClock)
   , mover_(jobs_,
            backends_,
            runs_,
-           scheduler_,
            journal_,
            aOrders,
+           directory_,
            aFormat,
            aClock,
            aLeadership,
            settings_.hosts_)
+  , allocator_(jobs_,
+               backends_,
+               runs_,
+               scheduler_,
+               aOrders,
+               directory_,
+               mover_,
+               aClock,
+               aLeadership,
+               settings_.hosts_)
   , registry_(aStore, aClock, FeedSettings{ aFormat.RegistryPrefix(), kRegistryWait, kRegistryGap })
   , operator_(aStore,
               aClock,
@@ -538,7 +549,9 @@
     }
     WatchStuckRuns();
     Throttle();
-    mover_.Tick(config_, rollouts_);
+    directory_.Tick(mover_.ListPeriod());
+    mover_.Tick(rollouts_);
+    allocator_.Tick(config_);
     ForgetEnded();
   }
   const bool changed = runs_.TakeChanged();
--- /dev/null
+++ b/src/pool_sizing.cpp
@@ -0,0 +1,141 @@
+#include "sardinespoke/pool_sizing.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Hosts are never packed full: tasks of one size leave gaps.
+constexpr int64_t kFillPercent = 85;
+// A pool with work keeps this many hosts, in case one fails.
+constexpr uint32_t kMinHosts = 2;
+
+}
+
+PoolSizing::PoolSizing(MoveCosts aCosts)
+  : costs_(aCosts)
+{
+}
+
+int64_t
+PoolSizing::Needed(const SizedPool& aPool)
+{
+  return (aPool.usedCpu_ + aPool.waitingCpu_ + aPool.forecastCpu_) * 100 / kFillPercent;
+}
+
+bool
+PoolSizing::CanSpare(const SizedPool& aPool, const SizedHost& aHost)
+{
+  if (!aHost.movable_) {
+    return false;
+  }
+  if (aPool.spare_) {
+    return true;
+  }
+  return aPool.waitingCpu_ == 0 && aPool.hostsInUse_ > std::max(aPool.minHosts_, kMinHosts) &&
+         aPool.capacityCpu_ + aPool.arrivingCpu_ - aHost.cpuMilli_ >= Needed(aPool);
+}
+
+void
+PoolSizing::Move(SizedPool& aFrom, SizedPool& aTo, size_t aHost, std::vector<HostMove>& aMoves)
+{
+  const SizedHost host = aFrom.hosts_[aHost];
+  aFrom.hosts_.erase(aFrom.hosts_.begin() + static_cast<ptrdiff_t>(aHost));
+  if (!aFrom.spare_) {
+    aFrom.capacityCpu_ -= host.cpuMilli_;
+    --aFrom.hostsInUse_;
+  }
+  if (!aTo.spare_) {
+    aTo.arrivingCpu_ += host.cpuMilli_;
+    ++aTo.hostsInUse_;
+  }
+  aMoves.push_back(HostMove{ host.id_, aFrom.name_, aTo.name_ });
+}
+
+bool
+PoolSizing::Feed(std::vector<SizedPool>& aPools,
+                 SizedPool& aPool,
+                 std::vector<HostMove>& aMoves) const
+{
+  // A host that idles in a pool costs as much as in the one that needs it; one that is off is
+  // cheaper left off, so it comes last.
+  SizedPool* donor = nullptr;
+  size_t best = 0;
+  milliseconds longest{ -1 };
+  for (SizedPool& from : aPools) {
+    if (&from == &aPool) {
+      continue;
+    }
+    for (size_t index = 0; index < from.hosts_.size(); ++index) {
+      const SizedHost& host = from.hosts_[index];
+      if (!CanSpare(from, host) || (!from.spare_ && host.idleFor_ < costs_.idleBeforeMove_)) {
+        continue;
+      }
+      const milliseconds idle = from.spare_ ? milliseconds(0) : host.idleFor_;
+      if (idle > longest) {
+        donor = &from;
+        best = index;
+        longest = idle;
+      }
+    }
+  }
+  if (!donor) {
+    return false;
+  }
+  Move(*donor, aPool, best, aMoves);
+  return true;
+}
+
+void
+PoolSizing::SwitchOff(std::vector<SizedPool>& aPools, std::vector<HostMove>& aMoves) const
+{
+  const auto spare =
+    std::find_if(aPools.begin(), aPools.end(), [](const SizedPool& aPool) { return aPool.spare_; });
+  if (spare == aPools.end()) {
+    return;
+  }
+  for (SizedPool& pool : aPools) {
+    if (pool.spare_) {
+      continue;
+    }
+    for (size_t index = pool.hosts_.size(); index-- > 0;) {
+      if (pool.hosts_[index].idleFor_ >= costs_.idleBeforeOff_ &&
+          CanSpare(pool, pool.hosts_[index])) {
+        Move(pool, *spare, index, aMoves);
+      }
+    }
+  }
+}
+
+std::vector<HostMove>
+PoolSizing::Decide(std::vector<SizedPool>& aPools) const
+{
+  std::vector<HostMove> moves;
+  std::vector<SizedPool*> shortPools;
+  for (SizedPool& pool : aPools) {
+    if (!pool.spare_) {
+      shortPools.push_back(&pool);
+    }
+  }
+  const auto shortage = [](const SizedPool* aPool) {
+    return Needed(*aPool) - aPool->capacityCpu_ - aPool->arrivingCpu_;
+  };
+  std::stable_sort(
+    shortPools.begin(), shortPools.end(), [&](const SizedPool* aLeft, const SizedPool* aRight) {
+      return shortage(aLeft) > shortage(aRight);
+    });
+  for (SizedPool* pool : shortPools) {
+    while (shortage(pool) > 0 || pool->hostsInUse_ < pool->minHosts_) {
+      if (!Feed(aPools, *pool, moves)) {
+        break;
+      }
+    }
+  }
+  SwitchOff(aPools, moves);
+  return moves;
+}
+
+}
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -202,23 +202,23 @@
 double
 TaskScheduler::Score(const Backend& aBackend, const StepSpec& aSpec) const
 {
-  // Weights: the wrong rack doubles the duration, a neighbour that disturbs costs less than that,
-  // and the load decides among equals.
+  // Weights: the wrong rack doubles the duration, a neighbour that disturbs costs less than that.
+  // Among equals, the fullest host comes first, so that others become empty and can be moved;
+  // hosts with lasting tasks cannot be emptied anyway.
   constexpr double kWrongRack = 10.0;
   constexpr double kDisturbs = 3.0;
-  double score = UsedShare(aBackend);
+  constexpr double kHasLasting = 1.0;
+  double score = -UsedShare(aBackend);
   if (!aSpec.dataRack_.empty() && aBackend.entry_.rack_ != aSpec.dataRack_) {
     score += kWrongRack;
   }
   const bool serves = aSpec.latencyTarget_ > std::chrono::milliseconds(0);
-  if (!serves && !aSpec.fillsIdle_) {
-    return score;
-  }
+  bool hasLasting = false;
   for (const BackendRun& run : aBackend.runs_) {
+    hasLasting = hasLasting || (run.task_ && jobs_.SpecOf(*run.task_).lasting_);
     score += (serves && run.fills_) || (aSpec.fillsIdle_ && run.serves_) ? kDisturbs : 0.0;
-    score += (serves && run.serves_) || (aSpec.fillsIdle_ && run.fills_) ? 1.0 : 0.0;
   }
-  return score;
+  return score - (hasLasting ? kHasLasting : 0.0);
 }
 
 BackendHandle
