Do not take moving hosts for maintained ones in an inherited roll-out

Change: only the list's state of maintenance counts; a return needs a later life or a list that was asked for after the order.

--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -219,7 +219,8 @@
   const bool same = handle.IsValid() && backends_.At(handle).entry_.id_ == aTask.oldBackend_;
   // A backend server that still answers shows that the host had been maintained before.
   const bool before = same && backends_.At(handle).verified_;
-  const bool returned = handle.IsValid() && !same;
+  const bool returned =
+    handle.IsValid() && !same && backends_.At(handle).entry_.born_ > aTask.oldBorn_;
   const HostEntry* listed = directory_.Find(aHost);
   const bool isUp = listed && listed->state_ == HostState::Up;
   const bool fresh = directory_.AskedAt() > aTask.since_;
@@ -253,10 +254,10 @@
     }
     task.inDoubt_ = false;
     const HostEntry* listed = directory_.Find(host);
-    const bool up = listed && listed->state_ == HostState::Up;
-    task.byList_ = !up;
+    const bool isDown = listed && listed->state_ == HostState::Maintenance;
+    task.byList_ = isDown;
     task.since_ = clock_.Now();
-    task.stage_ = up ? Stage::Planned : Stage::Down;
+    task.stage_ = isDown ? Stage::Down : Stage::Planned;
   }
 }
 
@@ -301,7 +302,9 @@
     }
     const bool noted = journal_.WritesStored() >= task.notedBy_;
     if (noted && down < aRollout.request_.maxDown_ && now >= task.since_) {
+      task.byList_ = !handle.IsValid();
       task.oldBackend_ = handle.IsValid() ? backends_.At(handle).entry_.id_ : "";
+      task.oldBorn_ = handle.IsValid() ? backends_.At(handle).entry_.born_ : 0;
       if (handle.IsValid()) {
         backends_.At(handle).goingDown_ = true;
       }
