Size pools by arrivals and by the backlog at the time a host arrives

Load: queues take turns at several times their mean. Sizing by busy and waiting tasks saw a turn only after the time of its tasks, and sent hosts for backlogs that were gone when they came. Change: arrivals of the last second give the need of a turn at once; a backlog counts as what is left of it after the time of a move; work that cannot be in time any more moves nothing. The burst is replayed in tests/pool_sizing_test.cpp.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -52,6 +52,7 @@
   BackendEntry entry_;
   bool listed_ = false;    ///< In the registry.
   bool verified_ = false;  ///< It has answered under the present fence.
+  bool awaited_ = false;  ///< An earlier owner used it and it has not answered since.
   bool over_ = false;      ///< This life has ended; nothing runs there.
   bool recorded_ = false;  ///< The store lists it as possibly in use.
   bool goingDown_ = false; ///< Its host was ordered away; what runs there counts as away.
--- a/include/sardinespoke/host_allocator.h
+++ b/include/sardinespoke/host_allocator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinespoke/arrival_rate.h"
 #include "sardinespoke/host_directory.h"
 #include "sardinespoke/host_mover.h"
 #include "sardinespoke/pool_sizing.h"
@@ -18,6 +19,7 @@
                 BackendTable& aBackends,
                 RunTracker& aRuns,
                 TaskScheduler& aScheduler,
+                ArrivalRate& aArrivals,
                 BackendOrdersI& aOrders,
                 HostDirectory& aDirectory,
                 const HostMover& aRollouts,
@@ -50,6 +52,7 @@
   BackendTable& backends_;
   RunTracker& runs_;
   TaskScheduler& scheduler_;
+  ArrivalRate& arrivals_;
   BackendOrdersI& orders_;
   HostDirectory& directory_;
   const HostMover& rollouts_;
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -53,6 +53,7 @@
   void ReadOperator();
   void ReadRegistry();
   void Submit(const JobCall& aCall, const QueuePolicy& aQueue, AnswerCall aAnswer);
+  void CountArrival(const Job& aJob);
   void Cancel(uint32_t aJob, AnswerCall aAnswer);
   JobAnswer StateAnswer(const Job& aJob) const;
   JobAnswer UnknownJob() const;
@@ -73,6 +74,7 @@
   BackendTable backends_;
   RunTracker runs_;
   DurationModel durations_;
+  ArrivalRate arrivals_;
   WaitOrder waitOrder_;
   TaskScheduler scheduler_;
   JobJournal journal_;
--- a/include/sardinespoke/pool_sizing.h
+++ b/include/sardinespoke/pool_sizing.h
@@ -22,8 +22,9 @@
   std::string name_;
   bool spare_ = false;      ///< Its hosts are switched off.
   int64_t usedCpu_ = 0;     ///< Thousandths of a core that run tasks.
-  int64_t waitingCpu_ = 0;  ///< Of ready tasks that have no place.
-  int64_t forecastCpu_ = 0; ///< Of demand that is expected within the time of a move.
+  int64_t lastingCpu_ = 0;  ///< Of these, by lasting tasks.
+  int64_t arrivalCpu_ = 0;  ///< Thousandths of a core that the work handed in lately keeps busy.
+  int64_t waitingWork_ = 0; ///< Thousandths of a core-second that wait and can still be in time.
   int64_t capacityCpu_ = 0; ///< Of hosts that take work.
   int64_t arrivingCpu_ = 0; ///< Of hosts on their way here.
   uint32_t hostsInUse_ = 0; ///< Hosts that take work or are on their way here.
@@ -43,6 +44,7 @@
 {
   std::chrono::milliseconds idleBeforeOff_{ 1500 }; ///< Idle time after which off is cheaper.
   std::chrono::milliseconds idleBeforeMove_{ 150 }; ///< Leaves time for work that follows.
+  std::chrono::milliseconds moveTime_{ 1500 };      ///< Until a moved host serves.
 };
 
 /// Decides which hosts change their pool.
@@ -61,8 +63,8 @@
   std::vector<HostMove> Decide(std::vector<SizedPool>& aPools) const;
 
 private:
-  static int64_t Needed(const SizedPool& aPool);
-  static bool CanSpare(const SizedPool& aPool, const SizedHost& aHost);
+  int64_t Needed(const SizedPool& aPool) const;
+  bool CanSpare(const SizedPool& aPool, const SizedHost& aHost) const;
   bool Feed(std::vector<SizedPool>& aPools, SizedPool& aPool, std::vector<HostMove>& aMoves) const;
   void SwitchOff(std::vector<SizedPool>& aPools, std::vector<HostMove>& aMoves) const;
   static void Move(SizedPool& aFrom, SizedPool& aTo, size_t aHost, std::vector<HostMove>& aMoves);
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -16,6 +16,7 @@
   TaskScheduler(JobTable& aJobs,
                 BackendTable& aBackends,
                 RunTracker& aRuns,
+                const DurationModel& aDurations,
                 const WaitOrder& aOrder,
                 const ClockI& aClock);
 
@@ -23,8 +24,9 @@
   /// @returns Number of tasks started.
   size_t Run();
 
-  /// @returns Demand of waiting tasks of a pool, in thousandths of a core, as of the last Run().
-  int64_t WaitingCpu(const std::string& aService) const;
+  /// @returns Work of ready tasks of a pool that have no place and can be in time, in thousandths
+  /// of a core-second, as of the last Run().
+  int64_t WaitingWork(const std::string& aService) const;
 
 private:
   /// The usable backend servers of one pool.
@@ -40,9 +42,10 @@
   JobTable& jobs_;
   BackendTable& backends_;
   RunTracker& runs_;
+  const DurationModel& durations_;
   const WaitOrder& order_;
   const ClockI& clock_;
-  std::map<std::string, int64_t> waitingCpu_;
+  std::map<std::string, int64_t> waitingWork_;
 };
 
 }
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -24,6 +24,7 @@
                              BackendTable& aBackends,
                              RunTracker& aRuns,
                              TaskScheduler& aScheduler,
+                             ArrivalRate& aArrivals,
                              BackendOrdersI& aOrders,
                              HostDirectory& aDirectory,
                              const HostMover& aRollouts,
@@ -34,13 +35,14 @@
   , backends_(aBackends)
   , runs_(aRuns)
   , scheduler_(aScheduler)
+  , arrivals_(aArrivals)
   , orders_(aOrders)
   , directory_(aDirectory)
   , rollouts_(aRollouts)
   , clock_(aClock)
   , leadership_(aLeadership)
   , settings_(std::move(aSettings))
-  , sizing_(MoveCosts())
+  , sizing_(MoveCosts{ .moveTime_ = settings_.moveTime_ })
 {
 }
 
@@ -108,6 +110,10 @@
                      : milliseconds(0);
   pool.capacityCpu_ += sized.cpuMilli_;
   pool.usedCpu_ += backend.used_.cpuMilli_;
+  for (const BackendRun& run : backend.runs_) {
+    const bool lasting = run.task_ && jobs_.SpecOf(*run.task_).lasting_;
+    pool.lastingCpu_ += lasting ? run.use_.cpuMilli_ : 0;
+  }
   ++pool.hostsInUse_;
   pool.hosts_.push_back(sized);
 }
@@ -120,7 +126,8 @@
     SizedPool pool;
     pool.name_ = service.name_;
     pool.spare_ = service.spare_;
-    pool.waitingCpu_ = scheduler_.WaitingCpu(service.name_);
+    pool.waitingWork_ = scheduler_.WaitingWork(service.name_);
+    pool.arrivalCpu_ = arrivals_.Cpu(service.name_, clock_.Now());
     pool.minHosts_ = service.spare_ ? 0 : MinHosts(service.name_);
     pools[service.name_] = std::move(pool);
   }
@@ -200,7 +207,8 @@
           { "idle", idle },
           { "min_hosts", pool.minHosts_ },
           { "used_cpu_milli", pool.usedCpu_ },
-          { "waiting_cpu_milli", pool.waitingCpu_ },
+          { "arrival_cpu_milli", pool.arrivalCpu_ },
+          { "waiting_core_ms", pool.waitingWork_ },
           { "capacity_cpu_milli", pool.capacityCpu_ },
           { "arriving_cpu_milli", pool.arrivingCpu_ } });
   }
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -65,7 +65,7 @@
   , settings_(std::move(aSettings))
   , runs_(jobs_, backends_, aOrders, aClock, settings_.runs_, aLeadership.Fence())
   , waitOrder_(durations_)
-  , scheduler_(jobs_, backends_, runs_, waitOrder_, aClock)
+  , scheduler_(jobs_, backends_, runs_, durations_, waitOrder_, aClock)
   , journal_(aStore, aClock, jobs_, backends_, runs_, aLeadership)
   , directory_(aOrders, aClock)
   , mover_(jobs_,
@@ -82,6 +82,7 @@
                backends_,
                runs_,
                scheduler_,
+               arrivals_,
                aOrders,
                directory_,
                mover_,
@@ -373,6 +374,7 @@
           { "queue", jobs_.At(index).spec_.queue_ },
           { "stored", static_cast<int>(aOutcome) } });
     if (aOutcome == JournalOutcome::Stored) {
+      CountArrival(jobs_.At(index));
       nextSchedule_ = TimePoint{};
       aAnswer(Answer(JobAnswerKind::Accepted));
       return;
@@ -386,6 +388,17 @@
   });
 }
 
+void
+JobControl::CountArrival(const Job& aJob)
+{
+  if (aJob.HasLasting() || aJob.spec_.repeats_ > 0) {
+    return;
+  }
+  constexpr double kMilli = 1000.0;
+  const auto work = static_cast<int64_t>(durations_.WorkLeft(aJob) * kMilli);
+  arrivals_.Add(aJob.policy_.service_, work, clock_.Now());
+}
+
 void
 JobControl::Cancel(uint32_t aJob, AnswerCall aAnswer)
 {
--- a/src/pool_sizing.cpp
+++ b/src/pool_sizing.cpp
@@ -10,6 +10,9 @@
 
 // Hosts are never packed full: tasks of one size leave gaps.
 constexpr int64_t kFillPercent = 85;
+// Time in which the work that waits when a moved host arrives should have started; what waits
+// longer misses its objective.
+constexpr milliseconds kClearTime{ 800 };
 // A pool with work keeps this many hosts, in case one fails.
 constexpr uint32_t kMinHosts = 2;
 
@@ -21,13 +24,19 @@
 }
 
 int64_t
-PoolSizing::Needed(const SizedPool& aPool)
+PoolSizing::Needed(const SizedPool& aPool) const
 {
-  return (aPool.usedCpu_ + aPool.waitingCpu_ + aPool.forecastCpu_) * 100 / kFillPercent;
+  const int64_t serving =
+    std::max<int64_t>(aPool.capacityCpu_ + aPool.arrivingCpu_ - aPool.lastingCpu_, 0);
+  // What will wait when a host that is ordered now arrives.
+  const int64_t backlog =
+    aPool.waitingWork_ + (aPool.arrivalCpu_ - serving) * costs_.moveTime_.count() / 1000;
+  const int64_t toClear = std::max<int64_t>(backlog, 0) * 1000 / kClearTime.count();
+  return aPool.lastingCpu_ + (aPool.arrivalCpu_ + toClear) * 100 / kFillPercent;
 }
 
 bool
-PoolSizing::CanSpare(const SizedPool& aPool, const SizedHost& aHost)
+PoolSizing::CanSpare(const SizedPool& aPool, const SizedHost& aHost) const
 {
   if (!aHost.movable_) {
     return false;
@@ -35,7 +44,7 @@
   if (aPool.spare_) {
     return true;
   }
-  return aPool.waitingCpu_ == 0 && aPool.hostsInUse_ > std::max(aPool.minHosts_, kMinHosts) &&
+  return aPool.hostsInUse_ > std::max(aPool.minHosts_, kMinHosts) &&
          aPool.capacityCpu_ + aPool.arrivingCpu_ - aHost.cpuMilli_ >= Needed(aPool);
 }
 
@@ -120,7 +129,7 @@
       shortPools.push_back(&pool);
     }
   }
-  const auto shortage = [](const SizedPool* aPool) {
+  const auto shortage = [this](const SizedPool* aPool) {
     return Needed(*aPool) - aPool->capacityCpu_ - aPool->arrivingCpu_;
   };
   std::stable_sort(
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -73,6 +73,7 @@
   const BackendHandle handle = backends_.Add(aEntry);
   Backend& backend = backends_.At(handle);
   backend.recorded_ = true;
+  backend.awaited_ = true;
   backend.leaseEnd_ = ownedSince_ + Stretched(limits_.holdMax_);
   return handle;
 }
@@ -146,7 +147,7 @@
   const auto& live = backends_.Live();
   return std::all_of(live.begin(), live.end(), [this](const BackendHandle& aHandle) {
     const Backend& backend = backends_.At(aHandle);
-    return backend.verified_ || !backend.recorded_ || clock_.Now() > backend.leaseEnd_;
+    return !backend.awaited_ || clock_.Now() > backend.leaseEnd_;
   });
 }
 
@@ -461,6 +462,7 @@
   Backend& backend = backends_.At(aBackend);
   ReadClock(backend, aResult);
   backend.lastAnswer_ = now;
+  backend.awaited_ = false;
   if (!backend.verified_ || backend.looksFailed_ > 0) {
     backend.verified_ = true;
     backend.looksFailed_ = 0;
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -32,27 +32,29 @@
 TaskScheduler::TaskScheduler(JobTable& aJobs,
                              BackendTable& aBackends,
                              RunTracker& aRuns,
+                             const DurationModel& aDurations,
                              const WaitOrder& aOrder,
                              const ClockI& aClock)
   : jobs_(aJobs)
   , backends_(aBackends)
   , runs_(aRuns)
+  , durations_(aDurations)
   , order_(aOrder)
   , clock_(aClock)
 {
 }
 
 int64_t
-TaskScheduler::WaitingCpu(const std::string& aService) const
+TaskScheduler::WaitingWork(const std::string& aService) const
 {
-  const auto found = waitingCpu_.find(aService);
-  return found == waitingCpu_.end() ? 0 : found->second;
+  const auto found = waitingWork_.find(aService);
+  return found == waitingWork_.end() ? 0 : found->second;
 }
 
 size_t
 TaskScheduler::Run()
 {
-  waitingCpu_.clear();
+  waitingWork_.clear();
   std::map<std::string, std::vector<uint32_t>> waiting;
   const bool allVerified = runs_.AllVerified();
   for (const uint32_t index : jobs_.Open()) {
@@ -98,8 +100,11 @@
       const size_t placed = job.spec_.steps_[step].gang_ ? PlaceGroup(aJob, occurrence, step, aPool)
                                                          : PlaceStep(aJob, occurrence, step, aPool);
       started += placed;
-      waitingCpu_[job.policy_.service_] +=
-        static_cast<int64_t>(waiting - placed) * job.spec_.steps_[step].cpuMilli_;
+      if (waiting > placed && !order_.IsLate(job, clock_.Now())) {
+        const auto each =
+          job.spec_.steps_[step].cpuMilli_ * durations_.Expected(job, state, step).count() / 1000;
+        waitingWork_[job.policy_.service_] += static_cast<int64_t>(waiting - placed) * each;
+      }
     }
   }
   return started;
