--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -29,7 +29,7 @@
   ~JobControl();
 
   /// Answers a caller, at once or when the store has answered. Only after IsReady().
-  void Handle(const JobCall& aCall, AnswerCall aAnswer);
+  void Handle(const JobCall& aCall, const AnswerCall& aAnswer);
 
   /// @returns True once the state left by earlier owners is read.
   bool IsReady() const;
@@ -52,9 +52,9 @@
   void ReadParts();
   void ReadOperator();
   void ReadRegistry();
-  void Submit(const JobCall& aCall, const QueuePolicy& aQueue, AnswerCall aAnswer);
+  void Submit(const JobCall& aCall, const QueuePolicy& aQueue, const AnswerCall& aAnswer);
   void CountArrival(const Job& aJob);
-  void Cancel(uint32_t aJob, AnswerCall aAnswer);
+  void Cancel(uint32_t aJob, const AnswerCall& aAnswer);
   JobAnswer StateAnswer(const Job& aJob) const;
   JobAnswer UnknownJob() const;
   const QueuePolicy* FindQueue(const std::string& aHost, const std::string& aPath) const;
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -135,6 +135,7 @@
     AddHost(host, pools);
   }
   std::vector<SizedPool> result;
+  result.reserve(pools.size());
   for (auto& [name, pool] : pools) {
     result.push_back(std::move(pool));
   }
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -305,7 +305,7 @@
 }
 
 void
-JobControl::Handle(const JobCall& aCall, AnswerCall aAnswer)
+JobControl::Handle(const JobCall& aCall, const AnswerCall& aAnswer)
 {
   const QueuePolicy* queue = FindQueue(aCall.host_, aCall.path_);
   if (!queue) {
@@ -314,7 +314,7 @@
   }
   const std::string id = aCall.path_.substr(queue->prefix_.size());
   if (aCall.kind_ == JobCallKind::Submit) {
-    Submit(aCall, *queue, std::move(aAnswer));
+    Submit(aCall, *queue, aAnswer);
     return;
   }
   if (id.empty()) {
@@ -338,11 +338,11 @@
   }
   TaskRef ref;
   jobs_.Locate(TaskId{ id, 0, 0, 0 }, ref);
-  Cancel(ref.job_, std::move(aAnswer));
+  Cancel(ref.job_, aAnswer);
 }
 
 void
-JobControl::Submit(const JobCall& aCall, const QueuePolicy& aQueue, AnswerCall aAnswer)
+JobControl::Submit(const JobCall& aCall, const QueuePolicy& aQueue, const AnswerCall& aAnswer)
 {
   const std::string id = aCall.path_.substr(aQueue.prefix_.size());
   constexpr size_t kIdLength = 16;
@@ -400,7 +400,7 @@
 }
 
 void
-JobControl::Cancel(uint32_t aJob, AnswerCall aAnswer)
+JobControl::Cancel(uint32_t aJob, const AnswerCall& aAnswer)
 {
   Job& job = jobs_.At(aJob);
   if (job.IsOver() && job.shown_ == JobTable::StateOf(job)) {
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -143,9 +143,8 @@
   }
   // Packs whole racks first, the rack with the most room in front.
   std::map<std::string, int64_t> roomOfRack;
-  std::vector<Resources> room(aPool.size());
-  for (size_t index = 0; index < aPool.size(); ++index) {
-    const Backend& backend = backends_.At(aPool[index]);
+  for (const BackendHandle handle : aPool) {
+    const Backend& backend = backends_.At(handle);
     roomOfRack[backend.entry_.rack_] +=
       backend.entry_.capacity_.cpuMilli_ - backend.used_.cpuMilli_;
   }
--- a/standins/memory_record_store.cpp
+++ b/standins/memory_record_store.cpp
@@ -18,7 +18,9 @@
 }
 
 void
-MemoryRecordStore::Client::Call(std::function<RecordReply()> aEffect, bool aIsChange, Done aDone)
+MemoryRecordStore::Client::Call(const std::function<RecordReply()>& aEffect,
+                                bool aIsChange,
+                                const Done& aDone)
 {
   ++calls_;
   EventQueue& events = store_.events_;
--- a/standins/memory_record_store.h
+++ b/standins/memory_record_store.h
@@ -46,7 +46,7 @@
     size_t calls_ = 0;
 
   private:
-    void Call(std::function<RecordReply()> aEffect, bool aIsChange, Done aDone);
+    void Call(const std::function<RecordReply()>& aEffect, bool aIsChange, const Done& aDone);
 
     MemoryRecordStore& store_;
   };
