Learn from host control which lives are over, at a take-over and in service

A dark crash held its tasks for a lease as well. Change: a silent backend server is over when host control, asked after its silence began, shows its host without it; only the pools that it served wait for the others. Ruled out: shorter leases, which lose work when the owner changes.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -52,13 +52,14 @@
   BackendEntry entry_;
   bool listed_ = false;    ///< In the registry.
   bool verified_ = false;  ///< It has answered under the present fence.
-  bool awaited_ = false;  ///< An earlier owner used it and it has not answered since.
+  bool awaited_ = false;   ///< An earlier owner used it and it has not answered since.
   bool over_ = false;      ///< This life has ended; nothing runs there.
   bool recorded_ = false;  ///< The store lists it as possibly in use.
   bool goingDown_ = false; ///< Its host was ordered away; what runs there counts as away.
   bool leaving_ = false;   ///< No new work: its host is about to move or be maintained.
   uint32_t looksInFlight_ = 0;
   uint32_t looksFailed_ = 0; ///< Since the last answer.
+  TimePoint silentSince_{};  ///< Of the first of these.
   TimePoint nextLook_{};
   TimePoint lastAnswer_{};
   TimePoint answeredLookSent_{}; ///< When the newest look that was answered had been sent.
--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/host_mover.h
@@ -70,9 +70,9 @@
     TimePoint since_{};
     std::string oldBackend_; ///< Its backend server before the maintenance.
     int64_t oldBorn_ = 0;
-    bool inDoubt_ = false;   ///< An earlier owner may have ordered it; it counts as down.
-    bool byList_ = false;    ///< Taken down by an earlier owner; only the list tells its return.
-    uint64_t notedBy_ = 0;   ///< The write that tells later owners of it.
+    bool inDoubt_ = false; ///< An earlier owner may have ordered it; it counts as down.
+    bool byList_ = false;  ///< Taken down by an earlier owner; only the list tells its return.
+    uint64_t notedBy_ = 0; ///< The write that tells later owners of it.
   };
   struct Rollout
   {
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -63,6 +63,7 @@
 {
   JobSpec spec_;
   QueuePolicy policy_;
+  std::string firstService_;                 ///< Of its queue when it was accepted.
   TimePoint accepted_{};                     ///< On this process's clock.
   std::chrono::milliseconds acceptedWall_{}; ///< Since 1970.
   std::vector<Occurrence> occurrences_;      ///< Those that are due or done, from the first.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -3,6 +3,7 @@
 #include "sardinespoke/backend_table.h"
 
 #include <functional>
+#include <set>
 
 namespace sardinespoke {
 
@@ -67,8 +68,15 @@
 
   bool IsUsable(const Backend& aBackend) const;
 
-  /// @returns False while a backend server that may run inherited tasks has not answered.
-  bool AllVerified() const;
+  /// Ends the lives that host control's list shows to be over.
+  /// @param aAskedAt When the list had been asked for; later lives are not in it.
+  void ApplyHosts(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt);
+
+  /// @returns Services with a backend server that may run inherited tasks and has not answered.
+  std::set<std::string> AwaitedServices() const;
+
+  /// @returns True if a backend server does not answer, so that the list of hosts matters.
+  bool HasSilent() const;
 
   /// @returns True once a backend server has seen a higher fence.
   bool IsFenced() const { return fenced_; }
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -166,8 +166,7 @@
 HostAllocator::Tick(const FleetConfig& aConfig)
 {
   const TimePoint now = clock_.Now();
-  if (now < nextDecision_ || !directory_.IsLoaded() || !leadership_.IsCertain() ||
-      !runs_.AllVerified()) {
+  if (now < nextDecision_ || !directory_.IsLoaded() || !leadership_.IsCertain()) {
     return;
   }
   nextDecision_ = now + kDecisionPeriod;
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kRegistryWait{ 1000 };
 constexpr milliseconds kRegistryGap{ 200 };
 constexpr milliseconds kOperatorWait{ 800 };
+// How old the list of hosts may be while a backend server does not answer.
+constexpr milliseconds kSilentListPeriod{ 200 };
 constexpr milliseconds kRetryAfter{ 1000 };
 // A run without progress for this long and for this share of its expected time is stuck.
 constexpr milliseconds kStuckTime{ 1500 };
@@ -562,7 +564,8 @@
     }
     WatchStuckRuns();
     Throttle();
-    directory_.Tick(mover_.ListPeriod());
+    directory_.Tick(runs_.HasSilent() ? kSilentListPeriod : mover_.ListPeriod());
+    runs_.ApplyHosts(directory_.All(), directory_.AskedAt());
     mover_.Tick(rollouts_);
     allocator_.Tick(config_);
     ForgetEnded();
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -16,6 +16,7 @@
 {
   auto job = std::make_unique<Job>();
   job->spec_ = std::move(aSpec);
+  job->firstService_ = aPolicy.service_;
   job->policy_ = std::move(aPolicy);
   job->accepted_ = aNow;
   job->acceptedWall_ = aWall;
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -141,16 +141,47 @@
          aBackend.clock_ != 0 && aBackend.shunnedUntil_ <= clock_.Now();
 }
 
+std::set<std::string>
+RunTracker::AwaitedServices() const
+{
+  std::set<std::string> services;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (backend.awaited_ && clock_.Now() <= backend.leaseEnd_) {
+      services.insert(backend.entry_.service_);
+    }
+  }
+  return services;
+}
+
 bool
-RunTracker::AllVerified() const
+RunTracker::HasSilent() const
 {
   const auto& live = backends_.Live();
-  return std::all_of(live.begin(), live.end(), [this](const BackendHandle& aHandle) {
+  return std::any_of(live.begin(), live.end(), [this](const BackendHandle& aHandle) {
     const Backend& backend = backends_.At(aHandle);
-    return !backend.awaited_ || clock_.Now() > backend.leaseEnd_;
+    return backend.looksFailed_ > 0 && (backend.awaited_ || !backend.runs_.empty());
   });
 }
 
+void
+RunTracker::ApplyHosts(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt)
+{
+  const auto live = backends_.Live();
+  for (const BackendHandle handle : live) {
+    const Backend& backend = backends_.At(handle);
+    const auto found = aHosts.find(backend.entry_.host_);
+    // One that answers lives, and the list may be older than its life.
+    if (found == aHosts.end() || backend.looksFailed_ == 0 || backend.silentSince_ >= aAskedAt) {
+      continue;
+    }
+    const HostEntry& host = found->second;
+    if (host.state_ != HostState::Up || host.backend_ != backend.entry_.id_) {
+      EndLife(handle, "host control shows its host without it");
+    }
+  }
+}
+
 Resources
 RunTracker::UseOf(const StepSpec& aSpec) const
 {
@@ -250,6 +281,7 @@
             { "backend", backend.entry_.id_ },
             { "outcome", static_cast<int>(aResult.outcome_) } });
       if (aResult.outcome_ == OrderOutcome::Dead) {
+        backend.silentSince_ = backend.looksFailed_ == 0 ? now : backend.silentSince_;
         ++backend.looksFailed_;
         backend.nextLook_ = now;
       }
@@ -440,6 +472,9 @@
           { "runs", backend.runs_.size() },
           { "outcome", static_cast<int>(aResult.outcome_) } });
   }
+  if (backend.looksFailed_ == 0) {
+    backend.silentSince_ = clock_.Now();
+  }
   ++backend.looksFailed_;
   const auto pause = std::min(kLookRetry * backend.looksFailed_, kLookRetryMax);
   backend.nextLook_ = clock_.Now() + pause;
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace sardinespoke {
 
@@ -56,10 +57,12 @@
 {
   waitingWork_.clear();
   std::map<std::string, std::vector<uint32_t>> waiting;
-  const bool allVerified = runs_.AllVerified();
+  const std::set<std::string> awaited = runs_.AwaitedServices();
   for (const uint32_t index : jobs_.Open()) {
     const Job& job = jobs_.At(index);
-    if (!job.stored_ || (job.inherited_ && !allVerified)) {
+    const bool mayRunUnseen = job.inherited_ && (awaited.count(job.policy_.service_) > 0 ||
+                                                 awaited.count(job.firstService_) > 0);
+    if (!job.stored_ || mayRunUnseen) {
       continue;
     }
     waiting[job.policy_.service_].push_back(index);
