Let a new owner wait for orders of one that lost its record

Change: an owner that resigns leaves its fence; a new owner that does not find its predecessor's waits a lease time before maintenance.

--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/host_mover.h
@@ -43,6 +43,9 @@
   /// @returns Prefix of the records of roll-outs.
   static std::string RecordPrefix();
 
+  /// Orders nothing before that time: an owner before this one may still have orders under way.
+  void WaitUntil(TimePoint aTime) { quietUntil_ = aTime; }
+
   void Tick(const std::map<int64_t, RolloutRequest>& aRequests);
 
   /// @returns True if a roll-out is about to maintain the host or does so.
@@ -110,6 +113,7 @@
   const HostMoverSettings settings_;
   std::map<int64_t, Rollout> rollouts_;
   const TimePoint ownedSince_;
+  TimePoint quietUntil_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/sardinespoke/leadership.h
+++ b/include/sardinespoke/leadership.h
@@ -62,6 +62,15 @@
   void Resign();
 
   const LeaderInfo& Leader() const { return leader_; }
+
+  /// @returns The fence of the last other owner that was seen; 0 if none was.
+  int64_t PredecessorFence() const { return predecessorFence_; }
+
+  /// @returns Key of the record in which an owner that resigned leaves its fence.
+  std::string ResignedKey() const { return settings_.key_ + "-resigned"; }
+
+  /// @returns How long an owner that lost its record may still believe to own it.
+  std::chrono::milliseconds Ttl() const { return settings_.ttl_; }
   TimePoint NextDue() const;
 
 private:
@@ -85,6 +94,7 @@
   bool renewing_ = false;
   bool mustConfirm_ = false; ///< A pause may have outlasted the lease.
   int64_t fence_ = 0;
+  int64_t predecessorFence_ = 0;
   uint64_t lease_ = 0;
   TimePoint leaseSent_{};
   TimePoint validUntil_{};
--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -171,7 +171,7 @@
           { "max_down", request.maxDown_ },
           { "duration_ms", request.duration_.count() } });
   }
-  if (!directory_.IsLoaded() || !leadership_.IsCertain()) {
+  if (!directory_.IsLoaded() || !leadership_.IsCertain() || clock_.Now() < quietUntil_) {
     return;
   }
   for (auto& [number, rollout] : rollouts_) {
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds kOperatorWait{ 800 };
 // How old the list of hosts may be while a backend server does not answer.
 constexpr milliseconds kSilentListPeriod{ 200 };
+// Orders of an owner that resigned take this long to show in the backend servers' lists.
+constexpr milliseconds kHandOverQuiet{ 500 };
 constexpr milliseconds kRetryAfter{ 1000 };
 // A run without progress for this long and for this share of its expected time is stuck.
 constexpr milliseconds kStuckTime{ 1500 };
@@ -38,6 +40,7 @@
   PartBackends,
   PartJournal,
   PartRollouts,
+  PartResigned,
   PartCount
 };
 
@@ -122,6 +125,7 @@
   Load(root + "backend/", "", PartBackends);
   Load(JobJournal::JournalKey(), "", PartJournal);
   Load(HostMover::RecordPrefix(), "", PartRollouts);
+  Load(leadership_.ResignedKey(), "", PartResigned);
 }
 
 JobControl::~JobControl()
@@ -202,6 +206,13 @@
       Log(LogLevel::Error, "rollout.unreadable", { { "key", key } });
     }
   }
+  const auto resigned = parts_[PartResigned].find(leadership_.ResignedKey());
+  const bool handedOver = resigned != parts_[PartResigned].end() &&
+                          resigned->second.value_ == std::to_string(leadership_.PredecessorFence());
+  const bool isFirst = parts_[PartJournal].empty();
+  if (!isFirst) {
+    mover_.WaitUntil(now + (handedOver ? kHandOverQuiet : leadership_.Ttl() + kHandOverQuiet));
+  }
   const auto& journal = parts_[PartJournal];
   const auto revision = journal.find(JobJournal::JournalKey());
   journal_.SetRevision(revision == journal.end() ? 0 : revision->second.revision_);
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -87,6 +87,7 @@
     Win(record.revision_); // The answer to the claim was lost.
     return;
   }
+  predecessorFence_ = mine ? predecessorFence_ : record.revision_;
   if (owner_ && !mine && record.revision_ > fence_) {
     Lose("another host owns the pools");
   }
@@ -226,6 +227,7 @@
   RecordChange change;
   change.expect_.push_back(Claim());
   change.deletes_.push_back(settings_.key_);
+  change.writes_.push_back(RecordWrite{ ResignedKey(), std::to_string(fence_) });
   // A lost answer costs the next owner the rest of the lease, nothing else.
   store_.Change(change, [](const RecordReply&) {});
   Lose("resigned");
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -308,5 +308,75 @@
   EXPECT_EQ(world_.Fleet().Starts(), 64U);
 }
 
+/// A lasting job whose budget allows one task to be away, in a roll-out over all hosts.
+class BudgetTest : public testing::Test
+{
+protected:
+  static constexpr uint32_t kTasks = 5;
+
+  void SetUp() override
+  {
+    world_.AddPool("births", 8, kHost);
+    world_.Configure();
+    world_.Run(seconds(1));
+    world_.Submit("births", JobId(1), Lasting(kTasks, 1));
+    world_.Run(seconds(2));
+    RolloutRequest request;
+    request.number_ = 1;
+    request.maxDown_ = 4;
+    request.duration_ = seconds(30);
+    for (size_t index = 0; index < 8; ++index) {
+      request.hosts_.push_back(world_.Fleet().HostOf("births", index));
+    }
+    world_.RequestRollout(request);
+  }
+
+  uint32_t Running()
+  {
+    uint32_t running = 0;
+    for (uint32_t index = 0; index < kTasks; ++index) {
+      running += world_.Fleet().RunsOf(TaskId{ JobId(1), 0, 0, index }.Text()) > 0 ? 1 : 0;
+    }
+    return running;
+  }
+
+  /// Runs to the end of the roll-out or for a time.
+  /// @returns The fewest tasks that ran at any moment.
+  uint32_t FewestRunning(milliseconds aTime)
+  {
+    uint32_t fewest = kTasks;
+    world_.RunUntil(
+      [&] {
+        fewest = std::min(fewest, Running());
+        return world_.Fleet().Maintained() == 8;
+      },
+      aTime);
+    return fewest;
+  }
+
+  JobWorld world_;
+};
+
+// Guards against two hosts of one step that leave in the same moment.
+TEST_F(BudgetTest, RolloutInterruptsOneTaskAtATime)
+{
+  EXPECT_GE(FewestRunning(seconds(30)), kTasks - 1);
+  EXPECT_EQ(world_.Fleet().Maintained(), 8U);
+}
+
+// Guards against two owners that each spend the budget: one lost its record without knowing it.
+TEST_F(BudgetTest, ANewOwnerWaitsForOrdersOfTheOneThatLostItsRecord)
+{
+  for (int step = 0; step < 6; ++step) {
+    EXPECT_GE(FewestRunning(milliseconds(90)), kTasks - 1) << step;
+  }
+  const auto owner = world_.Owner();
+  ASSERT_TRUE(owner.has_value());
+  world_.StoreOf(*owner).fault_ = MemoryRecordStore::Fault::Silent;
+  world_.Store().Remove(std::string(JobJournal::kPrefix) + "leader");
+  EXPECT_GE(FewestRunning(seconds(40)), kTasks - 1);
+  EXPECT_EQ(world_.Fleet().Maintained(), 8U);
+}
+
 }
 }
