Do not maintain hosts whose backend server has not told what runs there

Change: no order for a host with a backend server that does not answer, until its lease is over. Measured: the test fails without the change.

--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/host_mover.h
@@ -97,6 +97,7 @@
   void Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask);
   void OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult);
   void Empty(BackendHandle aBackend, TimePoint aSince);
+  bool MayRunUnseen(const std::string& aHost) const;
   bool MayInterrupt(const Backend& aBackend) const;
   uint32_t Away(const TaskRef& aTask) const;
   uint32_t SameStep(const Backend& aBackend, const TaskRef& aTask) const;
--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -90,6 +90,17 @@
     }));
 }
 
+bool
+HostMover::MayRunUnseen(const std::string& aHost) const
+{
+  const auto& live = backends_.Live();
+  return std::any_of(live.begin(), live.end(), [&](const BackendHandle& aHandle) {
+    const Backend& backend = backends_.At(aHandle);
+    const bool answers = backend.verified_ && backend.looksFailed_ == 0;
+    return backend.entry_.host_ == aHost && !answers && clock_.Now() <= backend.leaseEnd_;
+  });
+}
+
 bool
 HostMover::MayInterrupt(const Backend& aBackend) const
 {
@@ -301,7 +312,7 @@
       }
     }
     const bool noted = journal_.WritesStored() >= task.notedBy_;
-    if (noted && down < aRollout.request_.maxDown_ && now >= task.since_) {
+    if (noted && !MayRunUnseen(host) && down < aRollout.request_.maxDown_ && now >= task.since_) {
       task.byList_ = !handle.IsValid();
       task.oldBackend_ = handle.IsValid() ? backends_.At(handle).entry_.id_ : "";
       task.oldBorn_ = handle.IsValid() ? backends_.At(handle).entry_.born_ : 0;
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -64,6 +64,9 @@
   ManualClock& Clock() { return clock_; }
   FleetConfig& Config() { return config_; }
 
+  /// Settings of owners elected from now on.
+  JobControlSettings& Settings() { return settings_; }
+
 private:
   struct Node
   {
@@ -86,6 +89,7 @@
   std::unique_ptr<SimulatedFleet> fleet_;
   std::vector<Node> nodes_;
   FleetConfig config_;
+  JobControlSettings settings_;
   std::map<std::string, std::vector<StepSpec>> specs_;
   std::map<std::string, std::chrono::milliseconds> durations_;
   std::set<std::string> poison_;
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -364,6 +364,46 @@
   EXPECT_EQ(world_.Fleet().Maintained(), 8U);
 }
 
+// Guards against maintenance of a host whose backend server has not told the new owner what runs
+// there: it was taken for empty.
+TEST_F(JobControlTest, HostsThatDoNotAnswerANewOwnerAreNotTakenForEmpty)
+{
+  // Long leases: nothing may end before the roll-out could begin.
+  world_.Settings().runs_.leaseTime_ = milliseconds(6000);
+  world_.Restart(*world_.Owner());
+  world_.Run(seconds(4));
+  StepSpec step = Lasting(5, 1);
+  step.maxPerServer_ = 2;
+  world_.Submit("births", JobId(1), step);
+  world_.Run(seconds(2));
+  const auto running = [this] {
+    size_t count = 0;
+    for (uint32_t index = 0; index < 5; ++index) {
+      count += world_.Fleet().RunsOf(TaskId{ JobId(1), 0, 0, index }.Text());
+    }
+    return count;
+  };
+  RolloutRequest request;
+  request.number_ = 1;
+  request.maxDown_ = 4;
+  request.duration_ = seconds(30);
+  for (size_t index = 0; index < 4; ++index) {
+    request.hosts_.push_back(world_.Fleet().HostOf("births", index));
+    world_.Fleet().Of("births", index).silent_ = true;
+  }
+  world_.Restart(*world_.Owner());
+  world_.Store().Remove(std::string(JobJournal::kPrefix) + "leader");
+  world_.RequestRollout(request);
+  size_t fewest = 5;
+  world_.RunUntil(
+    [&] {
+      fewest = std::min(fewest, running());
+      return false;
+    },
+    milliseconds(3500));
+  EXPECT_EQ(fewest, 5U);
+}
+
 class BudgetAtLossTest
   : public BudgetTest
   , public testing::WithParamInterface<int>
