--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -4,6 +4,7 @@
 #include "sardinespoke/host_allocator.h"
 #include "sardinespoke/job_call.h"
 #include "sardinespoke/job_journal.h"
+#include "sardinespoke/metrics.h"
 #include "sardinespoke/task_scheduler.h"
 
 namespace sardinespoke {
@@ -25,6 +26,7 @@
              const FleetFormatI& aFormat,
              const ClockI& aClock,
              Leadership& aLeadership,
+             Metrics& aMetrics,
              JobControlSettings aSettings);
   ~JobControl();
 
@@ -62,12 +64,15 @@
   void Throttle();
   void ThrottleFillers(BackendHandle aBackend, uint32_t aPercent);
   void ForgetEnded();
+  void OnRunEnded(const RunEvent& aEvent);
+  void Report();
 
   RecordStoreI& store_;
   BackendOrdersI& orders_;
   const FleetFormatI& format_;
   const ClockI& clock_;
   Leadership& leadership_;
+  Metrics& metrics_;
   const JobControlSettings settings_;
 
   JobTable jobs_;
@@ -91,6 +96,7 @@
   bool loaded_ = false;
   std::chrono::milliseconds wall_{ 0 };
   TimePoint nextSlow_{};
+  TimePoint nextReport_{};
   TimePoint nextSchedule_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -190,7 +190,7 @@
   }
   if (owner && !control_) {
     control_ = std::make_unique<JobControl>(
-      store_, orders_, format_, clock_, *leadership_, settings_.control_);
+      store_, orders_, format_, clock_, *leadership_, metrics_, settings_.control_);
   }
   isOwner_ = owner;
   const std::lock_guard lock(mutex_);
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace sardinespoke {
 
@@ -13,6 +14,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds kReportPeriod{ 1000 };
 // How often occurrences, stuck runs, throttles and hosts are looked after.
 constexpr milliseconds kSlowPeriod{ 100 };
 // How soon waiting tasks are looked at again without a change.
@@ -25,7 +27,6 @@
 constexpr milliseconds kSilentListPeriod{ 200 };
 // Orders of an owner that resigned take this long to show in the backend servers' lists.
 constexpr milliseconds kHandOverQuiet{ 500 };
-constexpr milliseconds kRetryAfter{ 1000 };
 // A run without progress for this long and for this share of its expected time is stuck.
 constexpr milliseconds kStuckTime{ 1500 };
 // Fillers are stopped from using the processor when a serving task stays above its target.
@@ -44,16 +45,6 @@
   PartCount
 };
 
-JobAnswer
-Answer(JobAnswerKind aKind, const std::string& aMessage = "")
-{
-  JobAnswer answer;
-  answer.kind_ = aKind;
-  answer.message_ = aMessage;
-  answer.retryAfter_ = kRetryAfter;
-  return answer;
-}
-
 }
 
 JobControl::JobControl(RecordStoreI& aStore,
@@ -61,12 +52,14 @@
                        const FleetFormatI& aFormat,
                        const ClockI& aClock,
                        Leadership& aLeadership,
+                       Metrics& aMetrics,
                        JobControlSettings aSettings)
   : store_(aStore)
   , orders_(aOrders)
   , format_(aFormat)
   , clock_(aClock)
   , leadership_(aLeadership)
+  , metrics_(aMetrics)
   , settings_(std::move(aSettings))
   , runs_(jobs_, backends_, aOrders, aClock, settings_.runs_, aLeadership.Fence())
   , waitOrder_(durations_)
@@ -100,24 +93,7 @@
               FeedSettings{ aFormat.OperatorPrefix(), kOperatorWait, milliseconds(0) })
   , parts_(PartCount)
 {
-  runs_.OnEnd([this](const RunEvent& aEvent) {
-    const Job& job = jobs_.At(aEvent.task_.job_);
-    const StepSpec& spec = jobs_.SpecOf(aEvent.task_);
-    if (aEvent.kind_ == EndKind::Done && aEvent.lasted_ > milliseconds(0)) {
-      durations_.Observe(job.spec_.queue_, spec.estimate_, aEvent.lasted_);
-    }
-    if (aEvent.kind_ == EndKind::Done && !job.IsOver()) {
-      return;
-    }
-    Log(LogLevel::Info,
-        "run.ended",
-        { { "task", aEvent.run_.task_ },
-          { "run", aEvent.run_.run_ },
-          { "kind", static_cast<int>(aEvent.kind_) },
-          { "job_state", static_cast<int>(JobTable::StateOf(job)) },
-          { "backend", backends_.At(aEvent.backend_).entry_.id_ },
-          { "lasted_ms", aEvent.lasted_.count() } });
-  });
+  runs_.OnEnd([this](const RunEvent& aEvent) { OnRunEnded(aEvent); });
   runs_.OnOver([this](const std::string& aId) { journal_.Delete(JobJournal::BackendKey(aId)); });
   const std::string root = JobJournal::kPrefix;
   Load(root + "job/", "", PartJobs);
@@ -133,6 +109,59 @@
   journal_.Abandon();
 }
 
+void
+JobControl::OnRunEnded(const RunEvent& aEvent)
+{
+  constexpr std::array<const char*, static_cast<size_t>(EndKind::Count)> kKinds{
+    "done", "failed", "stopped", "lapsed", "broken", "alone"
+  };
+  const char* kind = kKinds[static_cast<size_t>(aEvent.kind_)];
+  const Job& job = jobs_.At(aEvent.task_.job_);
+  const StepSpec& spec = jobs_.SpecOf(aEvent.task_);
+  metrics_.Count(std::string("runs_ended{kind=\"") + kind + "\"}");
+  if (aEvent.kind_ == EndKind::Done && aEvent.lasted_ > milliseconds(0)) {
+    durations_.Observe(job.spec_.queue_, spec.estimate_, aEvent.lasted_);
+    metrics_.Observe("run_duration", aEvent.lasted_);
+  }
+  // One line a job, not one a task, while all goes well.
+  if (aEvent.kind_ == EndKind::Done && !job.IsOver()) {
+    return;
+  }
+  const std::chrono::duration<double, std::milli> age = clock_.Now() - job.accepted_;
+  Log(LogLevel::Info,
+      "run.ended",
+      { { "task", aEvent.run_.task_ },
+        { "run", aEvent.run_.run_ },
+        { "kind", kind },
+        { "job_over", job.IsOver() },
+        { "job_age_ms", age.count() },
+        { "backend", backends_.At(aEvent.backend_).entry_.id_ },
+        { "lasted_ms", aEvent.lasted_.count() } });
+}
+
+void
+JobControl::Report()
+{
+  const TimePoint now = clock_.Now();
+  if (now < nextReport_) {
+    return;
+  }
+  nextReport_ = now + kReportPeriod;
+  size_t runs = 0;
+  size_t silent = 0;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    runs += backend.runs_.size();
+    silent += backend.looksFailed_ > 0 ? 1 : 0;
+  }
+  metrics_.Set("open_jobs", static_cast<double>(jobs_.Open().size()));
+  metrics_.Set("active_runs", static_cast<double>(runs));
+  metrics_.Set("live_backends", static_cast<double>(backends_.Live().size()));
+  metrics_.Set("silent_backends", static_cast<double>(silent));
+  metrics_.Set("config_version", static_cast<double>(config_.version_));
+  metrics_.Set("owner_fence", static_cast<double>(leadership_.Fence()));
+}
+
 void
 JobControl::Load(const std::string& aPrefix, const std::string& aAfter, size_t aPart)
 {
@@ -280,160 +309,6 @@
   runs_.ApplyRegistry(entries);
 }
 
-const QueuePolicy*
-JobControl::FindQueue(const std::string& aHost, const std::string& aPath) const
-{
-  const QueuePolicy* best = nullptr;
-  for (const QueuePolicy& queue : config_.queues_) {
-    if (queue.host_ != aHost || aPath.rfind(queue.prefix_, 0) != 0) {
-      continue;
-    }
-    if (!best || queue.prefix_.size() > best->prefix_.size()) {
-      best = &queue;
-    }
-  }
-  return best;
-}
-
-JobAnswer
-JobControl::UnknownJob() const
-{
-  // Only the owner for certain knows that no other host has accepted it.
-  return leadership_.IsCertain()
-           ? Answer(JobAnswerKind::NoJob)
-           : Answer(JobAnswerKind::Refused, "the ownership of the pools is not confirmed");
-}
-
-JobAnswer
-JobControl::StateAnswer(const Job& aJob) const
-{
-  JobAnswer answer = Answer(JobAnswerKind::State);
-  const JobState now = JobTable::StateOf(aJob);
-  const bool isFinal = now != JobState::Queued && now != JobState::Running;
-  answer.state_ = now;
-  if (isFinal && aJob.shown_ != now) {
-    answer.state_ = JobState::Running;
-  }
-  return answer;
-}
-
-void
-JobControl::Handle(const JobCall& aCall, const AnswerCall& aAnswer)
-{
-  const QueuePolicy* queue = FindQueue(aCall.host_, aCall.path_);
-  if (!queue) {
-    aAnswer(Answer(JobAnswerKind::NoQueue));
-    return;
-  }
-  const std::string id = aCall.path_.substr(queue->prefix_.size());
-  if (aCall.kind_ == JobCallKind::Submit) {
-    Submit(aCall, *queue, aAnswer);
-    return;
-  }
-  if (id.empty()) {
-    JobAnswer answer = Answer(JobAnswerKind::Pending);
-    answer.pending_ = jobs_.Pending(queue->name_);
-    aAnswer(answer);
-    return;
-  }
-  Job* job = jobs_.Find(id);
-  if (!job) {
-    aAnswer(UnknownJob());
-    return;
-  }
-  if (!job->stored_) {
-    aAnswer(Answer(JobAnswerKind::Unknown, "the job is being stored"));
-    return;
-  }
-  if (aCall.kind_ == JobCallKind::State) {
-    aAnswer(StateAnswer(*job));
-    return;
-  }
-  TaskRef ref;
-  jobs_.Locate(TaskId{ id, 0, 0, 0 }, ref);
-  Cancel(ref.job_, aAnswer);
-}
-
-void
-JobControl::Submit(const JobCall& aCall, const QueuePolicy& aQueue, const AnswerCall& aAnswer)
-{
-  const std::string id = aCall.path_.substr(aQueue.prefix_.size());
-  constexpr size_t kIdLength = 16;
-  const bool isHex = id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
-  if (!aCall.problem_.empty() || id.size() != kIdLength || !isHex) {
-    aAnswer(Answer(JobAnswerKind::Invalid,
-                   aCall.problem_.empty() ? "a job id has 16 hexadecimal digits" : aCall.problem_));
-    return;
-  }
-  Job* known = jobs_.Find(id);
-  if (known && known->stored_) {
-    aAnswer(Answer(JobAnswerKind::Accepted));
-    return;
-  }
-  if (known || !leadership_.MayOrder() || journal_.IsStalled()) {
-    aAnswer(
-      Answer(known ? JobAnswerKind::Unknown : JobAnswerKind::Refused, "the store does not answer"));
-    return;
-  }
-  JobSpec spec = aCall.spec_;
-  spec.id_ = id;
-  spec.queue_ = aQueue.name_;
-  const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
-  jobs_.OpenDue(jobs_.At(index), wall_);
-  journal_.Submit(index, [this, index, id, aAnswer](JournalOutcome aOutcome) {
-    Log(LogLevel::Info,
-        "job.submitted",
-        { { "job", id },
-          { "queue", jobs_.At(index).spec_.queue_ },
-          { "stored", static_cast<int>(aOutcome) } });
-    if (aOutcome == JournalOutcome::Stored) {
-      CountArrival(jobs_.At(index));
-      nextSchedule_ = TimePoint{};
-      aAnswer(Answer(JobAnswerKind::Accepted));
-      return;
-    }
-    if (aOutcome == JournalOutcome::NotStored) {
-      jobs_.Remove(index);
-      aAnswer(Answer(JobAnswerKind::Refused, "the store does not answer"));
-      return;
-    }
-    aAnswer(Answer(JobAnswerKind::Unknown, "the store has not confirmed the job"));
-  });
-}
-
-void
-JobControl::CountArrival(const Job& aJob)
-{
-  if (aJob.HasLasting() || aJob.spec_.repeats_ > 0) {
-    return;
-  }
-  constexpr double kMilli = 1000.0;
-  const auto work = static_cast<int64_t>(durations_.WorkLeft(aJob) * kMilli);
-  arrivals_.Add(aJob.policy_.service_, work, clock_.Now());
-}
-
-void
-JobControl::Cancel(uint32_t aJob, const AnswerCall& aAnswer)
-{
-  Job& job = jobs_.At(aJob);
-  if (job.IsOver() && job.shown_ == JobTable::StateOf(job)) {
-    aAnswer(Answer(JobAnswerKind::Cancelled));
-    return;
-  }
-  if (!job.IsOver()) {
-    job.cancelled_ = true;
-    job.endedAt_ = clock_.Now();
-    runs_.StopJob(aJob);
-    Log(LogLevel::Info, "job.cancelled", { { "job", job.spec_.id_ } });
-  }
-  jobs_.Touch(aJob);
-  journal_.AfterStored(aJob, [aAnswer](JournalOutcome aOutcome) {
-    aAnswer(aOutcome == JournalOutcome::Stored
-              ? Answer(JobAnswerKind::Cancelled)
-              : Answer(JobAnswerKind::Unknown, "the store has not confirmed the cancellation"));
-  });
-}
-
 void
 JobControl::WatchStuckRuns()
 {
@@ -580,6 +455,7 @@
     mover_.Tick(rollouts_);
     allocator_.Tick(config_);
     ForgetEnded();
+    Report();
   }
   const bool changed = runs_.TakeChanged();
   if (changed || now >= nextSchedule_) {
--- /dev/null
+++ b/src/job_requests.cpp
@@ -0,0 +1,187 @@
+#include "sardinespoke/job_control.h"
+
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace sardinespoke {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
+
+JobAnswer
+Answer(JobAnswerKind aKind, const std::string& aMessage = "")
+{
+  JobAnswer answer;
+  answer.kind_ = aKind;
+  answer.message_ = aMessage;
+  answer.retryAfter_ = kRetryAfter;
+  return answer;
+}
+
+}
+
+const QueuePolicy*
+JobControl::FindQueue(const std::string& aHost, const std::string& aPath) const
+{
+  const QueuePolicy* best = nullptr;
+  for (const QueuePolicy& queue : config_.queues_) {
+    if (queue.host_ != aHost || aPath.rfind(queue.prefix_, 0) != 0) {
+      continue;
+    }
+    if (!best || queue.prefix_.size() > best->prefix_.size()) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+JobAnswer
+JobControl::UnknownJob() const
+{
+  // Only the owner for certain knows that no other host has accepted it.
+  return leadership_.IsCertain()
+           ? Answer(JobAnswerKind::NoJob)
+           : Answer(JobAnswerKind::Refused, "the ownership of the pools is not confirmed");
+}
+
+JobAnswer
+JobControl::StateAnswer(const Job& aJob) const
+{
+  JobAnswer answer = Answer(JobAnswerKind::State);
+  const JobState now = JobTable::StateOf(aJob);
+  const bool isFinal = now != JobState::Queued && now != JobState::Running;
+  answer.state_ = now;
+  if (isFinal && aJob.shown_ != now) {
+    answer.state_ = JobState::Running;
+  }
+  return answer;
+}
+
+void
+JobControl::Handle(const JobCall& aCall, const AnswerCall& aAnswer)
+{
+  const QueuePolicy* queue = FindQueue(aCall.host_, aCall.path_);
+  if (!queue) {
+    aAnswer(Answer(JobAnswerKind::NoQueue));
+    return;
+  }
+  const std::string id = aCall.path_.substr(queue->prefix_.size());
+  if (aCall.kind_ == JobCallKind::Submit) {
+    Submit(aCall, *queue, aAnswer);
+    return;
+  }
+  if (id.empty()) {
+    JobAnswer answer = Answer(JobAnswerKind::Pending);
+    answer.pending_ = jobs_.Pending(queue->name_);
+    aAnswer(answer);
+    return;
+  }
+  Job* job = jobs_.Find(id);
+  if (!job) {
+    aAnswer(UnknownJob());
+    return;
+  }
+  if (!job->stored_) {
+    aAnswer(Answer(JobAnswerKind::Unknown, "the job is being stored"));
+    return;
+  }
+  if (aCall.kind_ == JobCallKind::State) {
+    aAnswer(StateAnswer(*job));
+    return;
+  }
+  TaskRef ref;
+  jobs_.Locate(TaskId{ id, 0, 0, 0 }, ref);
+  Cancel(ref.job_, aAnswer);
+}
+
+void
+JobControl::Submit(const JobCall& aCall, const QueuePolicy& aQueue, const AnswerCall& aAnswer)
+{
+  const std::string id = aCall.path_.substr(aQueue.prefix_.size());
+  constexpr size_t kIdLength = 16;
+  const bool isHex = id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+  if (!aCall.problem_.empty() || id.size() != kIdLength || !isHex) {
+    aAnswer(Answer(JobAnswerKind::Invalid,
+                   aCall.problem_.empty() ? "a job id has 16 hexadecimal digits" : aCall.problem_));
+    return;
+  }
+  Job* known = jobs_.Find(id);
+  if (known && known->stored_) {
+    aAnswer(Answer(JobAnswerKind::Accepted));
+    return;
+  }
+  if (known || !leadership_.MayOrder() || journal_.IsStalled()) {
+    aAnswer(
+      Answer(known ? JobAnswerKind::Unknown : JobAnswerKind::Refused, "the store does not answer"));
+    return;
+  }
+  JobSpec spec = aCall.spec_;
+  spec.id_ = id;
+  spec.queue_ = aQueue.name_;
+  const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
+  jobs_.OpenDue(jobs_.At(index), wall_);
+  journal_.Submit(index, [this, index, id, aAnswer](JournalOutcome aOutcome) {
+    constexpr std::array<const char*, static_cast<size_t>(JournalOutcome::Count)> kOutcomes{
+      "stored", "not_stored", "unknown"
+    };
+    const char* outcome = kOutcomes[static_cast<size_t>(aOutcome)];
+    metrics_.Count(std::string("job_submissions{outcome=\"") + outcome + "\"}");
+    Log(LogLevel::Info,
+        "job.submitted",
+        { { "job", id },
+          { "queue", jobs_.At(index).spec_.queue_ },
+          { "config_version", config_.version_ },
+          { "outcome", outcome } });
+    if (aOutcome == JournalOutcome::Stored) {
+      CountArrival(jobs_.At(index));
+      nextSchedule_ = TimePoint{};
+      aAnswer(Answer(JobAnswerKind::Accepted));
+      return;
+    }
+    if (aOutcome == JournalOutcome::NotStored) {
+      jobs_.Remove(index);
+      aAnswer(Answer(JobAnswerKind::Refused, "the store does not answer"));
+      return;
+    }
+    aAnswer(Answer(JobAnswerKind::Unknown, "the store has not confirmed the job"));
+  });
+}
+
+void
+JobControl::CountArrival(const Job& aJob)
+{
+  if (aJob.HasLasting() || aJob.spec_.repeats_ > 0) {
+    return;
+  }
+  constexpr double kMilli = 1000.0;
+  const auto work = static_cast<int64_t>(durations_.WorkLeft(aJob) * kMilli);
+  arrivals_.Add(aJob.policy_.service_, work, clock_.Now());
+}
+
+void
+JobControl::Cancel(uint32_t aJob, const AnswerCall& aAnswer)
+{
+  Job& job = jobs_.At(aJob);
+  if (job.IsOver() && job.shown_ == JobTable::StateOf(job)) {
+    aAnswer(Answer(JobAnswerKind::Cancelled));
+    return;
+  }
+  if (!job.IsOver()) {
+    job.cancelled_ = true;
+    job.endedAt_ = clock_.Now();
+    runs_.StopJob(aJob);
+    Log(LogLevel::Info, "job.cancelled", { { "job", job.spec_.id_ } });
+  }
+  jobs_.Touch(aJob);
+  journal_.AfterStored(aJob, [aAnswer](JournalOutcome aOutcome) {
+    aAnswer(aOutcome == JournalOutcome::Stored
+              ? Answer(JobAnswerKind::Cancelled)
+              : Answer(JobAnswerKind::Unknown, "the store has not confirmed the cancellation"));
+  });
+}
+
+}
--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -126,7 +126,7 @@
   }
   if (!aNode.control_) {
     aNode.control_ = std::make_unique<JobControl>(
-      *aNode.store_, *aNode.orders_, format_, clock_, *aNode.leadership_, settings_);
+      *aNode.store_, *aNode.orders_, format_, clock_, *aNode.leadership_, metrics_, settings_);
   }
   aNode.control_->Tick(wall_);
 }
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -89,6 +89,7 @@
   std::unique_ptr<SimulatedFleet> fleet_;
   std::vector<Node> nodes_;
   FleetConfig config_;
+  Metrics metrics_;
   JobControlSettings settings_;
   std::map<std::string, std::vector<StepSpec>> specs_;
   std::map<std::string, std::chrono::milliseconds> durations_;
