--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -90,6 +90,7 @@
 {
   size_t started = 0;
   const Job& job = jobs_.At(aJob);
+  const bool first = !job.started_;
   for (uint32_t occurrence = 0; occurrence < job.occurrences_.size(); ++occurrence) {
     if (job.occurrences_[occurrence].stepsDone_ == job.spec_.steps_.size()) {
       continue;
@@ -110,6 +111,18 @@
       }
     }
   }
+  if (first && started > 0) {
+    const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - job.accepted_);
+    Log(LogLevel::Info,
+        "job.started",
+        { { "job", job.spec_.id_ },
+          { "queue", job.spec_.queue_ },
+          { "waited_ms", waited.count() },
+          { "tasks", started },
+          { "late", order_.IsLate(job, clock_.Now()) },
+          { "usable_backends", aPool.size() } });
+  }
   return started;
 }
 
