Ask the advice service where steps of advised queues may run

Cause: starts on such a queue need a ticket, and none was asked for; they would have been refused for ever.

--- a/include/sardinespoke/backend_orders.h
+++ b/include/sardinespoke/backend_orders.h
@@ -13,6 +13,7 @@
   Fenced,     ///< A higher fence was seen there: another owner is active.
   Refused,    ///< It had no effect.
   Late,       ///< It arrived after its deadline and had no effect.
+  NoTicket,   ///< The ticket of an advised step is missing or has expired.
   Superseded, ///< The run is not above one that was stopped or ended there.
   OtherLife,  ///< Another incarnation answered.
   Dead,       ///< Nothing listens at the address.
@@ -40,6 +41,7 @@
   RunId run_;
   std::string payload_;
   std::string checkpoint_;
+  std::string ticket_;   ///< Of an advised step; empty for others.
   int64_t deadline_ = 0; ///< Milliseconds on the backend server's clock.
   int64_t fence_ = 0;
 };
@@ -120,6 +122,22 @@
   int64_t fence_ = 0;
 };
 
+/// A question to the advice service: which of these backend servers may run a step.
+struct AdviceQuery
+{
+  std::string step_; ///< "JOB.OCCURRENCE.STEP".
+  std::vector<std::string> backends_;
+  std::chrono::milliseconds timeout_{ 0 };
+};
+
+struct AdviceResult
+{
+  bool ok_ = false;
+  bool busy_ = false;                                        ///< Too many questions wait there.
+  std::vector<std::pair<std::string, std::string>> allowed_; ///< Backend server and its ticket.
+  std::chrono::milliseconds validFor_{ 0 };
+};
+
 struct HostListResult
 {
   bool ok_ = false;
@@ -132,6 +150,7 @@
 public:
   using OnResult = std::function<void(const OrderResult&)>;
   using OnLook = std::function<void(const LookResult&)>;
+  using OnAdvice = std::function<void(const AdviceResult&)>;
   using OnHosts = std::function<void(const HostListResult&)>;
 
   virtual ~BackendOrdersI() = default;
@@ -141,6 +160,7 @@
   virtual void Look(const LookOrder& aOrder, OnLook aDone) = 0;
   virtual void Change(const HostOrder& aOrder, OnResult aDone) = 0;
   virtual void ListHosts(OnHosts aDone) = 0;
+  virtual void Advise(const AdviceQuery& aQuery, OnAdvice aDone) = 0;
 };
 
 }
--- a/include/sardinespoke/job.h
+++ b/include/sardinespoke/job.h
@@ -66,6 +66,8 @@
   std::chrono::milliseconds latencyTarget_{ 0 }; ///< Added to the objective.
   std::chrono::milliseconds timeout_{ 0 };
   bool advised_ = false; ///< Only the advice service knows where its steps may run.
+  std::chrono::milliseconds adviceDecide_{ 0 }; ///< Time that the service takes for a question,
+  std::chrono::milliseconds advicePeriod_{ 0 }; ///< and for each backend server named in it.
 };
 
 /// A pool of hosts.
@@ -96,6 +98,9 @@
   /// @returns "JOB.OCCURRENCE.STEP.INDEX".
   std::string Text() const;
 
+  /// @returns "JOB.OCCURRENCE.STEP".
+  std::string StepText() const;
+
   /// @returns False if the text does not name a task.
   static bool Parse(const std::string& aText, TaskId& aId);
 };
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -78,6 +78,7 @@
   JobTable jobs_;
   BackendTable backends_;
   RunTracker runs_;
+  AdviceBook advice_;
   DurationModel durations_;
   ArrivalRate arrivals_;
   WaitOrder waitOrder_;
--- a/include/sardinespoke/node_settings.h
+++ b/include/sardinespoke/node_settings.h
@@ -10,11 +10,12 @@
   std::string id_; ///< Entry host id; unique in the deployment.
   std::string zone_;
   Endpoint caller_;
-  Endpoint health_;                             ///< Health check and metrics.
-  Endpoint peer_;                               ///< For the other entry hosts.
-  Endpoint store_;                              ///< The platform's store.
-  Endpoint hostControl_;                        ///< The platform's host control.
-  double cores_ = 1.0;                          ///< Processor share of this host, in cores.
+  Endpoint health_;      ///< Health check and metrics.
+  Endpoint peer_;        ///< For the other entry hosts.
+  Endpoint store_;       ///< The platform's store.
+  Endpoint hostControl_; ///< The platform's host control.
+  std::string advice_;   ///< "ip:port" of the advice service; empty if there is none.
+  double cores_ = 1.0;   ///< Processor share of this host, in cores.
   std::chrono::milliseconds minLease_{ 1000 };  ///< Shortest lease of the store.
   std::chrono::milliseconds holdMax_{ 6000 };   ///< Longest lease of running tasks.
   std::chrono::milliseconds stopTime_{ 400 };   ///< Longest time that a task takes to stop.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -46,7 +46,11 @@
   BackendHandle AddRecorded(const BackendEntry& aEntry);
 
   /// Sends a start. The task must be waiting and the backend server usable.
-  void Start(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun);
+  /// @param aTicket Of an advised step; empty for others.
+  void Start(const TaskRef& aTask,
+             BackendHandle aBackend,
+             int64_t aRun,
+             const std::string& aTicket = "");
 
   /// Asks for the end of a run; it is repeated until the run is gone.
   void Stop(BackendHandle aBackend, BackendRun& aRun);
@@ -91,6 +95,12 @@
 
   void OnEnd(std::function<void(const RunEvent&)> aListener) { listener_ = std::move(aListener); }
 
+  /// Called with the step and the backend server whose ticket was refused.
+  void OnNoTicket(std::function<void(const std::string&, const std::string&)> aListener)
+  {
+    onNoTicket_ = std::move(aListener);
+  }
+
   /// Called with the id of each recorded backend server whose life has ended.
   void OnOver(std::function<void(const std::string&)> aListener) { onOver_ = std::move(aListener); }
 
@@ -127,6 +137,7 @@
   bool changed_ = true;
   std::function<void(const RunEvent&)> listener_;
   std::function<void(const std::string&)> onOver_;
+  std::function<void(const std::string&, const std::string&)> onNoTicket_;
   std::map<std::string, int64_t> over_; ///< Lives that ended, by id: when the latest was born.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinespoke/advice_book.h"
 #include "sardinespoke/run_tracker.h"
 #include "sardinespoke/wait_order.h"
 
@@ -16,6 +17,7 @@
   TaskScheduler(JobTable& aJobs,
                 BackendTable& aBackends,
                 RunTracker& aRuns,
+                AdviceBook& aAdvice,
                 const DurationModel& aDurations,
                 const WaitOrder& aOrder,
                 const ClockI& aClock);
@@ -34,6 +36,8 @@
 
   size_t PlaceJob(uint32_t aJob, const Pool& aPool);
   size_t PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
+  Pool Advised(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
+  void StartTask(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun);
   size_t PlaceGroup(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
   BackendHandle Pick(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool) const;
   double Score(const Backend& aBackend, const StepSpec& aSpec) const;
@@ -42,6 +46,7 @@
   JobTable& jobs_;
   BackendTable& backends_;
   RunTracker& runs_;
+  AdviceBook& advice_;
   const DurationModel& durations_;
   const WaitOrder& order_;
   const ClockI& clock_;
--- a/src/job.cpp
+++ b/src/job.cpp
@@ -19,11 +19,16 @@
 
 }
 
+std::string
+TaskId::StepText() const
+{
+  return job_ + "." + std::to_string(occurrence_) + "." + std::to_string(step_);
+}
+
 std::string
 TaskId::Text() const
 {
-  return job_ + "." + std::to_string(occurrence_) + "." + std::to_string(step_) + "." +
-         std::to_string(index_);
+  return StepText() + "." + std::to_string(index_);
 }
 
 bool
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -62,8 +62,9 @@
   , metrics_(aMetrics)
   , settings_(std::move(aSettings))
   , runs_(jobs_, backends_, aOrders, aClock, settings_.runs_, aLeadership.Fence())
+  , advice_(aOrders, aClock)
   , waitOrder_(durations_)
-  , scheduler_(jobs_, backends_, runs_, durations_, waitOrder_, aClock)
+  , scheduler_(jobs_, backends_, runs_, advice_, durations_, waitOrder_, aClock)
   , journal_(aStore, aClock, jobs_, backends_, runs_, aLeadership)
   , directory_(aOrders, aClock)
   , mover_(jobs_,
@@ -94,6 +95,9 @@
   , parts_(PartCount)
 {
   runs_.OnEnd([this](const RunEvent& aEvent) { OnRunEnded(aEvent); });
+  runs_.OnNoTicket([this](const std::string& aStep, const std::string& aBackend) {
+    advice_.Refused(aStep, aBackend);
+  });
   runs_.OnOver([this](const std::string& aId) { journal_.Delete(JobJournal::BackendKey(aId)); });
   const std::string root = JobJournal::kPrefix;
   Load(root + "job/", "", PartJobs);
@@ -415,6 +419,7 @@
     if (active || !journal_.IsIdle()) {
       continue;
     }
+    advice_.Forget(job->spec_.id_);
     journal_.Delete(JobJournal::JobKey(job->spec_.id_));
     journal_.Delete(JobJournal::ProgressKey(job->spec_.id_));
     jobs_.Remove(index);
@@ -457,7 +462,9 @@
     ForgetEnded();
     Report();
   }
-  const bool changed = runs_.TakeChanged();
+  advice_.Tick();
+  const bool advised = advice_.TakeChanged();
+  const bool changed = runs_.TakeChanged() || advised;
   if (changed || now >= nextSchedule_) {
     nextSchedule_ = now + kSchedulePeriod;
     scheduler_.Run();
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -63,12 +63,15 @@
 json
 EncodePolicy(const QueuePolicy& aPolicy)
 {
-  return json{
-    { "name", aPolicy.name_ },         { "service", aPolicy.service_ },
-    { "priority", aPolicy.priority_ }, { "max_attempts", aPolicy.maxAttempts_ },
-    { "stretch", aPolicy.stretch_ },   { "latency_target_ms", aPolicy.latencyTarget_.count() },
-    { "advised", aPolicy.advised_ }
-  };
+  return json{ { "name", aPolicy.name_ },
+               { "service", aPolicy.service_ },
+               { "priority", aPolicy.priority_ },
+               { "max_attempts", aPolicy.maxAttempts_ },
+               { "stretch", aPolicy.stretch_ },
+               { "latency_target_ms", aPolicy.latencyTarget_.count() },
+               { "advised", aPolicy.advised_ },
+               { "advice_decide_ms", aPolicy.adviceDecide_.count() },
+               { "advice_period_ms", aPolicy.advicePeriod_.count() } };
 }
 
 QueuePolicy
@@ -82,6 +85,8 @@
   aPolicy.at("stretch").get_to(policy.stretch_);
   policy.latencyTarget_ = milliseconds(aPolicy.at("latency_target_ms").get<int64_t>());
   aPolicy.at("advised").get_to(policy.advised_);
+  policy.adviceDecide_ = milliseconds(aPolicy.at("advice_decide_ms").get<int64_t>());
+  policy.advicePeriod_ = milliseconds(aPolicy.at("advice_period_ms").get<int64_t>());
   return policy;
 }
 
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -43,6 +43,9 @@
       { "peer", Address() },
       { "store", Address() },
       { "host_control", Address() },
+      { "advice",
+        JsonSchema::Pattern("^([0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5})?$",
+                            "an IPv4 address and port, \"address:port\", or nothing") },
       { "cores", Number(kMaxCores, "cores") },
       { "min_lease_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "hold_max_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
@@ -99,6 +102,7 @@
   settings.peer_ = EndpointOf(document.at("peer"));
   settings.store_ = EndpointOf(document.at("store"));
   settings.hostControl_ = EndpointOf(document.at("host_control"));
+  settings.advice_ = document.value("advice", "");
   settings.cores_ = document.value("cores", settings.cores_);
   ReadMilliseconds(document, "min_lease_ms", settings.minLease_);
   ReadMilliseconds(document, "hold_max_ms", settings.holdMax_);
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -166,7 +166,10 @@
 }
 
 void
-RunTracker::Start(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun)
+RunTracker::Start(const TaskRef& aTask,
+                  BackendHandle aBackend,
+                  int64_t aRun,
+                  const std::string& aTicket)
 {
   const TimePoint now = clock_.Now();
   Backend& backend = backends_.At(aBackend);
@@ -185,6 +188,7 @@
   order.run_ = run.id_;
   order.payload_ = jobs_.At(aTask.job_).spec_.payload_;
   order.checkpoint_ = jobs_.At(aTask).checkpoint_;
+  order.ticket_ = aTicket;
   order.deadline_ = run.deadline_;
   order.fence_ = fence_;
   backend.leaseEnd_ = std::max(backend.leaseEnd_, now + Stretched(kStartLease));
@@ -262,6 +266,9 @@
         ++backend.looksFailed_;
         backend.nextLook_ = now;
       }
+      if (aResult.outcome_ == OrderOutcome::NoTicket && onNoTicket_ && run && run->task_) {
+        onNoTicket_(jobs_.IdOf(*run->task_).StepText(), backend.entry_.id_);
+      }
       if (aResult.outcome_ == OrderOutcome::Refused) {
         backend.shunnedUntil_ = now + kRefusedPause;
       }
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -33,12 +33,14 @@
 TaskScheduler::TaskScheduler(JobTable& aJobs,
                              BackendTable& aBackends,
                              RunTracker& aRuns,
+                             AdviceBook& aAdvice,
                              const DurationModel& aDurations,
                              const WaitOrder& aOrder,
                              const ClockI& aClock)
   : jobs_(aJobs)
   , backends_(aBackends)
   , runs_(aRuns)
+  , advice_(aAdvice)
   , durations_(aDurations)
   , order_(aOrder)
   , clock_(aClock)
@@ -101,8 +103,9 @@
       if (waiting == 0 || !jobs_.IsReady(job, occurrence, step)) {
         continue;
       }
-      const size_t placed = job.spec_.steps_[step].gang_ ? PlaceGroup(aJob, occurrence, step, aPool)
-                                                         : PlaceStep(aJob, occurrence, step, aPool);
+      const Pool pool = job.policy_.advised_ ? Advised(aJob, occurrence, step, aPool) : aPool;
+      const size_t placed = job.spec_.steps_[step].gang_ ? PlaceGroup(aJob, occurrence, step, pool)
+                                                         : PlaceStep(aJob, occurrence, step, pool);
       started += placed;
       if (waiting > placed && !order_.IsLate(job, clock_.Now())) {
         const auto each =
@@ -126,6 +129,40 @@
   return started;
 }
 
+TaskScheduler::Pool
+TaskScheduler::Advised(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool)
+{
+  const Job& job = jobs_.At(aJob);
+  const std::string step = TaskId{ job.spec_.id_, aOccurrence, aStep, 0 }.StepText();
+  Pool byRoom = aPool;
+  std::stable_sort(byRoom.begin(), byRoom.end(), [this](BackendHandle aLeft, BackendHandle aRight) {
+    return UsedShare(backends_.At(aLeft)) < UsedShare(backends_.At(aRight));
+  });
+  std::vector<std::string> ids;
+  ids.reserve(byRoom.size());
+  Pool allowed;
+  for (const BackendHandle handle : byRoom) {
+    const std::string& id = backends_.At(handle).entry_.id_;
+    ids.push_back(id);
+    if (!advice_.Ticket(step, id).empty()) {
+      allowed.push_back(handle);
+    }
+  }
+  const Step& state = job.occurrences_[aOccurrence].steps_[aStep];
+  advice_.Want(step, job.policy_, ids, state.tasks_.size() - state.done_ - state.active_);
+  return allowed;
+}
+
+void
+TaskScheduler::StartTask(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun)
+{
+  const std::string ticket =
+    jobs_.At(aTask.job_).policy_.advised_
+      ? advice_.Ticket(jobs_.IdOf(aTask).StepText(), backends_.At(aBackend).entry_.id_)
+      : "";
+  runs_.Start(aTask, aBackend, aRun, ticket);
+}
+
 size_t
 TaskScheduler::PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool)
 {
@@ -144,7 +181,7 @@
       }
       continue;
     }
-    runs_.Start(ref, backend, runs_.NextRun());
+    StartTask(ref, backend, runs_.NextRun());
     ++started;
   }
   return started;
@@ -194,7 +231,7 @@
   }
   const int64_t run = runs_.NextRun();
   for (uint32_t index = 0; index < spec.taskCount_; ++index) {
-    runs_.Start(TaskRef{ aJob, aOccurrence, aStep, index }, places[index], run);
+    StartTask(TaskRef{ aJob, aOccurrence, aStep, index }, places[index], run);
   }
   return spec.taskCount_;
 }
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -62,6 +62,9 @@
   SimulatedFleet& Fleet() { return *fleet_; }
   MemoryRecordStore& Store() { return *store_; }
   ManualClock& Clock() { return clock_; }
+
+  /// @returns Time since 1970 as the entry hosts see it.
+  std::chrono::milliseconds Wall() const { return wall_; }
   FleetConfig& Config() { return config_; }
 
   /// Settings of owners elected from now on.
--- a/standins/plain_fleet_format.cpp
+++ b/standins/plain_fleet_format.cpp
@@ -27,7 +27,8 @@
                        { "priority", queue.priority_ },
                        { "max_attempts", queue.maxAttempts_ },
                        { "stretch", queue.stretch_ },
-                       { "latency_target_ms", queue.latencyTarget_.count() } });
+                       { "latency_target_ms", queue.latencyTarget_.count() },
+                       { "advised", queue.advised_ } });
   }
   json services = json::array();
   for (const ServicePolicy& service : aConfig.services_) {
@@ -78,6 +79,7 @@
     row.at("max_attempts").get_to(queue.maxAttempts_);
     row.at("stretch").get_to(queue.stretch_);
     queue.latencyTarget_ = milliseconds(row.at("latency_target_ms").get<int64_t>());
+    row.at("advised").get_to(queue.advised_);
     aConfig.queues_.push_back(std::move(queue));
   }
   for (const json& row : body.at("services")) {
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds kLateBy{ 1000 };
 constexpr milliseconds kStopTime{ 200 };
 constexpr milliseconds kMaintenanceTime{ 2000 };
+constexpr milliseconds kAdviceTime{ 100 };
+constexpr milliseconds kTicketTime{ 3000 };
 constexpr milliseconds kEntryLifetime{ 4500 }; // Three heartbeats.
 constexpr int64_t kHoldMaxMs = 6000;
 
@@ -178,6 +180,11 @@
   if (aOrder.deadline_ < Milliseconds(aServer.born_, clock_.Now())) {
     return Answer(aServer, OrderOutcome::Late);
   }
+  const std::string ticket = "ticket of " + aServer.entry_.id_;
+  const bool allowed = advisedHosts_.count(aServer.entry_.host_) > 0 && aOrder.ticket_ == ticket;
+  if (!advisedHosts_.empty() && !allowed) {
+    return Answer(aServer, OrderOutcome::NoTicket);
+  }
   const auto stopped = aServer.stopped_.find(aOrder.run_.task_);
   if (stopped != aServer.stopped_.end() && aOrder.run_.run_ <= stopped->second) {
     return Answer(aServer, OrderOutcome::Superseded);
@@ -398,6 +405,26 @@
   });
 }
 
+void
+SimulatedFleet::Client::Advise(const AdviceQuery& aQuery, OnAdvice aDone)
+{
+  SimulatedFleet& fleet = fleet_;
+  ++fleet.questions_;
+  fleet.events_.After(kAdviceTime, [&fleet, aQuery, aDone] {
+    AdviceResult result;
+    result.ok_ = true;
+    result.validFor_ = kTicketTime;
+    for (const std::string& id : aQuery.backends_) {
+      const auto server = fleet.servers_.find(id);
+      if (server != fleet.servers_.end() &&
+          fleet.advisedHosts_.count(server->second.entry_.host_) > 0) {
+        result.allowed_.emplace_back(id, "ticket of " + id);
+      }
+    }
+    aDone(result);
+  });
+}
+
 void
 SimulatedFleet::End(Server& aServer, size_t aRun, EndKind aKind)
 {
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -84,6 +84,7 @@
     void Look(const LookOrder& aOrder, OnLook aDone) override;
     void Change(const HostOrder& aOrder, OnResult aDone) override;
     void ListHosts(OnHosts aDone) override;
+    void Advise(const AdviceQuery& aQuery, OnAdvice aDone) override;
 
     bool cut_ = false; ///< Nothing of this entry host reaches the fleet.
 
@@ -165,6 +166,9 @@
 
 public:
   uint32_t maxDown_ = 1000; ///< Bound for tooManyDown_.
+  /// Hosts on which steps of advised queues may run; without any, no start needs a ticket.
+  std::set<std::string> advisedHosts_;
+  size_t questions_ = 0;
 };
 
 }
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -308,6 +308,58 @@
   EXPECT_EQ(world_.Fleet().Starts(), 64U);
 }
 
+// Guards against starts without a ticket, which are refused for ever, and against a question for
+// each task.
+TEST_F(JobControlTest, StepsOfAdvisedQueuesRunWhereTheyMay)
+{
+  world_.Fleet().advisedHosts_ = { world_.Fleet().HostOf("births", 1),
+                                   world_.Fleet().HostOf("births", 3) };
+  world_.Config().queues_[0].advised_ = true;
+  world_.Configure();
+  world_.Run(seconds(2));
+  world_.Submit("births", JobId(1), Tasks(40));
+  EXPECT_TRUE(Ends(JobId(1), JobState::Done, seconds(5)));
+  EXPECT_EQ(world_.Fleet().Starts(), 40U);
+  EXPECT_LE(world_.Fleet().questions_, 2U);
+}
+
+// Guards against a member that waits alone, and against a group that is placed in part.
+TEST_F(JobControlTest, GroupsStartTogetherOrNotAtAll)
+{
+  StepSpec group = Tasks(40);
+  group.gang_ = true;
+  StepSpec tooLarge = Tasks(70);
+  tooLarge.gang_ = true;
+  world_.Submit("births", JobId(1), tooLarge);
+  world_.Run(seconds(2));
+  EXPECT_EQ(world_.Fleet().Starts(), 0U);
+  world_.Submit("births", JobId(2), group);
+  EXPECT_TRUE(Ends(JobId(2), JobState::Done, seconds(4)));
+  EXPECT_EQ(world_.Fleet().Starts(), 40U);
+}
+
+// Guards against occurrences that start early, late or twice.
+TEST_F(JobControlTest, OccurrencesStartWhenTheyAreDue)
+{
+  JobCall call;
+  call.kind_ = JobCallKind::Submit;
+  call.host_ = "callers";
+  call.path_ = "/births/" + JobId(9);
+  call.spec_.steps_ = { Tasks(1, milliseconds(300)) };
+  call.spec_.firstDue_ = world_.Wall() + seconds(2);
+  call.spec_.interval_ = seconds(2);
+  call.spec_.repeats_ = 3;
+  EXPECT_EQ(world_.Call(call).kind_, JobAnswerKind::Accepted);
+  world_.Run(milliseconds(1900));
+  EXPECT_EQ(world_.Fleet().Starts(), 0U);
+  world_.Run(milliseconds(700));
+  EXPECT_EQ(world_.Fleet().Starts(), 1U);
+  world_.Run(milliseconds(2000));
+  EXPECT_EQ(world_.Fleet().Starts(), 2U);
+  EXPECT_TRUE(Ends(JobId(9), JobState::Done, seconds(5)));
+  EXPECT_EQ(world_.Fleet().Starts(), 3U);
+}
+
 /// A lasting job whose budget allows one task to be away, in a roll-out over all hosts.
 class BudgetTest : public testing::Test
 {
