--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,182 @@
+#include "caller_codec.h"
+#include "fleet_format.h"
+#include "json_fields.h"
+
+#include <gtest/gtest.h>
+
+namespace sardinespoke::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kEntry[] =
+  R"({"service":"births","address":"10.0.0.9:80","zone":"a","state":"ready","machine":"m-1",
+      "capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-2"],"born":17,"seq":4})";
+
+Record
+Entry(const std::string& aValue)
+{
+  Record record;
+  record.key_ = "servers/i-1";
+  record.value_ = aValue;
+  return record;
+}
+
+JobCall
+Post(const std::string& aBody)
+{
+  CallerCall call;
+  call.method_ = "POST";
+  call.host_ = "callers.example";
+  call.path_ = "/births/0123456789abcdef";
+  call.body_ = aBody;
+  return CallerCodec().Decode(call);
+}
+
+// Guards against fields that are read under the wrong name or lost.
+TEST(FleetFormat, ReadsAnEntryOfABackendServer)
+{
+  BackendEntry entry;
+  ASSERT_TRUE(FleetFormat().ReadBackend(Entry(kEntry), entry));
+  EXPECT_EQ(entry.id_, "i-1");
+  EXPECT_EQ(entry.service_, "births");
+  EXPECT_EQ(entry.host_, "m-1");
+  EXPECT_EQ(entry.rack_, "r1-2");
+  EXPECT_EQ(entry.capacity_.memoryMb_, 32768);
+  EXPECT_EQ(entry.born_, 17);
+  EXPECT_FALSE(entry.draining_);
+}
+
+// Guards against an entry of another writer that is used, or that stops the process.
+TEST(FleetFormat, ForeignEntriesNameNoBackendServer)
+{
+  const std::string whole = kEntry;
+  const auto with = [&whole](const std::string& aFrom, const std::string& aTo) {
+    std::string text = whole;
+    return text.replace(text.find(aFrom), aFrom.size(), aTo);
+  };
+  const std::vector<std::string> values{
+    "",
+    "\xff\xfe",
+    "[]",
+    "7",
+    "{}",
+    whole.substr(0, whole.size() - 1),
+    with("\"ready\"", "\"resting\""),
+    with("\"ready\"", "3"),
+    with("16000", "\"many\""),
+    with("[\"a\",\"r1-2\"]", "[1,2]"),
+    with("[\"a\",\"r1-2\"]", "null"),
+    with("\"10.0.0.9:80\"", "\"\""),
+  };
+  for (const std::string& value : values) {
+    BackendEntry entry;
+    EXPECT_FALSE(FleetFormat().ReadBackend(Entry(value), entry)) << value;
+  }
+}
+
+// Guards against a queue's policy that is read under the wrong name.
+TEST(FleetFormat, ReadsTheConfiguration)
+{
+  Record record;
+  record.key_ = "op/config";
+  record.value_ = R"({"version":7,"routes":[{"name":"r-1","host":"h","prefix":"/p/","service":"s",
+    "priority":1,"max-attempts":3,"stretch":1.6,"target-latency-ms":600,
+    "advice":{"decide-ms":50,"period-ms":4,"valid-ms":3000}}],
+    "services":[{"name":"s","spare":true,"admission-check":true}],
+    "limits":{"max-body-bytes":262144}})";
+  FleetConfig config;
+  ASSERT_TRUE(FleetFormat().ReadConfig(record, config));
+  ASSERT_EQ(config.queues_.size(), 1U);
+  const QueuePolicy& queue = config.queues_.front();
+  EXPECT_EQ(queue.maxAttempts_, 3U);
+  EXPECT_EQ(queue.latencyTarget_, milliseconds(600));
+  EXPECT_TRUE(queue.advised_);
+  EXPECT_EQ(queue.advicePeriod_, milliseconds(4));
+  EXPECT_TRUE(config.services_.front().spare_);
+  EXPECT_TRUE(config.services_.front().guardsCapacity_);
+  record.value_ = R"({"version":8,"routes":[{"name":"r-1"}],"services":[]})";
+  EXPECT_FALSE(FleetFormat().ReadConfig(record, config)) << "a route without a prefix";
+}
+
+// Guards against a roll-out that is read as a configuration, and the other way round.
+TEST(FleetFormat, ReadsARollout)
+{
+  Record record;
+  record.key_ = "op/wave/3";
+  record.value_ = R"({"wave":3,"machines":["m-1","m-2"],"duration-s":20.5,"cap":2})";
+  RolloutRequest request;
+  FleetConfig config;
+  EXPECT_FALSE(FleetFormat().ReadConfig(record, config));
+  ASSERT_TRUE(FleetFormat().ReadRollout(record, request));
+  EXPECT_EQ(request.hosts_.size(), 2U);
+  EXPECT_EQ(request.duration_, milliseconds(20500));
+  EXPECT_EQ(request.maxDown_, 2U);
+}
+
+// Guards against fields that are left out for their default value.
+TEST(CallerCodec, ReadsAJob)
+{
+  const JobCall call =
+    Post(R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900},
+           {"count":2,"after":[0],"checkpointing":true,"max-per-server":1,"may-miss":1,
+            "long-running":true,"target-ms":40,"fills":true}]})");
+  EXPECT_EQ(call.problem_, "");
+  ASSERT_EQ(call.spec_.steps_.size(), 2U);
+  EXPECT_EQ(call.spec_.steps_[0].cpuMilli_, 500);
+  EXPECT_TRUE(call.spec_.steps_[1].lasting_);
+  EXPECT_TRUE(call.spec_.steps_[1].fillsIdle_);
+  EXPECT_EQ(call.spec_.steps_[1].mayMiss_, 1U);
+  EXPECT_EQ(call.spec_.steps_[1].latencyTarget_, milliseconds(40));
+}
+
+// Guards against a malformed job that is taken in part.
+TEST(CallerCodec, MalformedJobsNameTheirProblem)
+{
+  const std::vector<std::string> bodies{
+    "",
+    "\xff",
+    "[]",
+    R"({"spec":"x"})",
+    R"({"spec":"x","steps":[]})",
+    R"({"spec":"x","steps":[{}]})",
+    R"({"spec":"x","steps":[{"count":0}]})",
+    R"({"spec":"x","steps":[{"count":"four"}]})",
+    R"({"spec":"x","steps":[{"count":1,"cpu":-1}]})",
+    R"({"spec":"x","steps":[{"count":1,"after":[0]}]})",
+    R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})",
+    R"({"spec":"x","steps":[{"count":9999999999}]})",
+    R"({"spec":7,"steps":[{"count":1}]})",
+    R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})",
+  };
+  for (const std::string& body : bodies) {
+    EXPECT_NE(Post(body).problem_, "") << body.substr(0, 60);
+  }
+}
+
+// Guards against an unknown outcome that a caller reads as "not accepted".
+TEST(CallerCodec, OnlyRefusalsSayThatNothingRan)
+{
+  JobAnswer answer;
+  answer.kind_ = JobAnswerKind::Refused;
+  const CallerReply refused = CallerCodec().Encode(answer);
+  EXPECT_EQ(refused.status_, 503U);
+  EXPECT_GT(refused.retryAfter_, milliseconds(0));
+  answer.kind_ = JobAnswerKind::Unknown;
+  EXPECT_EQ(CallerCodec().Encode(answer).status_, 504U);
+  answer.kind_ = JobAnswerKind::NoJob;
+  EXPECT_EQ(CallerCodec().Encode(answer).status_, 410U);
+}
+
+// Guards against values that change on their way through the store.
+TEST(JsonFields, Base64KeepsEveryByte)
+{
+  std::string bytes;
+  for (int value = 0; value < 256; ++value) {
+    bytes += static_cast<char>(value);
+    EXPECT_EQ(DecodeBase64(EncodeBase64(bytes)), bytes);
+  }
+}
+
+}
+}
