Give fillers their processor time back after calm

Cause: a filler that disturbed a serving task once was held at 0 for ever, and a lost order was not judged again. Change: the wanted share is kept by backend server and sent until it is confirmed; it rises by a quarter after 3 s well below the target.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -39,7 +39,8 @@
   int64_t load_ = 0;
   TimePoint overTargetSince_{};
   bool overTarget_ = false;
-  uint32_t throttle_ = 100; ///< Percent of its processor time that it may use.
+  uint32_t throttle_ = 100; ///< Percent of its processor time, as the backend server has confirmed.
+  bool throttling_ = false; ///< An order is on its way.
   Resources use_;
   bool serves_ = false; ///< A lasting task with a bound on its response times.
   bool fills_ = false;
@@ -76,6 +77,8 @@
   uint32_t startsUnanswered_ = 0; ///< In a row.
   std::string lastFailedJob_;
   TimePoint idleSince_{};
+  uint32_t fillerPercent_ = 100; ///< Processor time that tasks which fill idle time may use.
+  TimePoint calmSince_{};        ///< Since then no serving task was near its target.
 
   BackendAddress Address() const { return BackendAddress{ entry_.id_, entry_.address_ }; }
 
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -62,7 +62,8 @@
   const QueuePolicy* FindQueue(const std::string& aHost, const std::string& aPath) const;
   void WatchStuckRuns();
   void Throttle();
-  void ThrottleFillers(BackendHandle aBackend, uint32_t aPercent);
+  void JudgeFillers(Backend& aBackend);
+  void ThrottleFillers(BackendHandle aBackend);
   void ForgetEnded();
   void OnRunEnded(const RunEvent& aEvent);
   void Report();
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -32,6 +32,10 @@
 // Fillers are stopped from using the processor when a serving task stays above its target.
 constexpr milliseconds kOverTarget{ 600 };
 constexpr uint32_t kFullThrottle = 100;
+// They get processor time back after this long with every serving task well below its target.
+constexpr milliseconds kCalmTime{ 3000 };
+constexpr int64_t kNearPercent = 80;
+constexpr uint32_t kRaisePercent = 25;
 
 /// What the store holds for a new owner.
 enum Part : size_t
@@ -348,55 +352,77 @@
 }
 
 void
-JobControl::ThrottleFillers(BackendHandle aBackend, uint32_t aPercent)
+JobControl::ThrottleFillers(BackendHandle aBackend)
 {
   Backend& backend = backends_.At(aBackend);
+  const uint32_t percent = backend.fillerPercent_;
   for (BackendRun& run : backend.runs_) {
-    if (!run.fills_ || run.throttle_ == aPercent || run.phase_ != RunPhase::Running) {
+    if (!run.fills_ || run.throttle_ == percent || run.throttling_ ||
+        run.phase_ != RunPhase::Running) {
       continue;
     }
-    run.throttle_ = aPercent;
+    run.throttling_ = true;
     Log(LogLevel::Info,
         "run.throttled",
-        { { "task", run.id_.task_ }, { "backend", backend.entry_.id_ }, { "percent", aPercent } });
+        { { "task", run.id_.task_ }, { "backend", backend.entry_.id_ }, { "percent", percent } });
     const RunId id = run.id_;
     const std::weak_ptr<bool> alive = alive_;
-    orders_.Throttle(ThrottleOrder{ backend.Address(), id, aPercent, leadership_.Fence() },
-                     [this, alive, aBackend, id](const OrderResult& aResult) {
-                       if (!alive.lock() || aResult.outcome_ == OrderOutcome::Done) {
+    orders_.Throttle(ThrottleOrder{ backend.Address(), id, percent, leadership_.Fence() },
+                     [this, alive, aBackend, id, percent](const OrderResult& aResult) {
+                       BackendRun* sent =
+                         alive.lock() ? backends_.At(aBackend).FindRun(id) : nullptr;
+                       if (!sent) {
                          return;
                        }
-                       // Sent again with the next judgement.
-                       if (BackendRun* sent = backends_.At(aBackend).FindRun(id)) {
-                         sent->throttle_ = kFullThrottle + 1;
+                       sent->throttling_ = false;
+                       if (aResult.outcome_ == OrderOutcome::Done) {
+                         sent->throttle_ = percent;
                        }
                      });
   }
 }
 
 void
-JobControl::Throttle()
+JobControl::JudgeFillers(Backend& aBackend)
 {
   const TimePoint now = clock_.Now();
-  for (const BackendHandle handle : backends_.Live()) {
-    Backend& backend = backends_.At(handle);
-    bool hasFiller = false;
-    bool disturbed = false;
-    for (BackendRun& run : backend.runs_) {
-      hasFiller = hasFiller || run.fills_;
-      if (!run.serves_ || !run.task_) {
-        continue;
-      }
-      const bool over = run.load_ > jobs_.SpecOf(*run.task_).latencyTarget_.count();
-      if (over && !run.overTarget_) {
-        run.overTargetSince_ = now;
-      }
-      run.overTarget_ = over;
-      disturbed = disturbed || (over && now - run.overTargetSince_ >= kOverTarget);
+  bool serves = false;
+  bool disturbed = false;
+  bool near = false;
+  for (BackendRun& run : aBackend.runs_) {
+    if (!run.serves_ || !run.task_) {
+      continue;
     }
-    if (hasFiller && disturbed) {
-      ThrottleFillers(handle, 0);
+    serves = true;
+    const int64_t target = jobs_.SpecOf(*run.task_).latencyTarget_.count();
+    const bool over = run.load_ > target;
+    if (over && !run.overTarget_) {
+      run.overTargetSince_ = now;
     }
+    run.overTarget_ = over;
+    near = near || run.load_ * 100 > target * kNearPercent;
+    disturbed = disturbed || (over && now - run.overTargetSince_ >= kOverTarget);
+  }
+  if (near) {
+    aBackend.calmSince_ = now;
+  }
+  if (!serves) {
+    aBackend.fillerPercent_ = kFullThrottle;
+  } else if (disturbed) {
+    aBackend.fillerPercent_ = 0;
+  } else if (aBackend.fillerPercent_ < kFullThrottle && now - aBackend.calmSince_ >= kCalmTime) {
+    // In steps: how much a filler disturbs is known only when it works.
+    aBackend.fillerPercent_ = std::min(aBackend.fillerPercent_ + kRaisePercent, kFullThrottle);
+    aBackend.calmSince_ = now;
+  }
+}
+
+void
+JobControl::Throttle()
+{
+  for (const BackendHandle handle : backends_.Live()) {
+    JudgeFillers(backends_.At(handle));
+    ThrottleFillers(handle);
   }
 }
 
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -273,18 +273,45 @@
 {
   SimulatedFleet& fleet = fleet_;
   fleet.events_.After(kLatency, [&fleet, aOrder, aDone] {
-    const Server* server = fleet.Reach(aOrder.to_);
-    aDone(server ? fleet.Answer(*server, OrderOutcome::Done) : OrderResult());
+    Server* server = fleet.Reach(aOrder.to_);
+    if (!server) {
+      aDone(OrderResult());
+      return;
+    }
+    for (Run& run : server->runs_) {
+      if (run.task_ == aOrder.run_.task_ && run.run_ == aOrder.run_.run_) {
+        run.throttle_ = aOrder.percent_;
+      }
+    }
+    aDone(fleet.Answer(*server, OrderOutcome::Done));
   });
 }
 
+uint32_t
+SimulatedFleet::ThrottleOf(const std::string& aTask) const
+{
+  for (const auto& [id, server] : servers_) {
+    for (const Run& run : server.runs_) {
+      if (run.task_ == aTask) {
+        return run.throttle_;
+      }
+    }
+  }
+  return 0;
+}
+
 LookResult
 SimulatedFleet::Lists(const Server& aServer) const
 {
   LookResult result;
   static_cast<OrderResult&>(result) = Answer(aServer, OrderOutcome::Done);
+  const bool disturbed =
+    fillersDisturb_ && std::any_of(aServer.runs_.begin(), aServer.runs_.end(), [](const Run& aRun) {
+      return aRun.shape_.fills_ && aRun.throttle_ > 0;
+    });
   for (const Run& run : aServer.runs_) {
     RunningTask running;
+    running.load_ = disturbed ? run.shape_.tailDisturbedMs_ : run.shape_.tailMs_;
     running.run_ = RunId{ run.task_, run.run_ };
     running.percent_ =
       run.shape_.lasting_ ? 100 : static_cast<int64_t>(std::min(run.progress_, 0.99) * 100.0);
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -44,6 +44,9 @@
     std::chrono::milliseconds duration_{ 1000 };
     bool lasting_ = false;
     bool fails_ = false;
+    bool fills_ = false;
+    int64_t tailMs_ = 0;          ///< Latency tail of a serving task on a quiet host,
+    int64_t tailDisturbedMs_ = 0; ///< and beside a task that fills at full speed.
   };
   using ShapeOf = std::function<TaskShape(const std::string&)>;
 
@@ -98,6 +101,12 @@
   size_t Maintained() const { return maintained_.size(); }
   size_t RunsOf(const std::string& aTask) const;
 
+  /// @returns Percent of its processor time that a task may use; 0 if it does not run.
+  uint32_t ThrottleOf(const std::string& aTask) const;
+
+  /// Tasks that fill disturb only while this is set.
+  bool fillersDisturb_ = true;
+
 private:
   friend class Client;
 
@@ -109,6 +118,7 @@
     TimePoint begin_{};
     TimePoint worked_{}; ///< Until when its progress is counted.
     double progress_ = 0.0;
+    uint32_t throttle_ = 100;
     bool stopping_ = false;
     TimePoint stopAt_{};
   };
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -323,6 +323,27 @@
   EXPECT_LE(world_.Fleet().questions_, 2U);
 }
 
+// Guards against tasks that serve above their target beside tasks that fill idle time, and against
+// fillers that never get processor time again.
+TEST_F(JobControlTest, FillersGiveWayToTasksThatServe)
+{
+  world_.AddPool("market", 1, kHost);
+  world_.Configure();
+  world_.Run(seconds(1));
+  StepSpec serving = Lasting(1, 0);
+  serving.latencyTarget_ = milliseconds(40);
+  StepSpec filling = Lasting(1, 0);
+  filling.fillsIdle_ = true;
+  world_.Submit("market", JobId(1), { serving, filling });
+  const std::string filler = JobId(1) + ".0.1.0";
+  EXPECT_TRUE(world_.RunUntil(
+    [&] { return world_.Fleet().RunsOf(filler) == 1 && world_.Fleet().ThrottleOf(filler) == 0; },
+    seconds(4)));
+  world_.Fleet().fillersDisturb_ = false;
+  EXPECT_TRUE(
+    world_.RunUntil([&] { return world_.Fleet().ThrottleOf(filler) == 100; }, seconds(20)));
+}
+
 // Guards against a member that waits alone, and against a group that is placed in part.
 TEST_F(JobControlTest, GroupsStartTogetherOrNotAtAll)
 {
