End roll-outs without hosts that were removed while they were down

Change: a list that was asked for after the order and no longer shows the host in maintenance ends the wait.

--- a/src/host_mover.cpp
+++ b/src/host_mover.cpp
@@ -232,12 +232,13 @@
   const bool before = same && backends_.At(handle).verified_;
   const bool returned =
     handle.IsValid() && !same && backends_.At(handle).entry_.born_ > aTask.oldBorn_;
+  // A host that failed or was removed after its maintenance had begun owes nothing more.
   const HostEntry* listed = directory_.Find(aHost);
-  const bool isUp = listed && listed->state_ == HostState::Up;
-  const bool fresh = directory_.AskedAt() > aTask.since_;
-  const bool up = isUp && fresh && age > settings_.maintenanceTime_;
+  const bool ended =
+    directory_.AskedAt() > aTask.since_ && (!listed || listed->state_ != HostState::Maintenance);
   // Without a backend server before, only the list tells.
-  const bool back = aTask.byList_ ? isUp && fresh : before || returned || up;
+  const bool back =
+    aTask.byList_ ? ended : before || returned || (ended && age > settings_.maintenanceTime_);
   if (!back) {
     return;
   }
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -115,6 +115,14 @@
   Drop(id);
 }
 
+void
+SimulatedFleet::RemoveHost(const std::string& aPool, size_t aIndex)
+{
+  const std::string host = HostOf(aPool, aIndex);
+  Crash(aPool, aIndex);
+  hosts_.erase(host);
+}
+
 void
 SimulatedFleet::SetDraining(const std::string& aPool, size_t aIndex)
 {
@@ -405,7 +413,9 @@
     }
   }
   events_.After(kMaintenanceTime, [this, aOrder, isMove] {
-    Boot(aOrder.host_);
+    if (hosts_.count(aOrder.host_) > 0) {
+      Boot(aOrder.host_);
+    }
     down_[aOrder.rollout_] -= isMove ? 0 : 1;
   });
   return result;
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -67,6 +67,8 @@
 
   /// Ends a life at once; its registry entry stays for a heartbeat or three.
   void Crash(const std::string& aPool, size_t aIndex);
+  /// Takes a host away for good, also while it is down for maintenance.
+  void RemoveHost(const std::string& aPool, size_t aIndex);
   void SetDraining(const std::string& aPool, size_t aIndex);
 
   /// Lets tasks and leases run to the present time.
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -267,6 +267,28 @@
   EXPECT_EQ(world_.Fleet().Maintained(), 4U);
 }
 
+// Guards against a roll-out that waits for ever for a host that was removed while it was down.
+TEST_F(JobControlTest, RolloutEndsWithoutAHostThatWasRemoved)
+{
+  RolloutRequest request;
+  request.number_ = 1;
+  request.maxDown_ = 1;
+  request.duration_ = seconds(20);
+  for (size_t index = 0; index < 2; ++index) {
+    request.hosts_.push_back(world_.Fleet().HostOf("births", index));
+  }
+  world_.RequestRollout(request);
+  EXPECT_TRUE(world_.RunUntil([this] { return world_.Fleet().Maintained() == 1; }, seconds(5)));
+  world_.Fleet().RemoveHost("births", 0);
+  EXPECT_TRUE(world_.RunUntil(
+    [this] {
+      const auto status = world_.Store().Records().find("rollout-status/1");
+      return status != world_.Store().Records().end() && status->second.value_ == "done";
+    },
+    seconds(20)));
+  EXPECT_EQ(world_.Fleet().Maintained(), 2U);
+}
+
 // Guards against a new owner that does not know which hosts the one before it took down.
 TEST_F(JobControlTest, RolloutKeepsItsBoundWhenTheOwnerChanges)
 {
