Refuse bodies above the limit; name the roll-out runner for what it does

Cause: the operators' limit of bodies was read and not applied, an inherited roll-out that was done was said to be running again, and some fields had no use. Change: 400 for larger bodies; the status of a roll-out never goes back; HostMover is RolloutRunner; unused settings and fields are gone.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -62,7 +62,6 @@
   uint32_t looksFailed_ = 0; ///< Since the last answer.
   TimePoint silentSince_{};  ///< Of the first of these.
   TimePoint nextLook_{};
-  TimePoint lastAnswer_{};
   TimePoint answeredLookSent_{}; ///< When the newest look that was answered had been sent.
   TimePoint leaseEnd_{};         ///< After this nothing runs there unless the lease is renewed.
   int64_t clock_ = 0;            ///< Its clock in ms at clockAt_.
--- a/include/sardinespoke/entry_node.h
+++ b/include/sardinespoke/entry_node.h
@@ -85,7 +85,6 @@
   std::thread ping_;
   std::atomic<bool> stopping_{ false };
   std::atomic<bool> ended_{ false };
-  std::atomic<bool> isOwner_{ false };
   std::atomic<bool> ownerReady_{ false }; ///< This host owns the pools and serves.
   std::atomic<bool> ownerReached_{ false };
   std::atomic<bool> ownerSilent_{ false }; ///< It left two pings in a row without an answer.
--- a/include/sardinespoke/host_allocator.h
+++ b/include/sardinespoke/host_allocator.h
@@ -2,8 +2,8 @@
 
 #include "sardinespoke/arrival_rate.h"
 #include "sardinespoke/host_directory.h"
-#include "sardinespoke/host_mover.h"
 #include "sardinespoke/pool_sizing.h"
+#include "sardinespoke/rollout_runner.h"
 #include "sardinespoke/task_scheduler.h"
 
 #include <map>
@@ -22,10 +22,10 @@
                 ArrivalRate& aArrivals,
                 BackendOrdersI& aOrders,
                 HostDirectory& aDirectory,
-                const HostMover& aRollouts,
+                const RolloutRunner& aRollouts,
                 const ClockI& aClock,
                 Leadership& aLeadership,
-                HostMoverSettings aSettings);
+                HostTimes aSettings);
 
   void Tick(const FleetConfig& aConfig);
 
@@ -56,10 +56,10 @@
   ArrivalRate& arrivals_;
   BackendOrdersI& orders_;
   HostDirectory& directory_;
-  const HostMover& rollouts_;
+  const RolloutRunner& rollouts_;
   const ClockI& clock_;
   Leadership& leadership_;
-  const HostMoverSettings settings_;
+  const HostTimes settings_;
   const PoolSizing sizing_;
   std::map<std::string, Journey> journeys_;
   std::map<std::string, TimePoint> refusedUntil_;
--- a/include/sardinespoke/job.h
+++ b/include/sardinespoke/job.h
@@ -74,8 +74,7 @@
 struct ServicePolicy
 {
   std::string name_;
-  bool guardsCapacity_ = false; ///< Its backend servers refuse what does not fit.
-  bool spare_ = false;          ///< Its hosts are switched off and cost nothing.
+  bool spare_ = false; ///< Its hosts are switched off and cost nothing.
 };
 
 /// The operators' configuration.
--- a/include/sardinespoke/job_call.h
+++ b/include/sardinespoke/job_call.h
@@ -20,7 +20,8 @@
   JobCallKind kind_ = JobCallKind::State;
   std::string host_;
   std::string path_;
-  JobSpec spec_;        ///< Of a submission; without id and queue.
+  JobSpec spec_; ///< Of a submission; without id and queue.
+  size_t bodyBytes_ = 0;
   std::string problem_; ///< Set if the body cannot be used.
 };
 
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -12,7 +12,7 @@
 struct JobControlSettings
 {
   RunLimits runs_;
-  HostMoverSettings hosts_;
+  HostTimes hosts_;
   std::chrono::milliseconds keepEnded_{ 120000 }; ///< How long the state of an ended job is shown.
 };
 
@@ -86,7 +86,7 @@
   TaskScheduler scheduler_;
   JobJournal journal_;
   HostDirectory directory_;
-  HostMover mover_;
+  RolloutRunner mover_;
   HostAllocator allocator_;
   PrefixFeed registry_;
   PrefixFeed operator_;
--- a/include/sardinespoke/prefix_feed.h
+++ b/include/sardinespoke/prefix_feed.h
@@ -34,9 +34,6 @@
   /// @returns True once after each change.
   bool TakeChanged();
 
-  /// @returns When the store last answered.
-  TimePoint AnsweredAt() const { return answeredAt_; }
-
   /// @returns When Tick() has something to do next.
   TimePoint NextDue() const;
 
@@ -58,7 +55,6 @@
   bool inFlight_ = false;
   bool changed_ = false;
   TimePoint next_{};
-  TimePoint answeredAt_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/sardinespoke/host_mover.h
+++ b/include/sardinespoke/rollout_runner.h
@@ -10,31 +10,30 @@
 
 namespace sardinespoke {
 
-struct HostMoverSettings
+/// How long host control takes; from the platform's settings.
+struct HostTimes
 {
-  std::string ownerName_;                      ///< Names this owner to host control.
   std::chrono::milliseconds moveTime_{ 1500 }; ///< From a move to a new backend server.
   std::chrono::milliseconds maintenanceTime_{ 2000 };
-  std::chrono::milliseconds noticeTime_{ 4500 }; ///< After it, a task that is away counts.
 };
 
 /// Takes hosts to maintenance within the bounds of roll-outs and of availability budgets.
 ///
 /// A host in a roll-out gets no new work; when nothing runs there but lasting tasks whose budget
 /// allows it, it is sent to maintenance.
-class HostMover
+class RolloutRunner
 {
 public:
-  HostMover(JobTable& aJobs,
-            BackendTable& aBackends,
-            RunTracker& aRuns,
-            JobJournal& aJournal,
-            BackendOrdersI& aOrders,
-            HostDirectory& aDirectory,
-            const FleetFormatI& aFormat,
-            const ClockI& aClock,
-            Leadership& aLeadership,
-            HostMoverSettings aSettings);
+  RolloutRunner(JobTable& aJobs,
+                BackendTable& aBackends,
+                RunTracker& aRuns,
+                JobJournal& aJournal,
+                BackendOrdersI& aOrders,
+                HostDirectory& aDirectory,
+                const FleetFormatI& aFormat,
+                const ClockI& aClock,
+                Leadership& aLeadership,
+                HostTimes aSettings);
 
   /// Takes over the record of a roll-out that an earlier owner began.
   /// @returns False if the text is not such a record.
@@ -111,7 +110,7 @@
   const FleetFormatI& format_;
   const ClockI& clock_;
   Leadership& leadership_;
-  const HostMoverSettings settings_;
+  const HostTimes settings_;
   std::map<int64_t, Rollout> rollouts_;
   const TimePoint ownedSince_;
   TimePoint quietUntil_{};
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -11,7 +11,6 @@
 struct RunLimits
 {
   std::chrono::milliseconds holdMax_{ 6000 };   ///< Longest lease of running tasks.
-  std::chrono::milliseconds stopTime_{ 400 };   ///< Longest time that a stop takes.
   std::chrono::milliseconds leaseTime_{ 4500 }; ///< Lease asked for in each look.
 };
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -192,7 +192,6 @@
     control_ = std::make_unique<JobControl>(
       store_, orders_, format_, clock_, *leadership_, metrics_, settings_.control_);
   }
-  isOwner_ = owner;
   const std::lock_guard lock(mutex_);
   ownerAddress_ = leadership_->Leader().address_;
 }
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -29,10 +29,10 @@
                              ArrivalRate& aArrivals,
                              BackendOrdersI& aOrders,
                              HostDirectory& aDirectory,
-                             const HostMover& aRollouts,
+                             const RolloutRunner& aRollouts,
                              const ClockI& aClock,
                              Leadership& aLeadership,
-                             HostMoverSettings aSettings)
+                             HostTimes aSettings)
   : jobs_(aJobs)
   , backends_(aBackends)
   , runs_(aRuns)
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -108,7 +108,7 @@
   Load(root + "progress/", "", PartProgress);
   Load(root + "backend/", "", PartBackends);
   Load(JobJournal::JournalKey(), "", PartJournal);
-  Load(HostMover::RecordPrefix(), "", PartRollouts);
+  Load(RolloutRunner::RecordPrefix(), "", PartRollouts);
   Load(leadership_.ResignedKey(), "", PartResigned);
 }
 
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -104,6 +104,12 @@
   const std::string id = aCall.path_.substr(aQueue.prefix_.size());
   constexpr size_t kIdLength = 16;
   const bool isHex = id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+  if (config_.maxBodyBytes_ > 0 && aCall.bodyBytes_ > config_.maxBodyBytes_) {
+    aAnswer(
+      Answer(JobAnswerKind::Invalid,
+             "the body is above the limit of " + std::to_string(config_.maxBodyBytes_) + " bytes"));
+    return;
+  }
   if (!aCall.problem_.empty() || id.size() != kIdLength || !isHex) {
     aAnswer(Answer(JobAnswerKind::Invalid,
                    aCall.problem_.empty() ? "a job id has 16 hexadecimal digits" : aCall.problem_));
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -49,12 +49,10 @@
       { "cores", Number(kMaxCores, "cores") },
       { "min_lease_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "hold_max_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
-      { "stop_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
       { "stop_limit_s", Number(kMaxSeconds, "seconds") },
       { "thaw_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "move_s", Number(kMaxSeconds, "seconds") },
       { "maintenance_s", Number(kMaxSeconds, "seconds") },
-      { "notice_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
       { "keep_ended_s", Number(kMaxSeconds, "seconds") },
       { "log", JsonSchema::OneOf({ "debug", "info", "warn", "error" }) } },
     { "id", "zone", "caller", "health", "peer", "store", "host_control" }));
@@ -106,12 +104,10 @@
   settings.cores_ = document.value("cores", settings.cores_);
   ReadMilliseconds(document, "min_lease_ms", settings.minLease_);
   ReadMilliseconds(document, "hold_max_ms", settings.holdMax_);
-  ReadMilliseconds(document, "stop_ms", settings.stopTime_);
   ReadSeconds(document, "stop_limit_s", settings.stopLimit_);
   ReadMilliseconds(document, "thaw_ms", settings.thawLimit_);
   ReadSeconds(document, "move_s", settings.moveTime_);
   ReadSeconds(document, "maintenance_s", settings.maintenanceTime_);
-  ReadMilliseconds(document, "notice_ms", settings.noticeTime_);
   ReadSeconds(document, "keep_ended_s", settings.keepEnded_);
   settings.logLevel_ = document.value("log", settings.logLevel_);
   return settings;
--- a/src/prefix_feed.cpp
+++ b/src/prefix_feed.cpp
@@ -59,7 +59,6 @@
     Retry();
     return;
   }
-  answeredAt_ = clock_.Now();
   // Pages are no snapshot: the watch starts at the first page's revision.
   incomingRevision_ = incomingRevision_ == 0 ? aReply.revision_ : incomingRevision_;
   for (const Record& record : aReply.records_) {
@@ -90,7 +89,6 @@
     Retry();
     return;
   }
-  answeredAt_ = clock_.Now();
   next_ = clock_.Now() + settings_.gap_;
   for (const Record& record : aReply.records_) {
     const auto known = records_.find(record.key_);
--- a/src/host_mover.cpp
+++ b/src/rollout_runner.cpp
@@ -1,4 +1,4 @@
-#include "sardinespoke/host_mover.h"
+#include "sardinespoke/rollout_runner.h"
 
 #include "sardinespoke/logging.h"
 
@@ -23,16 +23,16 @@
 
 }
 
-HostMover::HostMover(JobTable& aJobs,
-                     BackendTable& aBackends,
-                     RunTracker& aRuns,
-                     JobJournal& aJournal,
-                     BackendOrdersI& aOrders,
-                     HostDirectory& aDirectory,
-                     const FleetFormatI& aFormat,
-                     const ClockI& aClock,
-                     Leadership& aLeadership,
-                     HostMoverSettings aSettings)
+RolloutRunner::RolloutRunner(JobTable& aJobs,
+                             BackendTable& aBackends,
+                             RunTracker& aRuns,
+                             JobJournal& aJournal,
+                             BackendOrdersI& aOrders,
+                             HostDirectory& aDirectory,
+                             const FleetFormatI& aFormat,
+                             const ClockI& aClock,
+                             Leadership& aLeadership,
+                             HostTimes aSettings)
   : jobs_(aJobs)
   , backends_(aBackends)
   , runs_(aRuns)
@@ -48,7 +48,7 @@
 }
 
 BackendHandle
-HostMover::BackendOf(const std::string& aHost) const
+RolloutRunner::BackendOf(const std::string& aHost) const
 {
   for (const BackendHandle handle : backends_.Live()) {
     const Backend& backend = backends_.At(handle);
@@ -60,7 +60,7 @@
 }
 
 uint32_t
-HostMover::Away(const TaskRef& aTask) const
+RolloutRunner::Away(const TaskRef& aTask) const
 {
   const Step& step = jobs_.StepOf(aTask);
   uint32_t away = 0;
@@ -82,7 +82,7 @@
 }
 
 uint32_t
-HostMover::SameStep(const Backend& aBackend, const TaskRef& aTask) const
+RolloutRunner::SameStep(const Backend& aBackend, const TaskRef& aTask) const
 {
   return static_cast<uint32_t>(
     std::count_if(aBackend.runs_.begin(), aBackend.runs_.end(), [&aTask](const BackendRun& aRun) {
@@ -91,7 +91,7 @@
 }
 
 bool
-HostMover::MayRunUnseen(const std::string& aHost) const
+RolloutRunner::MayRunUnseen(const std::string& aHost) const
 {
   const auto& live = backends_.Live();
   return std::any_of(live.begin(), live.end(), [&](const BackendHandle& aHandle) {
@@ -102,7 +102,7 @@
 }
 
 bool
-HostMover::MayInterrupt(const Backend& aBackend) const
+RolloutRunner::MayInterrupt(const Backend& aBackend) const
 {
   for (const BackendRun& run : aBackend.runs_) {
     if (!run.task_ || run.phase_ != RunPhase::Running) {
@@ -121,7 +121,7 @@
 }
 
 void
-HostMover::Empty(BackendHandle aBackend, TimePoint aSince)
+RolloutRunner::Empty(BackendHandle aBackend, TimePoint aSince)
 {
   Backend& backend = backends_.At(aBackend);
   backend.leaving_ = true;
@@ -140,7 +140,7 @@
 }
 
 milliseconds
-HostMover::ListPeriod() const
+RolloutRunner::ListPeriod() const
 {
   const bool inherited = std::any_of(rollouts_.begin(), rollouts_.end(), [](const auto& aRollout) {
     return aRollout.second.inherited_ && !aRollout.second.saidDone_;
@@ -149,7 +149,7 @@
 }
 
 bool
-HostMover::IsBusy(const std::string& aHost) const
+RolloutRunner::IsBusy(const std::string& aHost) const
 {
   return std::any_of(rollouts_.begin(), rollouts_.end(), [&aHost](const auto& aRollout) {
     const auto found = aRollout.second.hosts_.find(aHost);
@@ -159,7 +159,7 @@
 }
 
 void
-HostMover::Tick(const std::map<int64_t, RolloutRequest>& aRequests)
+RolloutRunner::Tick(const std::map<int64_t, RolloutRequest>& aRequests)
 {
   for (const auto& [number, request] : aRequests) {
     Rollout& rollout = rollouts_[number];
@@ -193,13 +193,13 @@
 }
 
 std::string
-HostMover::RecordPrefix()
+RolloutRunner::RecordPrefix()
 {
   return std::string(JobJournal::kPrefix) + "rollout/";
 }
 
 bool
-HostMover::Inherit(const std::string& aText)
+RolloutRunner::Inherit(const std::string& aText)
 {
   const auto record = nlohmann::json::parse(aText, nullptr, false);
   if (!record.is_object() || !record.contains("number") || !record.contains("maintained")) {
@@ -213,7 +213,7 @@
 }
 
 uint64_t
-HostMover::Note(const Rollout& aRollout)
+RolloutRunner::Note(const Rollout& aRollout)
 {
   const nlohmann::json record{ { "number", aRollout.request_.number_ },
                                { "begun", aRollout.begun_ },
@@ -223,7 +223,7 @@
 }
 
 void
-HostMover::Settle(Rollout& aRollout, const std::string& aHost, HostTask& aTask)
+RolloutRunner::Settle(Rollout& aRollout, const std::string& aHost, HostTask& aTask)
 {
   const auto age = clock_.Now() - aTask.since_;
   const BackendHandle handle = BackendOf(aHost);
@@ -255,7 +255,7 @@
 }
 
 void
-HostMover::ResolveDoubts(Rollout& aRollout)
+RolloutRunner::ResolveDoubts(Rollout& aRollout)
 {
   if (directory_.AskedAt() < ownedSince_ + kOrderSettles) {
     return;
@@ -274,13 +274,9 @@
 }
 
 void
-HostMover::Advance(Rollout& aRollout)
+RolloutRunner::Advance(Rollout& aRollout)
 {
   const TimePoint now = clock_.Now();
-  if (!aRollout.saidRunning_) {
-    aRollout.saidRunning_ = true;
-    journal_.Write(format_.RolloutStatus(aRollout.request_.number_, false));
-  }
   ResolveDoubts(aRollout);
   uint32_t down = 0;
   uint32_t emptying = 0;
@@ -301,6 +297,10 @@
     Log(LogLevel::Info, "rollout.done", { { "rollout", aRollout.request_.number_ } });
     return;
   }
+  if (!aRollout.saidRunning_) {
+    aRollout.saidRunning_ = true;
+    journal_.Write(format_.RolloutStatus(aRollout.request_.number_, false));
+  }
   for (auto& [host, task] : aRollout.hosts_) {
     if (task.stage_ != Stage::Emptying) {
       continue;
@@ -329,7 +329,7 @@
 }
 
 void
-HostMover::Choose(Rollout& aRollout, uint32_t aDown, uint32_t aEmptying)
+RolloutRunner::Choose(Rollout& aRollout, uint32_t aDown, uint32_t aEmptying)
 {
   std::vector<std::pair<int64_t, std::string>> planned;
   for (const auto& [host, task] : aRollout.hosts_) {
@@ -357,7 +357,7 @@
 }
 
 void
-HostMover::Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask)
+RolloutRunner::Order(Rollout& aRollout, const std::string& aHost, HostTask& aTask)
 {
   aTask.stage_ = Stage::Ordered;
   aTask.since_ = clock_.Now();
@@ -375,7 +375,7 @@
 }
 
 void
-HostMover::OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult)
+RolloutRunner::OnOrdered(int64_t aRollout, const std::string& aHost, const OrderResult& aResult)
 {
   Rollout& rollout = rollouts_[aRollout];
   HostTask& task = rollout.hosts_[aHost];
--- a/src/run_looks.cpp
+++ b/src/run_looks.cpp
@@ -129,7 +129,6 @@
   const TimePoint now = clock_.Now();
   Backend& backend = backends_.At(aBackend);
   ReadClock(backend, aResult);
-  backend.lastAnswer_ = now;
   backend.awaited_ = false;
   if (!backend.verified_ || backend.looksFailed_ > 0) {
     backend.verified_ = true;
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -225,7 +225,6 @@
   BackendRun* run = backend.FindRun(aRun);
   switch (aResult.outcome_) {
     case OrderOutcome::Done:
-      backend.lastAnswer_ = now;
       backend.startsUnanswered_ = 0;
       if (run) {
         run->everConfirmed_ = true;
--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -71,7 +71,7 @@
   queue.stretch_ = 1.6;
   queue.latencyTarget_ = milliseconds(600);
   config_.queues_.push_back(queue);
-  config_.services_.push_back(ServicePolicy{ aName, false, aSpare });
+  config_.services_.push_back(ServicePolicy{ aName, aSpare });
   fleet_->AddHosts(aName, aHosts, aCapacity);
 }
 
--- a/standins/plain_fleet_format.cpp
+++ b/standins/plain_fleet_format.cpp
@@ -35,7 +35,10 @@
     services.push_back({ { "name", service.name_ }, { "spare", service.spare_ } });
   }
   return json{
-    { "version", aConfig.version_ }, { "queues", queues }, { "services", services }
+    { "version", aConfig.version_ },
+    { "max_body_bytes", aConfig.maxBodyBytes_ },
+    { "queues", queues },
+    { "services", services }
   }.dump();
 }
 
@@ -69,6 +72,7 @@
     return false;
   }
   aConfig.version_ = body.at("version").get<int64_t>();
+  aConfig.maxBodyBytes_ = body.at("max_body_bytes").get<uint64_t>();
   for (const json& row : body.at("queues")) {
     QueuePolicy queue;
     row.at("name").get_to(queue.name_);
@@ -84,7 +88,7 @@
   }
   for (const json& row : body.at("services")) {
     aConfig.services_.push_back(
-      ServicePolicy{ row.at("name").get<std::string>(), false, row.at("spare").get<bool>() });
+      ServicePolicy{ row.at("name").get<std::string>(), row.at("spare").get<bool>() });
   }
   return true;
 }
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -93,6 +93,27 @@
   EXPECT_EQ(world_.Call(call).kind_, JobAnswerKind::NoQueue);
 }
 
+// Guards against a malformed or oversized job that has an effect.
+TEST_F(JobControlTest, UnusableJobsAreInvalidAndDoNothing)
+{
+  JobCall call;
+  call.kind_ = JobCallKind::Submit;
+  call.host_ = "callers";
+  call.path_ = "/births/not-an-id";
+  call.spec_.steps_ = { Tasks(1) };
+  EXPECT_EQ(world_.Call(call).kind_, JobAnswerKind::Invalid);
+  call.path_ = "/births/" + JobId(1);
+  call.problem_ = "a field is missing";
+  EXPECT_EQ(world_.Call(call).kind_, JobAnswerKind::Invalid);
+  call.problem_.clear();
+  world_.Config().maxBodyBytes_ = 100;
+  world_.Configure();
+  world_.Run(seconds(1));
+  call.bodyBytes_ = 101;
+  EXPECT_EQ(world_.Call(call).kind_, JobAnswerKind::Invalid);
+  EXPECT_EQ(world_.Fleet().Starts(), 0U);
+}
+
 // Guards against endless attempts at a job that can never succeed.
 TEST_F(JobControlTest, FailsAJobAfterItsAttempts)
 {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -83,7 +83,7 @@
   record.value_ = R"({"version":7,"routes":[{"name":"r-1","host":"h","prefix":"/p/","service":"s",
     "priority":1,"max-attempts":3,"stretch":1.6,"target-latency-ms":600,
     "advice":{"decide-ms":50,"period-ms":4,"valid-ms":3000}}],
-    "services":[{"name":"s","spare":true,"admission-check":true}],
+    "services":[{"name":"s","spare":true}],
     "limits":{"max-body-bytes":262144}})";
   FleetConfig config;
   ASSERT_TRUE(FleetFormat().ReadConfig(record, config));
@@ -94,7 +94,7 @@
   EXPECT_TRUE(queue.advised_);
   EXPECT_EQ(queue.advicePeriod_, milliseconds(4));
   EXPECT_TRUE(config.services_.front().spare_);
-  EXPECT_TRUE(config.services_.front().guardsCapacity_);
+  EXPECT_EQ(config.maxBodyBytes_, 262144U);
   record.value_ = R"({"version":8,"routes":[{"name":"r-1"}],"services":[]})";
   EXPECT_FALSE(FleetFormat().ReadConfig(record, config)) << "a route without a prefix";
 }
