--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -43,7 +43,7 @@
   , rollouts_(aRollouts)
   , clock_(aClock)
   , leadership_(aLeadership)
-  , settings_(std::move(aSettings))
+  , settings_(aSettings)
   , sizing_(MoveCosts{ .moveTime_ = settings_.moveTime_ })
 {
 }
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -64,7 +64,7 @@
   , clock_(aClock)
   , leadership_(aLeadership)
   , metrics_(aMetrics)
-  , settings_(std::move(aSettings))
+  , settings_(aSettings)
   , runs_(jobs_, backends_, aOrders, aClock, settings_.runs_, aLeadership.Fence())
   , advice_(aOrders, aClock)
   , waitOrder_(durations_)
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -42,7 +42,7 @@
   , format_(aFormat)
   , clock_(aClock)
   , leadership_(aLeadership)
-  , settings_(std::move(aSettings))
+  , settings_(aSettings)
   , ownedSince_(aClock.Now())
 {
 }
