Log and measure what tells the causes of UNASKED apart

Cause: from the lines of a run one could not tell a cancel that the store lost from one that was never answered, nor see that a leader denied a job. Ruled out: a line for each start; its volume grows with the load. No change of logic.

--- a/include/sardinespoke/entry_node.h
+++ b/include/sardinespoke/entry_node.h
@@ -60,6 +60,7 @@
   {
     CallerCall call_;
     ReplyCallback reply_;
+    TimePoint receivedAt_{};
   };
 
   void RunControlLoop();
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -61,7 +61,7 @@
   void CountArrival(const Job& aJob);
   void Cancel(uint32_t aJob, const JobResponseCallback& aRespond);
   JobResponse StateResponse(const Job& aJob) const;
-  JobResponse UnknownJob() const;
+  JobResponse UnknownJob(const std::string& aId) const;
   const QueuePolicy* FindQueue(const std::string& aHost, const std::string& aPath) const;
   void StopStuckRuns();
   void EnforceLatencyTargets();
--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinespoke/leadership.h"
+#include "sardinespoke/metrics.h"
 #include "sardinespoke/run_tracker.h"
 
 #include <functional>
@@ -36,11 +37,15 @@
              JobTable& aJobs,
              BackendTable& aBackends,
              RunTracker& aRuns,
-             Leadership& aLeadership);
+             Leadership& aLeadership,
+             Metrics& aMetrics);
 
   /// Sets the revision of the journal's record as read by the new leader.
   void SetRevision(int64_t aRevision) { revision_ = aRevision; }
 
+  /// @returns Revision of the last transaction that is known to have taken effect.
+  int64_t Revision() const { return revision_; }
+
   /// Stores a job that was just added.
   void Submit(uint32_t aJob, Done aDone);
 
@@ -110,6 +115,7 @@
   BackendTable& backends_;
   RunTracker& runs_;
   Leadership& leadership_;
+  Metrics& metrics_;
   int64_t revision_ = 0;
   std::vector<Waiter> waiters_;
   std::vector<uint32_t> submitted_; ///< Submitted jobs that are not yet in a batch.
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -69,7 +69,10 @@
   std::vector<Occurrence> occurrences_;      ///< Occurrences that are due or done, from the first.
   bool stored_ = false;    ///< The store has the job; its tasks may start only then.
   bool inherited_ = false; ///< Accepted by an earlier leader.
-  bool started_ = false;   ///< At least one task has started.
+  /// Revision of the progress record that an inherited job was restored from; 0: there was none.
+  int64_t restoredRevision_ = 0;
+  bool resumed_ = false; ///< This leader has started a task of an inherited job.
+  bool started_ = false; ///< At least one task has started.
   bool cancelled_ = false;
   bool failed_ = false;
   bool finished_ = false;                    ///< All tasks are done.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -236,6 +236,7 @@
 EntryNode::HandleRequest(const Request& aRequest)
 {
   const ReplyCallback reply = aRequest.reply_;
+  metrics_.Observe("control_queue_wait", clock_.Now() - aRequest.receivedAt_);
   if (!control_ || !control_->IsReady()) {
     reply(Refusal("this host does not own the pools"));
     return;
@@ -263,8 +264,9 @@
 {
   const auto replyPromise = std::make_shared<std::promise<CallerReply>>();
   auto answer = replyPromise->get_future();
-  Enqueue(Request{
-    aCall, [replyPromise](const CallerReply& aReply) { replyPromise->set_value(aReply); } });
+  Enqueue(Request{ aCall,
+                   [replyPromise](const CallerReply& aReply) { replyPromise->set_value(aReply); },
+                   clock_.Now() });
   if (answer.wait_for(aCall.timeout_) != std::future_status::ready) {
     return OutcomeUnknownReply("the owner did not answer in time");
   }
@@ -284,12 +286,14 @@
   call.path_ = aMessage.value("path", "");
   call.body_ = aMessage.value("body", "");
   call.timeout_ = milliseconds(aMessage.value("patience_ms", int64_t{ 0 }));
-  Enqueue(Request{ std::move(call), [aReply](const CallerReply& aCallerReply) {
-                    aReply(json{ { "owner", true },
-                                 { "status", aCallerReply.status_ },
-                                 { "body", aCallerReply.body_ },
-                                 { "retry_after_ms", aCallerReply.retryAfter_.count() } });
-                  } });
+  Enqueue(Request{ std::move(call),
+                   [aReply](const CallerReply& aCallerReply) {
+                     aReply(json{ { "owner", true },
+                                  { "status", aCallerReply.status_ },
+                                  { "body", aCallerReply.body_ },
+                                  { "retry_after_ms", aCallerReply.retryAfter_.count() } });
+                   },
+                   clock_.Now() });
 }
 
 CallerReply
@@ -364,7 +368,8 @@
   if (reply.status_ >= 500) {
     Log(LogLevel::Info,
         "caller.refused",
-        { { "path", call.path_ },
+        { { "method", call.method_ },
+          { "path", call.path_ },
           { "status", reply.status_ },
           { "reason", reply.body_ },
           { "owner", LeaderAddress() },
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -70,7 +70,7 @@
   , advice_(aCommands, aClock)
   , waitOrder_(durations_)
   , scheduler_(jobs_, backends_, runs_, advice_, durations_, waitOrder_, aClock)
-  , journal_(aStore, aClock, jobs_, backends_, runs_, aLeadership)
+  , journal_(aStore, aClock, jobs_, backends_, runs_, aLeadership, aMetrics)
   , directory_(aCommands, aClock)
   , rolloutRunner_(jobs_,
                    backends_,
@@ -225,9 +225,11 @@
     job.inherited_ = true;
     jobs_.OpenDueOccurrences(job, wall_);
     const auto progress = parts_[PartProgress].find(JobJournal::ProgressKey(id));
-    if (progress != parts_[PartProgress].end() &&
-        !DecodeProgress(progress->second.value_, jobs_, index)) {
-      Log(LogLevel::Error, "job.progress_unreadable", { { "job", id } });
+    if (progress != parts_[PartProgress].end()) {
+      job.restoredRevision_ = progress->second.revision_;
+      if (!DecodeProgress(progress->second.value_, jobs_, index)) {
+        Log(LogLevel::Error, "job.progress_unreadable", { { "job", id } });
+      }
     }
     job.visibleState_ = JobTable::StateOf(job);
     job.endedAt_ = now;
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -31,13 +31,15 @@
                        JobTable& aJobs,
                        BackendTable& aBackends,
                        RunTracker& aRuns,
-                       Leadership& aLeadership)
+                       Leadership& aLeadership,
+                       Metrics& aMetrics)
   : store_(aStore)
   , clock_(aClock)
   , jobs_(aJobs)
   , backends_(aBackends)
   , runs_(aRuns)
   , leadership_(aLeadership)
+  , metrics_(aMetrics)
 {
 }
 
@@ -223,6 +225,7 @@
 JobJournal::OnChanged(const RecordReply& aReply)
 {
   inFlight_ = false;
+  metrics_.Observe("journal_commit", clock_.Now() - sentAt_);
   if (aReply.outcome_ == RecordOutcome::Conflict) {
     for (const Record& record : aReply.records_) {
       const bool isJournal = record.key_ == JournalKey();
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -22,6 +22,15 @@
   return response;
 }
 
+const char*
+OutcomeName(JournalOutcome aOutcome)
+{
+  constexpr std::array<const char*, static_cast<size_t>(JournalOutcome::Count)> kNames{
+    "stored", "not_stored", "unknown"
+  };
+  return kNames[static_cast<size_t>(aOutcome)];
+}
+
 }
 
 const QueuePolicy*
@@ -40,8 +49,13 @@
 }
 
 JobResponse
-JobControl::UnknownJob() const
+JobControl::UnknownJob(const std::string& aId) const
 {
+  Log(LogLevel::Info,
+      "job.unknown",
+      { { "job", aId },
+        { "fence", leadership_.FencingToken() },
+        { "lease_left_ms", leadership_.LeaseLeft().count() } });
   // Without a valid lease, another host may be the leader and have accepted the job.
   return leadership_.HoldsValidLease()
            ? MakeResponse(JobResponseKind::NoJob)
@@ -82,7 +96,7 @@
   }
   Job* job = jobs_.Find(id);
   if (!job) {
-    aRespond(UnknownJob());
+    aRespond(UnknownJob(id));
     return;
   }
   if (!job->stored_) {
@@ -134,10 +148,7 @@
   const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
   jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
   journal_.Submit(index, [this, index, id, aRespond](JournalOutcome aOutcome) {
-    constexpr std::array<const char*, static_cast<size_t>(JournalOutcome::Count)> kOutcomes{
-      "stored", "not_stored", "unknown"
-    };
-    const char* outcome = kOutcomes[static_cast<size_t>(aOutcome)];
+    const char* outcome = OutcomeName(aOutcome);
     metrics_.Count(std::string("job_submissions{outcome=\"") + outcome + "\"}");
     Log(LogLevel::Info,
         "job.submitted",
@@ -186,7 +197,16 @@
     Log(LogLevel::Info, "job.cancelled", { { "job", job.spec_.id_ } });
   }
   jobs_.Touch(aJob);
-  journal_.AfterStored(aJob, [aRespond](JournalOutcome aOutcome) {
+  const TimePoint begin = clock_.Now();
+  journal_.AfterStored(aJob, [this, id = job.spec_.id_, begin, aRespond](JournalOutcome aOutcome) {
+    const auto waited = clock_.Now() - begin;
+    metrics_.Observe("cancel_wait", waited);
+    Log(LogLevel::Info,
+        "job.cancel_answered",
+        { { "job", id },
+          { "outcome", OutcomeName(aOutcome) },
+          { "revision", journal_.Revision() },
+          { "waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(waited).count() } });
     aRespond(
       aOutcome == JournalOutcome::Stored
         ? MakeResponse(JobResponseKind::Cancelled)
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -133,6 +133,14 @@
           { "late", order_.IsLate(job, clock_.Now()) },
           { "usable_backends", aPool.size() } });
   }
+  if (job.inherited_ && !job.resumed_ && started > 0) {
+    jobs_.At(aJob).resumed_ = true;
+    Log(LogLevel::Info,
+        "job.resumed",
+        { { "job", job.spec_.id_ },
+          { "tasks", started },
+          { "progress_revision", job.restoredRevision_ } });
+  }
   return started;
 }
 
