--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -161,12 +161,18 @@
   return true;
 }
 
+bool
+JobWorld::IsLeader(size_t aHost) const
+{
+  const Node& node = nodes_[aHost];
+  return !node.paused_ && node.control_ && node.control_->IsReady();
+}
+
 std::optional<size_t>
 JobWorld::Leader() const
 {
   for (size_t index = 0; index < nodes_.size(); ++index) {
-    const Node& node = nodes_[index];
-    if (!node.paused_ && node.control_ && node.control_->IsReady()) {
+    if (IsLeader(index)) {
       return index;
     }
   }
@@ -178,12 +184,15 @@
 {
   RunUntil([this] { return Leader().has_value(); }, kCallTimeout);
   const auto owner = Leader();
+  return owner ? CallAt(*owner, aCall) : JobResponse();
+}
+
+JobResponse
+JobWorld::CallAt(size_t aHost, const JobRequest& aCall)
+{
   const auto answer = std::make_shared<std::optional<JobResponse>>();
-  if (!owner) {
-    return JobResponse();
-  }
-  nodes_[*owner].control_->Handle(aCall,
-                                  [answer](const JobResponse& aAnswer) { *answer = aAnswer; });
+  nodes_[aHost].control_->Handle(aCall,
+                                 [answer](const JobResponse& aAnswer) { *answer = aAnswer; });
   RunUntil([answer] { return answer->has_value(); }, kCallTimeout);
   return answer->value_or(JobResponse());
 }
@@ -249,14 +258,43 @@
   return Call(call).state_;
 }
 
-JobResponse
-JobWorld::Cancel(const std::string& aPool, const std::string& aId)
+JobRequest
+JobWorld::CancelCall(const std::string& aPool, const std::string& aId)
 {
   JobRequest call;
   call.kind_ = JobRequestKind::Cancel;
   call.host_ = "callers";
   call.path_ = "/" + aPool + "/" + aId;
-  return Call(call);
+  return call;
+}
+
+JobResponse
+JobWorld::Cancel(const std::string& aPool, const std::string& aId)
+{
+  return Call(CancelCall(aPool, aId));
+}
+
+JobResponse
+JobWorld::SubmitAt(size_t aHost,
+                   const std::string& aPool,
+                   const std::string& aId,
+                   std::vector<StepSpec> aSteps)
+{
+  return CallAt(aHost, SubmitCall(aPool, aId, std::move(aSteps)));
+}
+
+JobResponse
+JobWorld::CancelAt(size_t aHost, const std::string& aPool, const std::string& aId)
+{
+  return CallAt(aHost, CancelCall(aPool, aId));
+}
+
+void
+JobWorld::SendCancel(const std::string& aPool,
+                     const std::string& aId,
+                     const JobResponseCallback& aAnswer)
+{
+  Send(CancelCall(aPool, aId), aAnswer);
 }
 
 }
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -37,16 +37,26 @@
   /// @returns Index of the entry host that is the leader and ready; empty if there is none.
   std::optional<size_t> Leader() const;
 
+  /// @returns True if an entry host considers itself the leader and is ready; several may after a
+  /// loss of the leader's record.
+  bool IsLeader(size_t aHost) const;
+
   /// Sends a call to the leader; dropped without an answer if there is no leader.
   void Send(const JobRequest& aCall, const JobResponseCallback& aAnswer);
   void SendSubmit(const std::string& aPool,
                   const std::string& aId,
                   std::vector<StepSpec> aSteps,
                   const JobResponseCallback& aAnswer);
+  void SendCancel(const std::string& aPool,
+                  const std::string& aId,
+                  const JobResponseCallback& aAnswer);
 
   /// Sends a call to the leader and waits for the answer.
   JobResponse Call(const JobRequest& aCall);
 
+  /// Sends a call to an entry host that considers itself the leader and waits for the answer.
+  JobResponse CallAt(size_t aHost, const JobRequest& aCall);
+
   /// Submits a job of one step.
   JobResponse Submit(const std::string& aPool, const std::string& aId, const StepSpec& aStep);
   JobResponse Submit(const std::string& aPool,
@@ -54,6 +64,11 @@
                      std::vector<StepSpec> aSteps);
   JobState StateOf(const std::string& aPool, const std::string& aId);
   JobResponse Cancel(const std::string& aPool, const std::string& aId);
+  JobResponse SubmitAt(size_t aHost,
+                       const std::string& aPool,
+                       const std::string& aId,
+                       std::vector<StepSpec> aSteps);
+  JobResponse CancelAt(size_t aHost, const std::string& aPool, const std::string& aId);
 
   /// Stops an entry host from running until ResumeHost().
   void PauseHost(size_t aHost) { nodes_[aHost].paused_ = true; }
@@ -97,6 +112,7 @@
   JobRequest SubmitCall(const std::string& aPool,
                         const std::string& aId,
                         std::vector<StepSpec> aSteps);
+  static JobRequest CancelCall(const std::string& aPool, const std::string& aId);
   void Tick(Node& aNode);
   SimulatedFleet::TaskShape ShapeOf(const std::string& aTask) const;
 
