Acknowledge a cancel only by a transaction that contains it

What callers saw: a cancel answered with 200, and the job running on after the next change of leader, for as long as it lasts. If the leader died before the next transaction, its successor restored the job as not cancelled and started its tasks again. Ruled out: a late transaction of the earlier leader (its precondition on the leader's record fails), a lost write (the record of the job is there, without the cancel), unreadable progress (no such line). Change: a waiter is done when a transaction took effect that was encoded after it joined and contains its job; sent_ says just that.

--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -83,7 +83,9 @@
     Done done_;
     TimePoint since_{};
     bool isSubmission_ = false;
-    bool sent_ = false;     ///< A transaction with the write was sent and may have taken effect.
+    /// The present batch was sent with the write and may have taken effect. False for a call that
+    /// came after the batch was encoded, even if the batch contains the job.
+    bool sent_ = false;
     bool notified_ = false; ///< Unknown was reported to the caller; the job is kept.
   };
   /// Contents of one transaction.
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -266,9 +266,7 @@
   std::vector<Waiter> done;
   std::vector<Waiter> remaining;
   for (Waiter& waiter : waiters_) {
-    const auto& carried = waiter.isSubmission_ ? batch_.jobs_ : batch_.progress_;
-    const bool isCarried = std::find(carried.begin(), carried.end(), waiter.job_) != carried.end();
-    (isCarried ? done : remaining).push_back(std::move(waiter));
+    (waiter.sent_ ? done : remaining).push_back(std::move(waiter));
   }
   waiters_ = std::move(remaining);
   for (const Waiter& waiter : done) {
