Let only the store deny a job that the leader does not know

What callers saw: 410 for a cancel of a job that runs. Callers take it as the acknowledgement, and the job runs on. Cause: the leader answered 410 as long as its lease was valid by its own clock. Ruled out: asking for the leader's record instead; it costs the same read, and the job may be stored by any leader. Change: the job's record is read from the store; 410 only if it is not there, else 503 with Retry-After. At most four such reads at a time, the rest is refused at once, so that a flood of unknown ids delays neither transactions nor renewals. job.unknown says what the store answered.

--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -61,7 +61,8 @@
   void CountArrival(const Job& aJob);
   void Cancel(uint32_t aJob, const JobResponseCallback& aRespond);
   JobResponse StateResponse(const Job& aJob) const;
-  JobResponse UnknownJob(const std::string& aId) const;
+  /// Responds about a job that is not in the table: only the store can deny it.
+  void RespondToUnknownJob(const std::string& aId, const JobResponseCallback& aRespond);
   const QueuePolicy* FindQueue(const std::string& aHost, const std::string& aPath) const;
   void StopStuckRuns();
   void EnforceLatencyTargets();
@@ -107,6 +108,7 @@
   std::vector<PrefixFeed::Records> parts_;
   size_t partsLoaded_ = 0;
   bool loaded_ = false;
+  size_t jobLookups_ = 0; ///< Reads about unknown jobs that wait for the store.
   std::chrono::milliseconds wall_{ 0 };
   TimePoint nextHousekeeping_{};
   TimePoint nextMetrics_{};
--- a/include/sardinespoke/leadership.h
+++ b/include/sardinespoke/leadership.h
@@ -50,12 +50,10 @@
     return RecordPrecondition{ settings_.key_, fencingToken_ };
   }
 
-  /// @returns True if the lease is still valid, so that no other host can be the leader.
+  /// @returns True if the lease is still valid by this host's clock, so that no other host can be
+  /// the leader unless the platform took the record away.
   bool HoldsValidLease() const;
 
-  /// @returns Time until the lease expires by this host's clock; negative once it has expired.
-  std::chrono::milliseconds LeaseLeft() const;
-
   /// @returns True if commands may be sent: the lease is valid, or the store does not respond and
   /// the process was not suspended past the end of the lease.
   bool MaySendCommands() const;
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace sardinespoke {
@@ -11,6 +12,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
+// Concurrent reads about unknown jobs: fewer than the connections to the store, so that a flood of
+// them delays neither transactions nor lease renewals.
+constexpr size_t kMaxJobLookups = 4;
 
 JobResponse
 MakeResponse(JobResponseKind aKind, const std::string& aMessage = "")
@@ -22,6 +26,14 @@
   return response;
 }
 
+bool
+IsJobId(const std::string& aText)
+{
+  constexpr size_t kIdLength = 16;
+  return aText.size() == kIdLength &&
+         aText.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
 const char*
 OutcomeName(JournalOutcome aOutcome)
 {
@@ -48,18 +60,39 @@
   return best;
 }
 
-JobResponse
-JobControl::UnknownJob(const std::string& aId) const
+void
+JobControl::RespondToUnknownJob(const std::string& aId, const JobResponseCallback& aRespond)
 {
-  Log(LogLevel::Info,
-      "job.unknown",
-      { { "job", aId },
-        { "fence", leadership_.FencingToken() },
-        { "lease_left_ms", leadership_.LeaseLeft().count() } });
-  // Without a valid lease, another host may be the leader and have accepted the job.
-  return leadership_.HoldsValidLease()
-           ? MakeResponse(JobResponseKind::NoJob)
-           : MakeResponse(JobResponseKind::Refused, "the ownership of the pools is not confirmed");
+  if (!IsJobId(aId)) {
+    aRespond(MakeResponse(JobResponseKind::NoJob));
+    return;
+  }
+  if (jobLookups_ >= kMaxJobLookups) {
+    aRespond(MakeResponse(JobResponseKind::Refused, "too many requests about unknown jobs"));
+    return;
+  }
+  ++jobLookups_;
+  // Another host may have become the leader without notice and accepted the job.
+  const std::string key = JobJournal::JobKey(aId);
+  const int64_t fence = leadership_.FencingToken();
+  const std::weak_ptr<bool> alive = alive_;
+  store_.Range(key, "", [this, alive, aId, key, fence, aRespond](const RecordReply& aReply) {
+    if (alive.lock()) {
+      --jobLookups_;
+    }
+    const auto isJob = [&key](const Record& aRecord) { return aRecord.key_ == key; };
+    const bool read = aReply.outcome_ == RecordOutcome::Ok;
+    const bool stored = read && std::any_of(aReply.records_.begin(), aReply.records_.end(), isJob);
+    Log(LogLevel::Info,
+        "job.unknown",
+        { { "job", aId }, { "fence", fence }, { "store_answered", read }, { "stored", stored } });
+    if (read && !stored) {
+      aRespond(MakeResponse(JobResponseKind::NoJob));
+      return;
+    }
+    aRespond(MakeResponse(JobResponseKind::Refused,
+                          read ? "another host owns the job" : "the store does not answer"));
+  });
 }
 
 JobResponse
@@ -96,7 +129,7 @@
   }
   Job* job = jobs_.Find(id);
   if (!job) {
-    aRespond(UnknownJob(id));
+    RespondToUnknownJob(id, aRespond);
     return;
   }
   if (!job->stored_) {
@@ -118,15 +151,13 @@
                    const JobResponseCallback& aRespond)
 {
   const std::string id = aRequest.path_.substr(aQueue.prefix_.size());
-  constexpr size_t kIdLength = 16;
-  const bool isHex = id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
   if (config_.maxBodyBytes_ > 0 && aRequest.bodyBytes_ > config_.maxBodyBytes_) {
     aRespond(MakeResponse(JobResponseKind::Invalid,
                           "the body is above the limit of " +
                             std::to_string(config_.maxBodyBytes_) + " bytes"));
     return;
   }
-  if (!aRequest.problem_.empty() || id.size() != kIdLength || !isHex) {
+  if (!aRequest.problem_.empty() || !IsJobId(id)) {
     aRespond(MakeResponse(JobResponseKind::Invalid,
                           aRequest.problem_.empty() ? "a job id has 16 hexadecimal digits"
                                                     : aRequest.problem_));
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -192,12 +192,6 @@
   return isLeader_ && clock_.Now() < validUntil_;
 }
 
-milliseconds
-Leadership::LeaseLeft() const
-{
-  return std::chrono::duration_cast<milliseconds>(validUntil_ - clock_.Now());
-}
-
 bool
 Leadership::MaySendCommands() const
 {
--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -92,14 +92,18 @@
   const auto first = world_.Leader();
   ASSERT_TRUE(first.has_value());
   const size_t second = 1 - *first;
-  // The store turns the leader away and drops its record at once.
-  world_.StoreOf(*first).fault_ = MemoryRecordStore::Fault::Refusing;
+  // The store falls silent for the leader and drops its record at once.
+  world_.StoreOf(*first).fault_ = MemoryRecordStore::Fault::Unresponsive;
   world_.Store().Remove(kLeaderKey);
   ASSERT_TRUE(world_.RunUntil([&] { return world_.IsLeader(second); }, seconds(1)));
   ASSERT_TRUE(world_.IsLeader(*first)) << "it has not noticed yet";
   ASSERT_EQ(world_.SubmitAt(second, kPool, kJob, { Tasks(2, seconds(20)) }).kind_,
             JobResponseKind::Accepted);
   EXPECT_EQ(world_.CancelAt(*first, kPool, kJob).kind_, JobResponseKind::Refused);
+  // The store answers it again, which does not tell it that its record is gone.
+  world_.StoreOf(*first).fault_ = MemoryRecordStore::Fault::None;
+  ASSERT_TRUE(world_.IsLeader(*first));
+  EXPECT_EQ(world_.CancelAt(*first, kPool, kJob).kind_, JobResponseKind::Refused);
   EXPECT_EQ(world_.CancelAt(second, kPool, kJob).kind_, JobResponseKind::Cancelled);
 }
 
@@ -113,5 +117,23 @@
   EXPECT_EQ(world_.Cancel(kPool, kJob).kind_, JobResponseKind::Refused);
 }
 
+// A flood of requests about unknown jobs must not fill the connections to the store.
+TEST_F(CancelTest, FloodOfUnknownJobsIsRefused)
+{
+  const size_t before = world_.StoreCalls();
+  size_t denied = 0;
+  size_t refused = 0;
+  for (int request = 0; request < 200; ++request) {
+    world_.SendCancel(kPool, kJob, [&](const JobResponse& aResponse) {
+      denied += aResponse.kind_ == JobResponseKind::NoJob ? 1 : 0;
+      refused += aResponse.kind_ == JobResponseKind::Refused ? 1 : 0;
+    });
+  }
+  ASSERT_TRUE(world_.RunUntil([&] { return denied + refused == 200; }, seconds(1)));
+  EXPECT_GT(denied, 0U);
+  EXPECT_LT(world_.StoreCalls() - before, 50U);
+  EXPECT_EQ(world_.Cancel(kPool, kJob).kind_, JobResponseKind::NoJob);
+}
+
 }
 }
