Queue each changed job once, also after a refused transaction

JobJournal::RequeueBatch put the jobs of a refused transaction back in front of its list without looking whether they were listed again: a job that had changed while the transaction was under way was then written twice in one transaction, two values under one key.

ProgressQueue keeps the jobs in the order of their first change, with an index by job. An entry that comes back takes its former position, and one entry covers both changes.

RefusedProgressIsQueuedOnce found the key twice before. The other test guards what stays: no end report is acknowledged before its effects are stored.

--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -2,6 +2,7 @@
 
 #include "sardinespoke/leadership.h"
 #include "sardinespoke/metrics.h"
+#include "sardinespoke/progress_queue.h"
 #include "sardinespoke/run_tracker.h"
 
 #include <functional>
@@ -93,6 +94,7 @@
   {
     std::vector<uint32_t> jobs_;          ///< Jobs submitted in this transaction.
     std::vector<uint32_t> progress_;      ///< Jobs whose progress it contains.
+    std::vector<uint64_t> numbers_;       ///< Their numbers in the queue, in the same order.
     std::vector<JobState> visibleStates_; ///< States of the jobs in progress_, in the same order.
     std::vector<BackendHandle> recorded_;
     std::vector<RecordWrite> writes_;
@@ -103,6 +105,7 @@
 
   void CollectChanges();
   void StartBatch();
+  void AddProgress(Batch& aBatch, const ProgressQueue::Entry& aEntry);
   void OnChanged(const RecordReply& aReply);
   void SendBatch();
   void Retry(bool aMayHaveChanged);
@@ -121,7 +124,7 @@
   int64_t revision_ = 0;
   std::vector<Waiter> waiters_;
   std::vector<uint32_t> submitted_; ///< Submitted jobs that are not yet in a batch.
-  std::vector<uint32_t> progress_;  ///< Jobs with changed progress that are not yet in a batch.
+  ProgressQueue progress_;          ///< Jobs with changed progress that are not yet in a batch.
   std::vector<RecordWrite> writes_;
   std::vector<std::string> deletes_;
   uint64_t writesAdded_ = 0;
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -104,7 +104,7 @@
 bool
 JobJournal::IsIdle() const
 {
-  return !hasBatch_ && waiters_.empty() && progress_.empty() && writes_.empty();
+  return !hasBatch_ && waiters_.empty() && progress_.IsEmpty() && writes_.empty();
 }
 
 bool
@@ -113,8 +113,9 @@
   if (!submitted_.empty() || !writes_.empty() || !waiters_.empty()) {
     return true;
   }
-  const bool hasNewEnd = std::any_of(progress_.begin(), progress_.end(), [this](uint32_t aJob) {
-    const Job& job = jobs_.At(aJob);
+  const auto& queued = progress_.Jobs();
+  const bool hasNewEnd = std::any_of(queued.begin(), queued.end(), [this](const auto& aEntry) {
+    const Job& job = jobs_.At(aEntry.second);
     return job.HasEnded() && job.visibleState_ != JobTable::StateOf(job);
   });
   return hasNewEnd || (dirty_ && clock_.Now() - dirtySince_ >= kProgressDelay);
@@ -132,22 +133,28 @@
 JobJournal::CollectChanges()
 {
   for (const uint32_t job : jobs_.TakeTouched()) {
-    if (std::find(progress_.begin(), progress_.end(), job) == progress_.end()) {
-      progress_.push_back(job);
-    }
+    progress_.Add(job);
   }
   const bool unrecorded =
     std::any_of(backends_.Live().begin(), backends_.Live().end(), [this](BackendHandle aBackend) {
       return backends_.At(aBackend).registered_ && !backends_.At(aBackend).recorded_;
     });
   const bool dirty =
-    !progress_.empty() || unrecorded || !runs_.EndsApplied().empty() || !deletes_.empty();
+    !progress_.IsEmpty() || unrecorded || !runs_.EndsApplied().empty() || !deletes_.empty();
   if (dirty && !dirty_) {
     dirtySince_ = clock_.Now();
   }
   dirty_ = dirty;
 }
 
+void
+JobJournal::AddProgress(Batch& aBatch, const ProgressQueue::Entry& aEntry)
+{
+  aBatch.progress_.push_back(aEntry.job_);
+  aBatch.numbers_.push_back(aEntry.number_);
+  aBatch.visibleStates_.push_back(JobTable::StateOf(jobs_.At(aEntry.job_)));
+}
+
 void
 JobJournal::StartBatch()
 {
@@ -169,13 +176,12 @@
     }
   }
   take(submitted_, [&](uint32_t aJob) { batch.jobs_.push_back(aJob); });
-  take(progress_, [&](uint32_t aJob) {
-    batch.progress_.push_back(aJob);
-    batch.visibleStates_.push_back(JobTable::StateOf(jobs_.At(aJob)));
-  });
+  while (!progress_.IsEmpty() && FreeEntries(batch) > 0) {
+    AddProgress(batch, progress_.TakeFirst());
+  }
   take(writes_, [&](RecordWrite& aWrite) { batch.writes_.push_back(std::move(aWrite)); });
   take(deletes_, [&](std::string& aKey) { batch.deletes_.push_back(std::move(aKey)); });
-  if (progress_.empty()) {
+  if (progress_.IsEmpty()) {
     batch.ends_ = runs_.EndsApplied();
   }
   batch_ = std::move(batch);
@@ -302,7 +308,9 @@
     }
   }
   giveBack(submitted_, batch_.jobs_);
-  giveBack(progress_, batch_.progress_);
+  for (size_t index = 0; index < batch_.progress_.size(); ++index) {
+    progress_.PutBack(ProgressQueue::Entry{ batch_.numbers_[index], batch_.progress_[index] });
+  }
   giveBack(writes_, batch_.writes_);
   giveBack(deletes_, batch_.deletes_);
   hasBatch_ = false;
--- /dev/null
+++ b/tests/job_journal_test.cpp
@@ -0,0 +1,187 @@
+#include "sardinespoke/job_journal.h"
+
+#include "sardinespoke/manual_clock.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <set>
+
+namespace sardinespoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint32_t kJobs = 600;
+constexpr size_t kEntriesPerTransaction = 29;
+constexpr milliseconds kStoreTime{ 15 };
+
+/// Grants the leader's lease at once; transactions wait until the test answers them.
+class HeldStore final : public RecordStoreI
+{
+public:
+  void Range(const std::string&, const std::string&, Done aDone) override { aDone(Ok()); }
+  void Watch(const std::string&, int64_t, milliseconds, Done) override {}
+  void Commit(const RecordTransaction& aChange, Done aDone) override
+  {
+    held_.emplace_back(aChange, std::move(aDone));
+  }
+  void Grant(milliseconds aTtl, Done aDone) override
+  {
+    RecordReply reply = Ok();
+    reply.lease_ = 1;
+    reply.ttl_ = aTtl;
+    aDone(reply);
+  }
+  void Renew(uint64_t, Done aDone) override { aDone(Ok()); }
+
+  RecordReply Ok()
+  {
+    RecordReply reply;
+    reply.outcome_ = RecordOutcome::Ok;
+    reply.revision_ = ++revision_;
+    return reply;
+  }
+
+  std::deque<std::pair<RecordTransaction, Done>> held_;
+
+private:
+  int64_t revision_ = 0;
+};
+
+class NoCommands final : public BackendCommandsI
+{
+public:
+  void Start(const StartCommand&, OnResult) override {}
+  void Stop(const StopCommand&, OnResult) override {}
+  void Throttle(const ThrottleCommand&, OnResult) override {}
+  void Poll(const PollCommand&, OnPollResult) override {}
+  void ChangeHost(const HostCommand&, OnResult) override {}
+  void ListHosts(OnHosts) override {}
+  void Advise(const AdviceQuery&, OnAdvice) override {}
+};
+
+std::string
+JobId(uint32_t aNumber)
+{
+  return "job-" + std::to_string(aNumber);
+}
+
+LeadershipSettings
+LeaderSettings()
+{
+  LeadershipSettings settings;
+  settings.name_ = "entry-0";
+  settings.incarnation_ = "entry-0-1";
+  settings.address_ = "10.0.1.1:1";
+  settings.key_ = std::string(JobJournal::kPrefix) + "leader";
+  return settings;
+}
+
+class JobJournalTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    leadership_.Tick();
+    clock_.Advance(milliseconds(10));
+    leadership_.Tick();
+    ASSERT_EQ(store_.held_.size(), 1U);
+    Answer();
+    ASSERT_TRUE(leadership_.IsLeader());
+    for (uint32_t number = 0; number < kJobs; ++number) {
+      JobSpec spec;
+      spec.id_ = JobId(number);
+      jobs_.At(jobs_.Add(spec, QueuePolicy(), clock_.Now(), milliseconds(0))).stored_ = true;
+    }
+    BackendEntry entry;
+    entry.id_ = "backend-0";
+    backend_ = backends_.Add(entry);
+  }
+
+  /// Answers the transaction under way, if there is one.
+  void Answer(RecordOutcome aOutcome = RecordOutcome::Ok)
+  {
+    if (store_.held_.empty()) {
+      return;
+    }
+    const auto [change, done] = std::move(store_.held_.front());
+    store_.held_.pop_front();
+    RecordReply reply = store_.Ok();
+    reply.outcome_ = aOutcome;
+    done(reply);
+  }
+
+  void TouchAll()
+  {
+    for (uint32_t number = 0; number < kJobs; ++number) {
+      jobs_.Touch(number);
+    }
+  }
+
+  /// Lets the journal send its next transaction; returns the keys that it writes.
+  std::multiset<std::string> Next(milliseconds aTime = kStoreTime)
+  {
+    clock_.Advance(aTime);
+    journal_.Tick();
+    std::multiset<std::string> keys;
+    if (store_.held_.empty()) {
+      return keys;
+    }
+    for (const RecordWrite& write : store_.held_.front().first.writes_) {
+      keys.insert(write.key_);
+    }
+    return keys;
+  }
+
+  ManualClock clock_;
+  HeldStore store_;
+  NoCommands commands_;
+  JobTable jobs_;
+  BackendTable backends_;
+  BackendHandle backend_;
+  RunTracker runs_{ jobs_, backends_, commands_, clock_, RunLimits(), 1 };
+  Leadership leadership_{ store_, clock_, LeaderSettings() };
+  Metrics metrics_;
+  JobJournal journal_{ store_, clock_, jobs_, backends_, runs_, leadership_, metrics_ };
+};
+
+// A transaction must not write a key twice. Fault: a job that changed while its refused
+// transaction was under way was queued a second time.
+TEST_F(JobJournalTest, RefusedProgressIsQueuedOnce)
+{
+  jobs_.Touch(0);
+  clock_.Advance(milliseconds(1));
+  journal_.Tick();
+  const std::string key = JobJournal::ProgressKey(JobId(0));
+  EXPECT_EQ(Next(milliseconds(200)).count(key), 1U);
+  jobs_.Touch(0);
+  clock_.Advance(kStoreTime);
+  journal_.Tick();
+  Answer(RecordOutcome::Refused);
+  EXPECT_EQ(Next(milliseconds(200)).count(key), 1U);
+}
+
+// An end report must not be acknowledged before the store has all its effects, also if a
+// transaction is refused.
+TEST_F(JobJournalTest, EndsAreNotAcknowledgedBeforeTheirEffectsAreStored)
+{
+  const std::string last = JobJournal::ProgressKey(JobId(kJobs - 1));
+  TouchAll();
+  backends_.At(backend_).endsApplied_ = 7;
+  bool stored = false;
+  for (size_t count = 0; count < kJobs && !stored; ++count) {
+    const auto keys = Next(milliseconds(130));
+    ASSERT_EQ(backends_.At(backend_).endsStored_, 0);
+    const bool refused = count % 3 == 0;
+    stored = !refused && keys.count(last) == 1;
+    Answer(refused ? RecordOutcome::Refused : RecordOutcome::Ok);
+  }
+  EXPECT_TRUE(stored);
+  EXPECT_EQ(backends_.At(backend_).endsStored_, 7);
+}
+
+}
+}
