Send full transactions at once

While nobody waited, each transaction was held back until 120 ms after the one before, even with hundreds of changed jobs in the queue. The delay is there to collect changes; a full transaction collects no more.

FullTransactionsAreNotDelayed: 58 of 600 changes were written in 315 ms of simulated time before, at least 571 now.

--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -114,7 +114,8 @@
 bool
 JobJournal::IsUrgent() const
 {
-  if (!submitted_.empty() || !writes_.empty() || !waiters_.empty()) {
+  if (!submitted_.empty() || !writes_.empty() || !waiters_.empty() ||
+      progress_.Size() >= kEntriesPerTransaction) {
     return true;
   }
   const auto& queued = progress_.Jobs();
--- a/tests/job_journal_test.cpp
+++ b/tests/job_journal_test.cpp
@@ -227,5 +227,21 @@
   EXPECT_EQ(Next().count(JobJournal::ProgressKey(JobId(0))), 1U);
 }
 
+// A backlog must be written as fast as the store allows. Fault: 29 jobs each 120 ms.
+TEST_F(JobJournalTest, FullTransactionsAreNotDelayed)
+{
+  TouchAll();
+  size_t written = 0;
+  for (size_t count = 0; count <= kJobs / kEntriesPerTransaction; ++count) {
+    const auto keys = Next();
+    if (keys.empty()) {
+      continue;
+    }
+    written += keys.size() - 1;
+    Answer();
+  }
+  EXPECT_GE(written, kJobs - kEntriesPerTransaction);
+}
+
 }
 }
