--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -117,6 +117,7 @@
   void StartBatch();
   void FillBatch(Batch& aBatch, std::vector<BackendHandle>& aUnrecorded, Shares aShares);
   void AddProgress(Batch& aBatch, const ProgressQueue::Entry& aEntry);
+  void TakeEnds(Batch& aBatch);
   void OnChanged(const RecordReply& aReply);
   void SendBatch();
   void Retry(bool aMayHaveChanged);
@@ -138,6 +139,10 @@
   ProgressQueue progress_;          ///< Jobs with changed progress that are not yet in a batch.
   std::vector<RecordWrite> writes_;
   std::vector<std::string> deletes_;
+  /// By backend server: the last end report whose effects are in the entries of progress_ up to
+  /// endsNumber_ or in earlier transactions. Empty if all of them are.
+  std::map<uint32_t, int64_t> pendingEnds_;
+  uint64_t endsNumber_ = 0;
   uint64_t writesAdded_ = 0;
   uint64_t writesStored_ = 0;
   Batch batch_; ///< The batch that is in flight or will be repeated.
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -199,6 +199,24 @@
   }
 }
 
+void
+JobJournal::TakeEnds(Batch& aBatch)
+{
+  if (progress_.IsEmpty()) {
+    aBatch.ends_ = runs_.EndsApplied();
+    endsNumber_ = progress_.LastNumber();
+    pendingEnds_.clear();
+    return;
+  }
+  if (pendingEnds_.empty()) {
+    pendingEnds_ = runs_.EndsApplied();
+    endsNumber_ = progress_.LastNumber();
+  }
+  if (progress_.HasTakenUpTo(endsNumber_)) {
+    aBatch.ends_.swap(pendingEnds_);
+  }
+}
+
 void
 JobJournal::StartBatch()
 {
@@ -211,9 +229,7 @@
   Batch batch;
   FillBatch(batch, unrecorded, Shares{ kCallerShare, kOtherShare });
   FillBatch(batch, unrecorded, Shares{ kEntriesPerTransaction, kEntriesPerTransaction });
-  if (progress_.IsEmpty()) {
-    batch.ends_ = runs_.EndsApplied();
-  }
+  TakeEnds(batch);
   batch_ = std::move(batch);
   hasBatch_ = true;
   dirty_ = false;
@@ -341,6 +357,9 @@
   for (size_t index = 0; index < batch_.progress_.size(); ++index) {
     progress_.PutBack(ProgressQueue::Entry{ batch_.numbers_[index], batch_.progress_[index] });
   }
+  if (!batch_.ends_.empty()) {
+    pendingEnds_ = batch_.ends_;
+  }
   giveBack(writes_, batch_.writes_);
   giveBack(deletes_, batch_.deletes_);
   hasBatch_ = false;
--- a/tests/job_journal_test.cpp
+++ b/tests/job_journal_test.cpp
@@ -243,5 +243,43 @@
   EXPECT_GE(written, kJobs - kEntriesPerTransaction);
 }
 
+// Ends must be acknowledged although new progress keeps coming. Fault: only when no progress was
+// left to write.
+TEST_F(JobJournalTest, EndsAreAcknowledgedUnderALastingBacklog)
+{
+  TouchAll();
+  backends_.At(backend_).endsApplied_ = 7;
+  uint32_t next = 0;
+  for (size_t count = 0; count < 2 * kJobs / kEntriesPerTransaction; ++count) {
+    Next(milliseconds(130));
+    for (size_t index = 0; index < 2 * kEntriesPerTransaction; ++index) {
+      jobs_.Touch(next++ % kJobs);
+    }
+    Answer();
+  }
+  EXPECT_EQ(backends_.At(backend_).endsStored_, 7);
+}
+
+// The same, while callers wait for more changes than a transaction holds.
+TEST_F(JobJournalTest, EndsAreAcknowledgedUnderAFloodOfCancels)
+{
+  constexpr uint32_t kOld = 40;
+  for (uint32_t number = 0; number < kOld; ++number) {
+    jobs_.Touch(number);
+  }
+  backends_.At(backend_).endsApplied_ = 7;
+  uint32_t next = 0;
+  for (size_t count = 0; count < kOld; ++count) {
+    Next(milliseconds(130));
+    for (size_t index = 0; index < 2 * kEntriesPerTransaction; ++index) {
+      const uint32_t job = kOld + next++ % (kJobs - kOld);
+      jobs_.Touch(job);
+      journal_.AfterStored(job, [](JournalOutcome) {});
+    }
+    Answer();
+  }
+  EXPECT_EQ(backends_.At(backend_).endsStored_, 7);
+}
+
 }
 }
