Read the store's responses before those of backend servers

HttpMulti handles at most 128 ready sockets a round, in the order in which they became ready, and sends a new call only after them.

Calls may now be marked urgent. Their sockets are in an epoll set of their own, which is read before the others of a round and once more after them; new calls are sent at the begin of a round. The calls to the store are urgent. A timeout of libcurl that is handled at the begin of a round may end calls, so that the round then waits for no event, as before.

The test fails if its call is not marked: it is not answered in the first round then.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -22,6 +22,8 @@
   std::string body_;
   std::chrono::milliseconds timeout_{ 1000 }; ///< From sending to the complete response.
   uint32_t maxConnections_ = 3;               ///< To this authority; further calls are queued.
+  /// Its response is read before those of other calls, however many are ready.
+  bool urgent_ = false;
 };
 
 /// How a call ended.
@@ -71,19 +73,25 @@
   void StartNextTransfer(const std::string& aAuthority);
   std::chrono::milliseconds TimeUntilTimer() const;
   void ProcessSockets(std::chrono::milliseconds aWait);
+  void ProcessUrgentSockets();
+  void ProcessSocket(int aSocket, uint32_t aEvents);
+  /// @returns True if a timeout of libcurl was due.
+  bool ProcessTimer();
   static int OnSocket(void* aEasy, int aSocket, int aWhat, void* aSelf, void* aKnown);
   static int OnTimer(void* aMulti, long aMilliseconds, void* aSelf);
   static int OnClose(void* aSelf, int aSocket);
-  void WatchSocket(int aSocket, uint32_t aEvents);
+  void WatchSocket(int aSocket, uint32_t aEvents, bool aUrgent);
 
   void* multi_;
   int epollFd_ = -1;
+  int urgentEpollFd_ = -1; ///< Sockets of urgent calls; itself a member of epollFd_.
   int wakeFd_ = -1;
   /// A socket in the epoll set. An idle persistent connection stays registered.
   struct SocketState
   {
     uint32_t registered_ = 0; ///< Events registered with epoll.
     bool inUse_ = false;      ///< libcurl waits for this socket.
+    bool urgent_ = false;     ///< Registered with urgentEpollFd_.
   };
   std::unordered_map<int, SocketState> sockets_;
   bool hasTimer_ = false;
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -80,11 +80,17 @@
     throw std::bad_alloc();
   }
   epollFd_ = epoll_create1(EPOLL_CLOEXEC);
+  urgentEpollFd_ = epoll_create1(EPOLL_CLOEXEC);
   wakeFd_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK); // NOLINT(hicpp-signed-bitwise)
   epoll_event event{};
   event.events = EPOLLIN;
   event.data.fd = wakeFd_;
-  if (epollFd_ < 0 || wakeFd_ < 0 || epoll_ctl(epollFd_, EPOLL_CTL_ADD, wakeFd_, &event) != 0) {
+  epoll_event urgent{};
+  urgent.events = EPOLLIN;
+  urgent.data.fd = urgentEpollFd_;
+  if (epollFd_ < 0 || urgentEpollFd_ < 0 || wakeFd_ < 0 ||
+      epoll_ctl(epollFd_, EPOLL_CTL_ADD, wakeFd_, &event) != 0 ||
+      epoll_ctl(epollFd_, EPOLL_CTL_ADD, urgentEpollFd_, &urgent) != 0) {
     throw std::system_error(errno, std::generic_category(), "HTTP client");
   }
   auto* multi = static_cast<CURLM*>(multi_);
@@ -107,11 +113,12 @@
   }
   curl_multi_cleanup(static_cast<CURLM*>(multi_));
   close(wakeFd_);
+  close(urgentEpollFd_);
   close(epollFd_);
 }
 
 int
-HttpMulti::OnSocket(void*, int aSocket, int aWhat, void* aSelf, void*)
+HttpMulti::OnSocket(void* aEasy, int aSocket, int aWhat, void* aSelf, void*)
 {
   auto* self = static_cast<HttpMulti*>(aSelf);
   if (aWhat == CURL_POLL_REMOVE) {
@@ -121,15 +128,22 @@
   }
   const uint32_t in = aWhat != CURL_POLL_OUT ? uint32_t{ EPOLLIN } : 0U;
   const uint32_t out = aWhat != CURL_POLL_IN ? uint32_t{ EPOLLOUT } : 0U;
-  self->WatchSocket(aSocket, in | out);
+  Transfer* transfer = nullptr;
+  curl_easy_getinfo(static_cast<CURL*>(aEasy), CURLINFO_PRIVATE, &transfer);
+  self->WatchSocket(aSocket, in | out, transfer && transfer->call_.urgent_);
   return 0;
 }
 
 void
-HttpMulti::WatchSocket(int aSocket, uint32_t aEvents)
+HttpMulti::WatchSocket(int aSocket, uint32_t aEvents, bool aUrgent)
 {
   SocketState& watched = sockets_[aSocket];
   watched.inUse_ = aEvents != 0;
+  if (watched.registered_ != 0 && watched.urgent_ != aUrgent) {
+    WatchSocket(aSocket, 0, watched.urgent_);
+    watched.inUse_ = aEvents != 0;
+  }
+  watched.urgent_ = aUrgent;
   if (watched.registered_ == aEvents) {
     return;
   }
@@ -139,7 +153,7 @@
   const int operation = aEvents == 0               ? EPOLL_CTL_DEL
                         : watched.registered_ == 0 ? EPOLL_CTL_ADD
                                                    : EPOLL_CTL_MOD;
-  if (epoll_ctl(epollFd_, operation, aSocket, &event) != 0) {
+  if (epoll_ctl(aUrgent ? urgentEpollFd_ : epollFd_, operation, aSocket, &event) != 0) {
     Log(LogLevel::Error, "http.socket_unwatched", { { "errno", errno } });
   }
   watched.registered_ = aEvents;
@@ -170,14 +184,58 @@
 }
 
 void
-HttpMulti::ProcessSockets(std::chrono::milliseconds aWait)
+HttpMulti::ProcessSocket(int aSocket, uint32_t aEvents)
 {
-  auto* multi = static_cast<CURLM*>(multi_);
+  const auto watched = sockets_.find(aSocket);
+  if (watched == sockets_.end()) {
+    return; // Closed while handling an earlier event.
+  }
+  if (!watched->second.inUse_) {
+    WatchSocket(aSocket, 0, watched->second.urgent_); // The server closed an idle connection.
+    return;
+  }
+  const unsigned int readable = (aEvents & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0;
+  const unsigned int writable = (aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+  const unsigned int broken = (aEvents & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0;
   int running = 0;
-  const auto wait = hasTimer_ ? std::min(aWait, TimeUntilTimer()) : aWait;
+  curl_multi_socket_action(
+    static_cast<CURLM*>(multi_), aSocket, static_cast<int>(readable | writable | broken), &running);
+}
+
+void
+HttpMulti::ProcessUrgentSockets()
+{
+  std::array<epoll_event, kMaxEventsPerWait> events{};
+  const int count = epoll_wait(urgentEpollFd_, events.data(), static_cast<int>(events.size()), 0);
+  for (int index = 0; index < count; ++index) {
+    const epoll_event& event = events[static_cast<size_t>(index)];
+    ProcessSocket(event.data.fd, event.events);
+  }
+}
+
+bool
+HttpMulti::ProcessTimer()
+{
+  if (!hasTimer_ || TimeUntilTimer() > std::chrono::milliseconds(0)) {
+    return false;
+  }
+  hasTimer_ = false;
+  int running = 0;
+  curl_multi_socket_action(static_cast<CURLM*>(multi_), CURL_SOCKET_TIMEOUT, 0, &running);
+  return true;
+}
+
+void
+HttpMulti::ProcessSockets(std::chrono::milliseconds aWait)
+{
+  // Sends new calls before the responses that are ready take their time. It may also end calls,
+  // whose callbacks must not wait.
+  auto wait = ProcessTimer() ? std::chrono::milliseconds(0) : aWait;
+  wait = hasTimer_ ? std::min(wait, TimeUntilTimer()) : wait;
   std::array<epoll_event, kMaxEventsPerWait> events{};
   const int count = epoll_wait(
     epollFd_, events.data(), static_cast<int>(events.size()), static_cast<int>(wait.count()));
+  ProcessUrgentSockets();
   for (int index = 0; index < count; ++index) {
     const epoll_event& event = events[static_cast<size_t>(index)];
     if (event.data.fd == wakeFd_) {
@@ -186,24 +244,12 @@
       [[maybe_unused]] const ssize_t got = read(wakeFd_, &wakes, sizeof(wakes));
       continue;
     }
-    const auto watched = sockets_.find(event.data.fd);
-    if (watched == sockets_.end()) {
-      continue; // Closed while handling an earlier event.
+    if (event.data.fd != urgentEpollFd_) {
+      ProcessSocket(event.data.fd, event.events);
     }
-    if (!watched->second.inUse_) {
-      WatchSocket(event.data.fd, 0); // The server closed an idle connection.
-      continue;
-    }
-    const unsigned int readable = (event.events & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0;
-    const unsigned int writable = (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
-    const unsigned int broken = (event.events & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0;
-    curl_multi_socket_action(
-      multi, event.data.fd, static_cast<int>(readable | writable | broken), &running);
-  }
-  if (hasTimer_ && TimeUntilTimer() == std::chrono::milliseconds(0)) {
-    hasTimer_ = false;
-    curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
   }
+  ProcessUrgentSockets();
+  ProcessTimer();
 }
 
 void
--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -5,8 +5,10 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <ctime>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace sardinespoke {
@@ -112,6 +114,57 @@
   EXPECT_LT(CpuTimeOfCalls(server.Address()), alone * 2 + milliseconds(20));
 }
 
+// The response of an urgent call must not wait until those of hundreds of others are read. Fault:
+// under load a transaction of the store took four rounds of other responses.
+TEST_F(HttpMultiTest, UrgentResponsesAreReadBeforeOthers)
+{
+  constexpr uint32_t kOthers = 300;
+  std::atomic<bool> othersHeld{ true };
+  std::atomic<bool> urgentHeld{ true };
+  const auto heldBy = [](const std::atomic<bool>& aHeld) {
+    return [&aHeld](const std::string&, size_t) {
+      RawReply reply{ RawResponse("{}") };
+      reply.holdWhile_ = [&aHeld] { return aHeld.load(); };
+      return reply;
+    };
+  };
+  const RawServer others(heldBy(othersHeld));
+  const RawServer store(heldBy(urgentHeld));
+  uint32_t answered = 0;
+  bool urgentAnswered = false;
+  const auto sendAll = [this](const RawServer& aServer, size_t aSent) {
+    while (aServer.Requests().size() < aSent) {
+      http_.Run(milliseconds(10));
+    }
+  };
+  for (uint32_t index = 0; index < kOthers; ++index) {
+    HttpCall call = CallTo(others.Address());
+    call.maxConnections_ = kOthers;
+    call.timeout_ = seconds(60);
+    http_.Send(std::move(call), [&](const HttpReply&) { ++answered; });
+    sendAll(others, index + 1);
+  }
+  HttpCall urgent = CallTo(store.Address());
+  urgent.urgent_ = true;
+  http_.Send(std::move(urgent), [&](const HttpReply&) { urgentAnswered = true; });
+  sendAll(store, 1);
+  // libcurl also reads the response of a call when its time limit for connecting has passed.
+  const auto begin = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - begin < milliseconds(600)) {
+    http_.Run(milliseconds(10));
+  }
+  othersHeld = false;
+  std::this_thread::sleep_for(milliseconds(500));
+  urgentHeld = false;
+  std::this_thread::sleep_for(milliseconds(200));
+  http_.Run(milliseconds(0));
+  EXPECT_TRUE(urgentAnswered);
+  EXPECT_LT(answered, kOthers);
+  while (answered < kOthers) {
+    http_.Run(milliseconds(10));
+  }
+}
+
 // A call without a response must time out.
 TEST_F(HttpMultiTest, TimesOutWithoutAResponse)
 {
