Bound the nesting of every foreign value where it is parsed

A value nested 200,000 deep in a field that nobody reads ended the process with SIGSEGV: the parser does not recurse, but ParseObject copied its result in a conditional expression, and each copy, comparison or dump of a deep value recurses once a level. A caller's body goes the same way, so one request could end the leader and, tried again, each next one.

Peer messages had a bound in their CBOR parser, documents one in a callback, everything else none. Ruled out: a check of the depth after parsing, which recurses itself, and a bound in each reader.

cbor_codec becomes bounded_json: one depth-limited parser for JSON text and CBOR, 16 levels for both, and every parser of foreign text uses it (registry, operators' records, bodies, answers, the program's own records, documents, the admin API).

After: DeepNestingInAnUnreadFieldEndsNoProcess, OddBody.DeepNestingEndsNoProcess and the nesting cases of OddRecord and OddAnswer pass.

--- a/fuzz/peer_message_fuzz.cpp
+++ b/fuzz/peer_message_fuzz.cpp
@@ -1,4 +1,4 @@
-#include "cbor_codec_p.h"
+#include "bounded_json_p.h"
 #include "confirm_message_p.h"
 #include "fuzz_input.h"
 
--- a/src/admin_api.cpp
+++ b/src/admin_api.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/admin_api.h"
 
+#include "bounded_json_p.h"
 #include "sardinespoke/config_sync.h"
 #include "sardinespoke/event_log.h"
 #include "sardinespoke/fleet_editor.h"
@@ -407,7 +408,7 @@
 AdminResponse
 AdminApi::PostMaintenance(const AdminRequest& aRequest)
 {
-  const auto body = nlohmann::json::parse(aRequest.body_, nullptr, false);
+  const auto body = ParseJson(aRequest.body_);
   if (!body.is_object() || !body.contains("action") || !body.at("action").is_string()) {
     return AdminResponse::Error(
       kBadRequest, "malformed", "/action", "expected a JSON object with the text field action");
--- a/src/document_patch.cpp
+++ b/src/document_patch.cpp
@@ -1,5 +1,7 @@
 #include "document_patch_p.h"
 
+#include "bounded_json_p.h"
+
 #include <functional>
 #include <nlohmann/json.hpp>
 
@@ -20,8 +22,8 @@
 std::optional<DocumentPatch>
 MakeDocumentPatch(uint64_t aBase, const std::string& aFrom, const std::string& aTo)
 {
-  const json from = json::parse(aFrom, nullptr, false);
-  const json to = json::parse(aTo, nullptr, false);
+  const json from = ParseJson(aFrom);
+  const json to = ParseJson(aTo);
   if (from.is_discarded() || to.is_discarded() || to.dump() != aTo) {
     return std::nullopt;
   }
@@ -36,7 +38,7 @@
 ApplyDocumentPatch(const std::string& aFrom, const DocumentPatch& aPatch)
 {
   try {
-    const std::string text = json::parse(aFrom).patch(json::parse(aPatch.operations_)).dump();
+    const std::string text = ParseJson(aFrom).patch(ParseJson(aPatch.operations_)).dump();
     return Hash(text) == aPatch.resultHash_ ? std::optional(text) : std::nullopt;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/entry_record.cpp
+++ b/src/entry_record.cpp
@@ -1,5 +1,7 @@
 #include "sardinespoke/entry_record.h"
 
+#include "bounded_json_p.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sardinespoke {
@@ -7,7 +9,7 @@
 leaf::result<EntryRecord>
 EntryRecord::Parse(const std::string& aText)
 {
-  const nlohmann::json doc = nlohmann::json::parse(aText, nullptr, false);
+  const nlohmann::json doc = ParseJson(aText);
   if (!doc.is_object()) {
     return leaf::new_error(
       ConfigError{ ConfigError::Code::NotJson, "/", "entry record: expected a JSON object" });
--- a/src/fleet_map.cpp
+++ b/src/fleet_map.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/fleet_map.h"
 
+#include "bounded_json_p.h"
 #include "fleet_map_reader_p.h"
 
 #include <algorithm>
@@ -238,7 +239,7 @@
 leaf::result<FleetMap>
 FleetMap::Parse(const std::string& aText)
 {
-  const nlohmann::json document = nlohmann::json::parse(aText, nullptr, false);
+  const nlohmann::json document = ParseJson(aText);
   if (document.is_discarded()) {
     return leaf::new_error(
       ConfigError{ ConfigError::Code::NotJson, "", "the fleet document is not JSON" });
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -1,5 +1,8 @@
 #include "sardinespoke/job_record.h"
 
+#include "bounded_json_p.h"
+#include "number_range_p.h"
+
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -96,7 +99,7 @@
 TryDecode(const std::string& aText, const std::function<void(const json&)>& aDecode)
 {
   try {
-    aDecode(json::parse(aText));
+    aDecode(ParseJson(aText));
     return true;
   } catch (const json::exception&) {
     return false;
--- a/src/json_document.cpp
+++ b/src/json_document.cpp
@@ -1,5 +1,7 @@
 #include "json_document_p.h"
 
+#include "bounded_json_p.h"
+
 #include <optional>
 #include <set>
 
@@ -9,7 +11,6 @@
 
 using Json = nlohmann::json;
 
-constexpr size_t kMaxDepth = 16; // A valid document has 5 levels.
 constexpr size_t kMaxShownCharacters = 80;
 
 /// Parser callback that records the first duplicate key or excessive nesting as an error.
@@ -29,7 +30,7 @@
       case Json::parse_event_t::array_start:
         open_.emplace_back();
         CheckDepth();
-        return open_.size() <= kMaxDepth;
+        return open_.size() <= kMaxNesting;
       case Json::parse_event_t::key:
         OnKey(aValue.get<std::string>());
         return true;
@@ -75,12 +76,12 @@
 
   void CheckDepth()
   {
-    if (open_.size() <= kMaxDepth || error_) {
+    if (open_.size() <= kMaxNesting || error_) {
       return;
     }
     error_ = ConfigError{ ConfigError::Code::Schema,
                           root_,
-                          "found more than " + std::to_string(kMaxDepth) +
+                          "found more than " + std::to_string(kMaxNesting) +
                             " levels of nesting; expected at most that" };
   }
 
--- a/src/leader_lease.cpp
+++ b/src/leader_lease.cpp
@@ -1,5 +1,7 @@
 #include "sardinespoke/leader_lease.h"
 
+#include "bounded_json_p.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -74,7 +76,7 @@
     return {};
   });
   if (read == Outcome::Done) {
-    const nlohmann::json record = nlohmann::json::parse(current, nullptr, false);
+    const nlohmann::json record = ParseJson(current);
     // The key may be ours although Put() failed, if only the response to the write was lost.
     const bool ours = lease_ && record.is_object() && record.value("lease", "") == *lease_;
     if (lease_ && !ours) {
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/leadership.h"
 
+#include "bounded_json_p.h"
 #include "sardinespoke/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -74,8 +75,11 @@
     return;
   }
   const Record& record = found->second;
-  const auto value = nlohmann::json::parse(record.value_, nullptr, false);
-  if (!value.is_object()) {
+  const auto value = ParseJson(record.value_);
+  const auto isText = [&value](const char* aName) {
+    return value.contains(aName) && value.at(aName).is_string();
+  };
+  if (!isText("name") || !isText("address") || !isText("incarnation")) {
     Log(LogLevel::Warn, "leader.unreadable", { { "revision", record.revision_ } });
     return;
   }
--- a/src/nng_peer_link.cpp
+++ b/src/nng_peer_link.cpp
@@ -1,6 +1,6 @@
 #include "sardinespoke/nng_peer_link.h"
 
-#include "cbor_codec_p.h"
+#include "bounded_json_p.h"
 #include "nng_peer_link_impl_p.h"
 
 #include <nng/protocol/reqrep0/rep.h>
--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/platform_client.h"
 
+#include "bounded_json_p.h"
 #include "http_pool_p.h"
 
 #include <nlohmann/json.hpp>
@@ -40,8 +41,12 @@
 leaf::result<Value>
 ParseBody(const HttpResponse& aResponse, Code aOnFailure, const Reader& aReader)
 {
+  const Json body = ParseJson(aResponse.body_);
+  if (body.is_discarded()) {
+    return leaf::new_error(StoreError{ aOnFailure, "the response is not JSON" });
+  }
   try {
-    return aReader(Json::parse(aResponse.body_));
+    return aReader(body);
   } catch (const Json::exception& exception) {
     return leaf::new_error(StoreError{ aOnFailure, exception.what() });
   }
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -1,5 +1,7 @@
 #include "sardinespoke/rollout_runner.h"
 
+#include "bounded_json_p.h"
+#include "number_range_p.h"
 #include "sardinespoke/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -195,8 +197,20 @@
 bool
 RolloutRunner::RestoreRecord(const std::string& aText)
 {
-  const auto record = nlohmann::json::parse(aText, nullptr, false);
-  if (!record.is_object() || !record.contains("number") || !record.contains("maintained")) {
+  const auto record = ParseJson(aText);
+  try {
+    const auto number = ReadInteger(record.at("number"), kSerialRange);
+    auto maintained = record.at("maintained").get<std::set<std::string>>();
+    auto selected = record.value("begun", std::set<std::string>());
+    if (!number) {
+      return false;
+    }
+    Rollout& rollout = rollouts_[*number];
+    rollout.inherited_ = true;
+    rollout.maintained_ = std::move(maintained);
+    rollout.selected_ = std::move(selected);
+    return true;
+  } catch (const nlohmann::json::exception&) {
     return false;
   }
   Rollout& rollout = rollouts_[record.at("number").get<int64_t>()];
