Read every number of others with a range

Casts to 32 bits then cut counts (with a limit of tasks per server, the number of hosts that a job needs wrapped to 0), a double was cast to int64 (undefined beyond its range), and times near the end of 64 bits overflowed as nanoseconds.

Counts, sizes and short times: 0 to 2^31-1, so that the product of two fits in 64 bits. Durations: up to 100 years, so that two and the present time fit as nanoseconds. Unix times: up to the year 9999. Numbers that are only compared: what 64 bits hold. A fraction is dropped as before: the protocol does not promise whole numbers everywhere. The longest path and its stretch are cut at the same bound, since a chain of 10,000 steps can exceed it. The program's own job and backend records are read with the same ranges. Leases stay 64-bit ids.

Occurrences whose last due time overflows are refused, and so are jobs with more than 10,000 tasks due at the time of the submission: two million overdue occurrences were all created at once.

--- a/include/sardinespoke/job_request.h
+++ b/include/sardinespoke/job_request.h
@@ -6,6 +6,9 @@
 
 namespace sardinespoke {
 
+/// Bounds the memory that one request makes the leader allocate.
+inline constexpr int64_t kMaxTasksPerRequest = 10000;
+
 enum class JobRequestKind
 {
   Submit,
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -121,6 +121,10 @@
   /// @param aWall Time since the Unix epoch.
   void OpenDueOccurrences(Job& aJob, std::chrono::milliseconds aWall);
 
+  /// @param aWall Time since the Unix epoch.
+  /// @returns Number of occurrences that are due.
+  static uint32_t DueOccurrences(const JobSpec& aSpec, std::chrono::milliseconds aWall);
+
   /// @returns True if all earlier steps that it depends on are done.
   bool IsReady(const Job& aJob, uint32_t aOccurrence, uint32_t aStep) const;
 
--- a/src/duration_model.cpp
+++ b/src/duration_model.cpp
@@ -1,5 +1,7 @@
 #include "sardinespoke/duration_model.h"
 
+#include "number_range_p.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -114,6 +116,7 @@
       }
       const bool done = aOnlyRemaining && step.done_ == step.tasks_.size();
       ends[index] = begin + (done ? milliseconds(0) : ExpectedDuration(aJob, step, index));
+      ends[index] = std::min(ends[index], milliseconds(kDurationRange.max_));
       longest = std::max(longest, ends[index]);
     }
   }
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -38,28 +38,54 @@
                { "may_miss", aStep.maxUnavailable_ } };
 }
 
+/// Thrown if a number is missing or out of range; never leaves this file.
+struct NumberError
+{};
+
+int64_t
+Integer(const json& aObject, const char* aName, NumberRange aRange)
+{
+  const auto number = ReadInteger(aObject.at(aName), aRange);
+  if (!number) {
+    throw NumberError();
+  }
+  return *number;
+}
+
+uint32_t
+Count(const json& aObject, const char* aName)
+{
+  return static_cast<uint32_t>(Integer(aObject, aName, kCountRange));
+}
+
+milliseconds
+Duration(const json& aObject, const char* aName)
+{
+  return milliseconds(Integer(aObject, aName, kDurationRange));
+}
+
 StepSpec
 DecodeStep(const json& aStep)
 {
   StepSpec step;
-  aStep.at("count").get_to(step.taskCount_);
-  aStep.at("cpu_milli").get_to(step.cpuMilli_);
-  aStep.at("memory_mb").get_to(step.memoryMb_);
-  aStep.at("accelerators").get_to(step.accelerators_);
-  step.estimate_ = milliseconds(aStep.at("estimate_ms").get<int64_t>());
+  step.taskCount_ = Count(aStep, "count");
+  step.cpuMilli_ = Count(aStep, "cpu_milli");
+  step.memoryMb_ = Count(aStep, "memory_mb");
+  step.accelerators_ = Count(aStep, "accelerators");
+  step.estimate_ = Duration(aStep, "estimate_ms");
   aStep.at("after").get_to(step.after_);
   aStep.at("checkpointing").get_to(step.checkpointing_);
   aStep.at("gang").get_to(step.gang_);
   aStep.at("same_rack").get_to(step.sameRack_);
   aStep.at("label").get_to(step.requiredLabel_);
   aStep.at("data_rack").get_to(step.dataRack_);
-  aStep.at("max_per_server").get_to(step.maxPerServer_);
+  step.maxPerServer_ = Count(aStep, "max_per_server");
   aStep.at("speculative").get_to(step.speculative_);
   aStep.at("lasting").get_to(step.continuous_);
   aStep.at("image").get_to(step.image_);
-  step.latencyTarget_ = milliseconds(aStep.at("latency_target_ms").get<int64_t>());
+  step.latencyTarget_ = Duration(aStep, "latency_target_ms");
   aStep.at("fills_idle").get_to(step.bestEffort_);
-  aStep.at("may_miss").get_to(step.maxUnavailable_);
+  step.maxUnavailable_ = Count(aStep, "may_miss");
   return step;
 }
 
@@ -83,13 +109,13 @@
   QueuePolicy policy;
   aPolicy.at("name").get_to(policy.name_);
   aPolicy.at("service").get_to(policy.service_);
-  aPolicy.at("priority").get_to(policy.priority_);
-  aPolicy.at("max_attempts").get_to(policy.maxAttempts_);
+  policy.priority_ = Count(aPolicy, "priority");
+  policy.maxAttempts_ = Count(aPolicy, "max_attempts");
   aPolicy.at("stretch").get_to(policy.stretch_);
-  policy.latencyTarget_ = milliseconds(aPolicy.at("latency_target_ms").get<int64_t>());
+  policy.latencyTarget_ = Duration(aPolicy, "latency_target_ms");
   aPolicy.at("advised").get_to(policy.advised_);
-  policy.adviceDecide_ = milliseconds(aPolicy.at("advice_decide_ms").get<int64_t>());
-  policy.advicePeriod_ = milliseconds(aPolicy.at("advice_period_ms").get<int64_t>());
+  policy.adviceDecide_ = Duration(aPolicy, "advice_decide_ms");
+  policy.advicePeriod_ = Duration(aPolicy, "advice_period_ms");
   return policy;
 }
 
@@ -103,6 +129,8 @@
     return true;
   } catch (const json::exception&) {
     return false;
+  } catch (const NumberError&) {
+    return false;
   }
 }
 
@@ -136,12 +164,12 @@
     for (const json& step : aRecord.at("steps")) {
       aSpec.steps_.push_back(DecodeStep(step));
     }
-    aSpec.firstDue_ = milliseconds(aRecord.at("first_due_ms").get<int64_t>());
-    aSpec.interval_ = milliseconds(aRecord.at("interval_ms").get<int64_t>());
-    aRecord.at("repeats").get_to(aSpec.repeats_);
+    aSpec.firstDue_ = milliseconds(Integer(aRecord, "first_due_ms", kUnixTimeRange));
+    aSpec.interval_ = Duration(aRecord, "interval_ms");
+    aSpec.repeats_ = Count(aRecord, "repeats");
     aPolicy = DecodePolicy(aRecord.at("queue"));
     aSpec.queue_ = aPolicy.name_;
-    aRecord.at("accepted_ms").get_to(aAcceptedWallMs);
+    aAcceptedWallMs = Integer(aRecord, "accepted_ms", kUnixTimeRange);
   });
 }
 
@@ -248,10 +276,10 @@
     aRecord.at("host").get_to(aEntry.host_);
     aRecord.at("rack").get_to(aEntry.rack_);
     aRecord.at("labels").get_to(aEntry.labels_);
-    aRecord.at("cpu_milli").get_to(aEntry.capacity_.cpuMilli_);
-    aRecord.at("memory_mb").get_to(aEntry.capacity_.memoryMb_);
-    aRecord.at("accelerators").get_to(aEntry.capacity_.accelerators_);
-    aRecord.at("born_ms").get_to(aEntry.startTimeMs_);
+    aEntry.capacity_.cpuMilli_ = Count(aRecord, "cpu_milli");
+    aEntry.capacity_.memoryMb_ = Count(aRecord, "memory_mb");
+    aEntry.capacity_.accelerators_ = Count(aRecord, "accelerators");
+    aEntry.startTimeMs_ = Integer(aRecord, "born_ms", kUnixTimeRange);
   });
 }
 
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -22,6 +22,16 @@
   return response;
 }
 
+int64_t
+CountDueTasks(const JobSpec& aSpec, std::chrono::milliseconds aWall)
+{
+  int64_t tasks = 0;
+  for (const StepSpec& step : aSpec.steps_) {
+    tasks += step.taskCount_;
+  }
+  return tasks * JobTable::DueOccurrences(aSpec, aWall);
+}
+
 }
 
 const QueuePolicy*
@@ -123,6 +133,10 @@
     aRespond(MakeResponse(JobResponseKind::Accepted));
     return;
   }
+  if (CountDueTasks(aRequest.spec_, wall_) > kMaxTasksPerRequest) {
+    aRespond(MakeResponse(JobResponseKind::Invalid, "too many occurrences are due at once"));
+    return;
+  }
   if (known || !leadership_.MaySendCommands() || journal_.IsStalled()) {
     aRespond(MakeResponse(known ? JobResponseKind::Unknown : JobResponseKind::Refused,
                           "the store does not answer"));
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -101,16 +101,27 @@
 void
 JobTable::OpenDueOccurrences(Job& aJob, std::chrono::milliseconds aWall)
 {
-  while (aJob.occurrences_.size() < aJob.OccurrenceCount()) {
-    const auto due =
-      aJob.spec_.firstDue_ + aJob.spec_.interval_ * static_cast<int64_t>(aJob.occurrences_.size());
-    if (aJob.spec_.repeats_ > 0 && due > aWall) {
-      return;
-    }
+  const uint32_t due = DueOccurrences(aJob.spec_, aWall);
+  while (aJob.occurrences_.size() < due) {
     OpenOccurrence(aJob);
   }
 }
 
+uint32_t
+JobTable::DueOccurrences(const JobSpec& aSpec, std::chrono::milliseconds aWall)
+{
+  if (aSpec.repeats_ == 0) {
+    return 1;
+  }
+  if (aSpec.firstDue_ > aWall) {
+    return 0;
+  }
+  const bool allAtOnce = aSpec.interval_ <= std::chrono::milliseconds(0);
+  return allAtOnce ? aSpec.repeats_
+                   : static_cast<uint32_t>(std::min<int64_t>(
+                       aSpec.repeats_, (aWall - aSpec.firstDue_) / aSpec.interval_ + 1));
+}
+
 bool
 JobTable::IsReady(const Job& aJob, uint32_t aOccurrence, uint32_t aStep) const
 {
--- a/src/wait_order.cpp
+++ b/src/wait_order.cpp
@@ -1,5 +1,7 @@
 #include "sardinespoke/wait_order.h"
 
+#include "number_range_p.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -32,9 +34,10 @@
 WaitOrder::IsLate(const Job& aJob, TimePoint aNow) const
 {
   const auto criticalPath = durations_.CriticalPath(aJob);
-  const auto stretched = std::chrono::milliseconds(
-    static_cast<int64_t>(aJob.policy_.stretch_ * static_cast<double>(criticalPath.count())));
-  const auto objective = stretched + aJob.policy_.latencyTarget_;
+  const double stretched = std::min(aJob.policy_.stretch_ * static_cast<double>(criticalPath.count()),
+                                    static_cast<double>(kDurationRange.max_));
+  const auto objective =
+    std::chrono::milliseconds(static_cast<int64_t>(stretched)) + aJob.policy_.latencyTarget_;
   return aNow + durations_.RemainingCriticalPath(aJob) > aJob.accepted_ + objective;
 }
 
