--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -2,8 +2,7 @@
 
 #include "json_document_p.h"
 #include "json_schema_p.h"
-
-#include <charconv>
+#include "listen_address_p.h"
 
 namespace sardinespoke {
 
@@ -15,12 +14,13 @@
 constexpr uint64_t kMaxMilliseconds = 3600000;
 constexpr double kMaxSeconds = 3600.0;
 constexpr double kMaxCores = 1024.0;
+constexpr char kAddressText[] = "an IPv4 address and port, \"address:port\"";
 
 json
 AddressSchema()
 {
   return JsonSchema::Pattern("^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$",
-                             "an IPv4 address and port, \"address:port\"");
+                             kAddressText);
 }
 
 json
@@ -59,14 +59,18 @@
   return kSchema;
 }
 
-Endpoint
-ParseEndpoint(const json& aValue)
+/// @returns The endpoint of a field. Errors: ConfigError::Schema.
+leaf::result<Endpoint>
+ParseEndpoint(const json& aDocument, const char* aName)
 {
-  const auto text = aValue.get<std::string>();
-  const size_t colon = text.find(':');
-  Endpoint endpoint{ text.substr(0, colon), 0 };
-  std::from_chars(text.data() + colon + 1, text.data() + text.size(), endpoint.port_);
-  return endpoint;
+  const auto text = aDocument.at(aName).get<std::string>();
+  const auto address = ParseListenAddress(text);
+  if (!address || address->sin_port == 0) {
+    return leaf::new_error(ConfigError{ ConfigError::Code::Schema,
+                                        std::string("/") + aName,
+                                        "found \"" + text + "\"; expected " + kAddressText });
+  }
+  return Endpoint{ text.substr(0, text.find(':')), ntohs(address->sin_port) };
 }
 
 void
@@ -95,12 +99,15 @@
   NodeSettings settings;
   settings.id_ = document.at("id").get<std::string>();
   settings.zone_ = document.at("zone").get<std::string>();
-  settings.caller_ = ParseEndpoint(document.at("caller"));
-  settings.health_ = ParseEndpoint(document.at("health"));
-  settings.peer_ = ParseEndpoint(document.at("peer"));
-  settings.store_ = ParseEndpoint(document.at("store"));
-  settings.hostControl_ = ParseEndpoint(document.at("host_control"));
+  BOOST_LEAF_ASSIGN(settings.caller_, ParseEndpoint(document, "caller"));
+  BOOST_LEAF_ASSIGN(settings.health_, ParseEndpoint(document, "health"));
+  BOOST_LEAF_ASSIGN(settings.peer_, ParseEndpoint(document, "peer"));
+  BOOST_LEAF_ASSIGN(settings.store_, ParseEndpoint(document, "store"));
+  BOOST_LEAF_ASSIGN(settings.hostControl_, ParseEndpoint(document, "host_control"));
   settings.advice_ = document.value("advice", "");
+  if (!settings.advice_.empty()) {
+    BOOST_LEAF_CHECK(ParseEndpoint(document, "advice"));
+  }
   settings.cores_ = document.value("cores", settings.cores_);
   ReadMilliseconds(document, "min_lease_ms", settings.minLease_);
   ReadMilliseconds(document, "hold_max_ms", settings.holdMax_);
--- a/tests/node_settings_test.cpp
+++ b/tests/node_settings_test.cpp
@@ -19,5 +19,24 @@
   EXPECT_EQ(settings.store_.port_, 7000);
 }
 
+
+// A port out of range was read as port 0.
+TEST(NodeSettings, AddressesOutOfRangeAreErrors)
+{
+  const auto parses = [](const std::string& aStore, const std::string& aAdvice) {
+    const auto settings = NodeSettings::Parse(
+      R"({"id":"e","zone":"z","caller":"10.0.0.1:1","health":"10.0.0.1:2","peer":"10.0.0.1:3",
+          "host_control":"10.0.0.2:1","store":")" +
+      aStore + R"(","advice":")" + aAdvice + R"("})");
+    return static_cast<bool>(settings);
+  };
+  EXPECT_TRUE(parses("10.0.0.2:7000", ""));
+  EXPECT_TRUE(parses("10.0.0.2:7000", "10.0.0.3:7000"));
+  EXPECT_FALSE(parses("10.0.0.2:70000", ""));
+  EXPECT_FALSE(parses("10.0.0.2:0", ""));
+  EXPECT_FALSE(parses("10.0.0.256:7000", ""));
+  EXPECT_FALSE(parses("10.0.0.2:7000", "10.0.0.3:70000"));
+}
+
 }
 }
