--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/entry_node.h"
 
+#include "number_range_p.h"
 #include "sardinespoke/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <future>
+#include <optional>
 
 namespace sardinespoke {
 
@@ -66,6 +68,33 @@
                { "body", aCall.body_ }, { "patience_ms", aCall.timeout_.count() } };
 }
 
+/// @returns Whether the field is there and is true.
+bool
+IsTrue(const json& aMessage, const char* aName)
+{
+  return aMessage.is_object() && aMessage.contains(aName) && aMessage.at(aName) == true;
+}
+
+/// @returns The leader's reply to a caller; empty if it cannot be read.
+std::optional<CallerReply>
+DecodeReply(const json& aMessage)
+{
+  constexpr NumberRange kStatusRange{ 100, 599 };
+  try {
+    const auto status = ReadInteger(aMessage.at("status"), kStatusRange);
+    const auto retryAfter = ReadInteger(aMessage.at("retry_after_ms"), kCountRange);
+    if (status && retryAfter) {
+      return CallerReply{ static_cast<unsigned int>(*status),
+                          aMessage.at("body").get<std::string>(),
+                          milliseconds(*retryAfter) };
+    }
+    Log(LogLevel::Warn, "owner.unreadable", { { "error", "a number is out of range" } });
+  } catch (const json::exception& failure) {
+    Log(LogLevel::Warn, "owner.unreadable", { { "error", failure.what() } });
+  }
+  return std::nullopt;
+}
+
 milliseconds
 UnixTime()
 {
@@ -320,13 +349,13 @@
         [&] {
           return json{ { "owner", false } };
         });
-      if (reply.value("owner", false)) {
-        CallerReply answer;
-        answer.status_ = reply.value("status", 503U);
-        answer.body_ = reply.value("body", "");
-        answer.retryAfter_ = milliseconds(reply.value("retry_after_ms", int64_t{ 0 }));
-        return mayHaveRun && answer.status_ == 503 ? OutcomeUnknownReply("the owner changed")
-                                                   : answer;
+      if (IsTrue(reply, "owner")) {
+        const std::optional<CallerReply> answer = DecodeReply(reply);
+        if (answer) {
+          return mayHaveRun && answer->status_ == 503 ? OutcomeUnknownReply("the owner changed")
+                                                      : *answer;
+        }
+        mayHaveReached = true;
       }
     }
     mayHaveRun = mayHaveRun || mayHaveReached;
@@ -407,7 +436,7 @@
           return json::object();
         },
         [] { return json::object(); });
-      leaderReady = reply.value("ready", false);
+      leaderReady = IsTrue(reply, "ready");
     }
     if (!responded && !leaderUnresponsive_) {
       Log(LogLevel::Warn, "owner.silent", { { "owner", leader } });
--- a/src/leader_lease.cpp
+++ b/src/leader_lease.cpp
@@ -78,7 +78,7 @@
   if (read == Outcome::Done) {
     const nlohmann::json record = ParseJson(current);
     // The key may be ours although Put() failed, if only the response to the write was lost.
-    const bool ours = lease_ && record.is_object() && record.value("lease", "") == *lease_;
+    const bool ours = lease_ && record.contains("lease") && record.at("lease") == *lease_;
     if (lease_ && !ours) {
       Release();
     }
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -83,10 +83,10 @@
     Log(LogLevel::Warn, "leader.unreadable", { { "revision", record.revision_ } });
     return;
   }
-  leader_.name_ = value.value("name", "");
-  leader_.address_ = value.value("address", "");
+  leader_.name_ = value.at("name").get<std::string>();
+  leader_.address_ = value.at("address").get<std::string>();
   leader_.fencingToken_ = record.revision_;
-  const bool mine = value.value("incarnation", "") == settings_.incarnation_;
+  const bool mine = value.at("incarnation").get<std::string>() == settings_.incarnation_;
   if (mine && !isLeader_ && !resigned_ && record.lease_ == lease_ && lease_ != 0) {
     // The response to the transaction that wrote the record was lost.
     BecomeLeader(record.revision_);
--- a/src/nng_peer_link.cpp
+++ b/src/nng_peer_link.cpp
@@ -374,13 +374,20 @@
     }
   }
   const auto pending = std::make_shared<PendingReply>(PendingReply{ this, &aReplyContext, aNonce });
-  handler->second(aRequest, [pending, replying = replyMutex_, alive = alive_](const json& aBody) {
+  const auto reply = [pending, replying = replyMutex_, alive = alive_](const json& aBody) {
     const std::lock_guard lock(*replying);
     if (*alive && !pending->sent_) {
       pending->sent_ = true;
       pending->link_->SendPendingReply(*pending, aBody);
     }
-  });
+  };
+  try {
+    handler->second(aRequest, reply);
+  } catch (const json::exception&) {
+    const std::lock_guard lock(*replyMutex_);
+    pending->sent_ = true; // The caller replies with an error in this context.
+    throw;
+  }
   return true;
 }
 
@@ -423,10 +430,16 @@
              ? *cached
              : json::to_cbor(ErrorReply(PeerError::Code::Refused, "the message arrived before"));
   }
-  if (StartAsyncHandler(aReplyContext, nonce, envelope->at("body"))) {
-    return std::nullopt;
+  std::vector<uint8_t> reply;
+  try {
+    if (StartAsyncHandler(aReplyContext, nonce, envelope->at("body"))) {
+      return std::nullopt;
+    }
+    reply = Dispatch(envelope->at("body"));
+  } catch (const json::exception& failure) {
+    ++counters_.malformed_;
+    reply = json::to_cbor(ErrorReply(PeerError::Code::Malformed, failure.what()));
   }
-  std::vector<uint8_t> reply = Dispatch(envelope->at("body"));
   replies_.Finish(nonce, reply);
   return reply;
 }
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -213,11 +213,6 @@
   } catch (const nlohmann::json::exception&) {
     return false;
   }
-  Rollout& rollout = rollouts_[record.at("number").get<int64_t>()];
-  rollout.inherited_ = true;
-  rollout.maintained_ = record.at("maintained").get<std::set<std::string>>();
-  rollout.selected_ = record.value("begun", std::set<std::string>());
-  return true;
 }
 
 uint64_t
--- a/tests/nng_peer_link_test.cpp
+++ b/tests/nng_peer_link_test.cpp
@@ -46,6 +46,9 @@
       const std::lock_guard lock(mutex_);
       pendingReplies_.push_back(aReply);
     });
+    server_.HandleAsync("Read", [](const json& aMessage, const NngPeerLink::Reply& aReply) {
+      aReply({ { "text", aMessage.at("text").get<std::string>() } });
+    });
     EXPECT_TRUE(server_.Init());
     EXPECT_TRUE(client_.Init());
   }
@@ -146,6 +149,18 @@
   EXPECT_EQ(server_.Counters().malformed_, 4U);
 }
 
+// A message of another type than text, or one that an asynchronous handler cannot read, ended the
+// process.
+TEST_F(NngPeerLinkTest, MessagesThatHandlersCannotReadEndNoProcess)
+{
+  EXPECT_EQ(CodeOf([&]() { return Call({ { "type", 7 } }); }), PeerError::Code::Refused);
+  EXPECT_EQ(CodeOf([&]() {
+              return Call({ { "type", "Read" }, { "text", 7 } });
+            }),
+            PeerError::Code::Refused);
+  EXPECT_TRUE(Call({ { "type", "Read" }, { "text", "a" } }));
+}
+
 // Guards against handling a request twice that nng resends.
 TEST_F(NngPeerLinkTest, ResentRequestGetsTheCachedReply)
 {
