--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -19,8 +19,7 @@
 json
 AddressSchema()
 {
-  return JsonSchema::Pattern("^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$",
-                             kAddressText);
+  return JsonSchema::Pattern("^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$", kAddressText);
 }
 
 json
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -120,8 +120,8 @@
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
     const BackendEntry& entry = backends_.At(handle).entry_;
-    const bool samePlace = entry.address_ == newer.address_ ||
-                           (!entry.host_.empty() && entry.host_ == newer.host_);
+    const bool samePlace =
+      entry.address_ == newer.address_ || (!entry.host_.empty() && entry.host_ == newer.host_);
     if (samePlace && entry.startTimeMs_ != 0 && entry.startTimeMs_ < newer.startTimeMs_) {
       EndIncarnation(handle, "a newer backend server has its host or address");
     }
--- a/src/wait_order.cpp
+++ b/src/wait_order.cpp
@@ -34,8 +34,9 @@
 WaitOrder::IsLate(const Job& aJob, TimePoint aNow) const
 {
   const auto criticalPath = durations_.CriticalPath(aJob);
-  const double stretched = std::min(aJob.policy_.stretch_ * static_cast<double>(criticalPath.count()),
-                                    static_cast<double>(kDurationRange.max_));
+  const double stretched =
+    std::min(aJob.policy_.stretch_ * static_cast<double>(criticalPath.count()),
+             static_cast<double>(kDurationRange.max_));
   const auto objective =
     std::chrono::milliseconds(static_cast<int64_t>(stretched)) + aJob.policy_.latencyTarget_;
   return aNow + durations_.RemainingCriticalPath(aJob) > aJob.accepted_ + objective;
--- a/tests/node_settings_test.cpp
+++ b/tests/node_settings_test.cpp
@@ -19,7 +19,6 @@
   EXPECT_EQ(settings.store_.port_, 7000);
 }
 
-
 // A port out of range was read as port 0.
 TEST(NodeSettings, AddressesOutOfRangeAreErrors)
 {
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -203,7 +203,8 @@
   const std::string deep = std::string(200000, '[') + std::string(200000, ']');
   for (const std::string& value :
        { std::string("{\"number\":\"3\",\"maintained\":7,\"id\":7}"),
-         std::string("{\"number\":3,\"maintained\":{},\"name\":7,\"address\":[],\"incarnation\":0}"),
+         std::string(
+           "{\"number\":3,\"maintained\":{},\"name\":7,\"address\":[],\"incarnation\":0}"),
          "{\"number\":3,\"maintained\":[],\"begun\":" + deep + "}",
          std::string("7"),
          deep }) {
@@ -248,8 +249,15 @@
 {
   const std::string text = EncodeJob(StoredJob());
   ASSERT_TRUE(ReadsJob(text));
-  for (const char* name : { "count", "cpu_milli", "memory_mb", "estimate_ms", "max_per_server",
-                            "interval_ms", "repeats", "max_attempts", "accepted_ms" }) {
+  for (const char* name : { "count",
+                            "cpu_milli",
+                            "memory_mb",
+                            "estimate_ms",
+                            "max_per_server",
+                            "interval_ms",
+                            "repeats",
+                            "max_attempts",
+                            "accepted_ms" }) {
     for (const char* number : { "-1", "18446744073709551615", "1e300", "9223372036854775807" }) {
       std::string odd = text;
       const std::string field = "\"" + std::string(name) + "\":";
--- a/tests/odd_values_test.cpp
+++ b/tests/odd_values_test.cpp
@@ -18,12 +18,9 @@
 constexpr size_t kDeep = 200000;
 
 // Numbers that no count, size or time can have.
-const std::vector<std::string> kOddNumbers{ "18446744073709551615",
-                                            "9223372036854775808",
-                                            "99999999999999999999",
-                                            "1e300",
-                                            "9223372036854775807",
-                                            "-5",
+const std::vector<std::string> kOddNumbers{ "18446744073709551615", "9223372036854775808",
+                                            "99999999999999999999", "1e300",
+                                            "9223372036854775807",  "-5",
                                             "-9223372036854775808" };
 
 std::string
@@ -156,9 +153,15 @@
 // An operator's record must not end the leader or be read as another number.
 TEST(OddRecord, ConfigurationsWithOddValuesAreNotApplied)
 {
-  const json route{ { "name", "r-1" },   { "host", "h" },     { "prefix", "/p/" },
-                    { "service", "s" },  { "priority", 1 },   { "max-attempts", 3 },
-                    { "stretch", 1.6 },  { "timeout-ms", 9 }, { "target-latency-ms", 600 },
+  const json route{ { "name", "r-1" },
+                    { "host", "h" },
+                    { "prefix", "/p/" },
+                    { "service", "s" },
+                    { "priority", 1 },
+                    { "max-attempts", 3 },
+                    { "stretch", 1.6 },
+                    { "timeout-ms", 9 },
+                    { "target-latency-ms", 600 },
                     { "advice", { { "decide-ms", 50 }, { "period-ms", 4 } } } };
   const json config{ { "version", 7 },
                      { "routes", { route } },
@@ -276,11 +279,12 @@
 
   CommandOutcome Poll(const std::string& aBody)
   {
-    return Ask<PollResult>(aBody, [this](const std::string& aAddress, const auto& aDone) {
-             PollCommand command;
-             command.to_ = BackendAddress{ "i-1", aAddress };
-             BackendClient(http_, aAddress, aAddress, "e-1").Poll(command, aDone);
-           })
+    return Ask<PollResult>(aBody,
+                           [this](const std::string& aAddress, const auto& aDone) {
+                             PollCommand command;
+                             command.to_ = BackendAddress{ "i-1", aAddress };
+                             BackendClient(http_, aAddress, aAddress, "e-1").Poll(command, aDone);
+                           })
       .outcome_;
   }
 
@@ -298,13 +302,12 @@
 
   bool GivesAdvice(const std::string& aBody)
   {
-    return Ask<AdviceResult>(
-             aBody,
-             [this](const std::string& aAddress, const auto& aDone) {
-               AdviceQuery query;
-               query.timeout_ = milliseconds(1000);
-               BackendClient(http_, aAddress, aAddress, "e-1").Advise(query, aDone);
-             })
+    return Ask<AdviceResult>(aBody,
+                             [this](const std::string& aAddress, const auto& aDone) {
+                               AdviceQuery query;
+                               query.timeout_ = milliseconds(1000);
+                               BackendClient(http_, aAddress, aAddress, "e-1").Advise(query, aDone);
+                             })
       .ok_;
   }
 
@@ -374,12 +377,11 @@
 
 TEST_F(OddAnswer, OfTheStoreHasAnUnknownOutcome)
 {
-  const json range{ { "current-rev", 90 },
-                    { "items",
-                      { { { "key", "servers/i-1" },
-                          { "value", "e30=" },
-                          { "rev", 80 },
-                          { "lease", 0 } } } } };
+  const json range{
+    { "current-rev", 90 },
+    { "items",
+      { { { "key", "servers/i-1" }, { "value", "e30=" }, { "rev", 80 }, { "lease", 0 } } } }
+  };
   EXPECT_EQ(Range(range.dump()), RecordOutcome::Ok);
   EXPECT_EQ(Range(With(range, "/more", Nested(kDeep))), RecordOutcome::Unknown);
   for (const char* field : { "/current-rev", "/items/0/rev" }) {
