--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -28,6 +28,14 @@
 // A caller that has waited this long for the store gets the outcome Unknown.
 constexpr milliseconds kCallerWaitLimit{ 1500 };
 
+/// @returns Whether the store needs a record before the first run there. Entries of other writers
+/// name no backend server that responds.
+bool
+MustRecord(const Backend& aBackend)
+{
+  return aBackend.registered_ && aBackend.verified_ && !aBackend.recorded_;
+}
+
 }
 
 JobJournal::JobJournal(RecordStoreI& aStore,
@@ -142,7 +150,7 @@
   }
   const bool unrecorded =
     std::any_of(backends_.Live().begin(), backends_.Live().end(), [this](BackendHandle aBackend) {
-      return backends_.At(aBackend).registered_ && !backends_.At(aBackend).recorded_;
+      return MustRecord(backends_.At(aBackend));
     });
   const bool dirty =
     !progress_.IsEmpty() || unrecorded || !runs_.EndsApplied().empty() || !deletes_.empty();
@@ -222,7 +230,7 @@
 {
   std::vector<BackendHandle> unrecorded;
   for (const BackendHandle handle : backends_.Live()) {
-    if (backends_.At(handle).registered_ && !backends_.At(handle).recorded_) {
+    if (MustRecord(backends_.At(handle))) {
       unrecorded.push_back(handle);
     }
   }
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -43,6 +43,16 @@
   return kNames[static_cast<size_t>(aOutcome)];
 }
 
+int64_t
+CountDueTasks(const JobSpec& aSpec, std::chrono::milliseconds aWall)
+{
+  int64_t tasks = 0;
+  for (const StepSpec& step : aSpec.steps_) {
+    tasks += step.taskCount_;
+  }
+  return tasks * JobTable::DueOccurrences(aSpec, aWall);
+}
+
 }
 
 const QueuePolicy*
@@ -168,6 +178,10 @@
     aRespond(MakeResponse(JobResponseKind::Accepted));
     return;
   }
+  if (CountDueTasks(aRequest.spec_, wall_) > kMaxTasksPerRequest) {
+    aRespond(MakeResponse(JobResponseKind::Invalid, "too many occurrences are due at once"));
+    return;
+  }
   if (known || !leadership_.MaySendCommands() || journal_.IsStalled()) {
     aRespond(MakeResponse(known ? JobResponseKind::Unknown : JobResponseKind::Refused,
                           "the store does not answer"));
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/leadership.h"
 
+#include "bounded_json_p.h"
 #include "sardinespoke/logging.h"
 
 #include <nlohmann/json.hpp>
@@ -74,15 +75,18 @@
     return;
   }
   const Record& record = found->second;
-  const auto value = nlohmann::json::parse(record.value_, nullptr, false);
-  if (!value.is_object()) {
+  const auto value = ParseJson(record.value_);
+  const auto isText = [&value](const char* aName) {
+    return value.contains(aName) && value.at(aName).is_string();
+  };
+  if (!isText("name") || !isText("address") || !isText("incarnation")) {
     Log(LogLevel::Warn, "leader.unreadable", { { "revision", record.revision_ } });
     return;
   }
-  leader_.name_ = value.value("name", "");
-  leader_.address_ = value.value("address", "");
+  leader_.name_ = value.at("name").get<std::string>();
+  leader_.address_ = value.at("address").get<std::string>();
   leader_.fencingToken_ = record.revision_;
-  const bool mine = value.value("incarnation", "") == settings_.incarnation_;
+  const bool mine = value.at("incarnation").get<std::string>() == settings_.incarnation_;
   if (mine && !isLeader_ && !resigned_ && record.lease_ == lease_ && lease_ != 0) {
     // The response to the transaction that wrote the record was lost.
     BecomeLeader(record.revision_);
