Let simulated backend servers restart in place, lose answers and checkpoint

It now restarts a server under its id with a new start time and clock, listed or not; delays starts by a settable time; loses stops and polls; names the incarnation only in lists of runs and registry entries, as the platform does, unless told otherwise. A start with a checkpoint of another task, or with another one than the rest of its group run, is a violation.

Steps and ids that several job tests use are in tests/job_steps.h.

--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -105,6 +105,8 @@
   shape.duration_ = duration == durations_.end() ? step.estimate_ : duration->second;
   shape.continuous_ = step.continuous_;
   shape.isBestEffort_ = step.bestEffort_;
+  shape.checkpointing_ = step.checkpointing_;
+  shape.gang_ = step.gang_;
   shape.tailLatencyMs_ = step.latencyTarget_.count() / 2;
   shape.disturbedTailLatencyMs_ = step.latencyTarget_.count() * 2;
   shape.fails_ = poison_.count(id.job_) > 0;
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -10,9 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kLatency{ 2 };
 constexpr milliseconds kCommandTimeout{ 400 };
-constexpr milliseconds kLateStartDelay{ 1000 };
 constexpr milliseconds kStopTime{ 200 };
 constexpr milliseconds kMaintenanceTime{ 2000 };
 constexpr milliseconds kAdviceLatency{ 100 };
@@ -94,6 +92,12 @@
   events_.ScheduleAfter(kEntryTtl, [this, aId] { store_.Remove(format_.RegistryPrefix() + aId); });
 }
 
+void
+SimulatedFleet::PublishEntry(const std::string& aPool, size_t aIndex)
+{
+  Publish(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_));
+}
+
 std::string
 SimulatedFleet::HostOf(const std::string& aPool, size_t aIndex) const
 {
@@ -112,14 +116,38 @@
   const std::string id = hosts_.at(HostOf(aPool, aIndex)).backend_;
   Server& server = servers_.at(id);
   server.alive_ = false;
-  server.runs_.clear();
-  // Pending polls fail without a response.
-  for (PendingPoll& waiting : server.pendingPolls_) {
+  KillRuns(server);
+  FailPendingPolls(server);
+  ScheduleEntryRemoval(id);
+}
+
+void
+SimulatedFleet::FailPendingPolls(Server& aServer)
+{
+  for (PendingPoll& waiting : aServer.pendingPolls_) {
     events_.ScheduleAfter(kCommandTimeout,
                           [done = std::move(waiting.done_)] { done(PollResult()); });
   }
-  server.pendingPolls_.clear();
-  ScheduleEntryRemoval(id);
+  aServer.pendingPolls_.clear();
+}
+
+void
+SimulatedFleet::RestartInPlace(const std::string& aPool, size_t aIndex, bool aPublishes)
+{
+  Server& server = servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_);
+  KillRuns(server);
+  FailPendingPolls(server);
+  Server next;
+  next.entry_ = server.entry_;
+  next.entry_.startTimeMs_ = static_cast<int64_t>(++nextId_);
+  next.behaviour_ = server.behaviour_;
+  next.startTimeMs_ = clock_.Now() - milliseconds(1);
+  server = std::move(next);
+  if (aPublishes) {
+    Publish(server);
+  } else {
+    ScheduleEntryRemoval(server.entry_.id_);
+  }
 }
 
 void
@@ -182,7 +210,8 @@
   CommandResult result;
   result.outcome_ = aOutcome;
   result.clock_ = Milliseconds(aServer.startTimeMs_, clock_.Now());
-  result.startTimeMs_ = aServer.entry_.startTimeMs_;
+  result.startTimeMs_ =
+    aServer.behaviour_.alwaysNamesIncarnation_ ? aServer.entry_.startTimeMs_ : 0;
   return result;
 }
 
@@ -226,6 +255,14 @@
   run.shape_ = shapes_(run.task_);
   run.begin_ = clock_.Now();
   run.progressedAt_ = clock_.Now();
+  run.checkpoint_ = aOrder.checkpoint_;
+  run.progress_ = checkpoints_.ProgressOf(aOrder.checkpoint_);
+  run.savedProgress_ = run.progress_;
+  const std::string wrong =
+    checkpoints_.CheckStart(run.task_, run.run_, aOrder.checkpoint_, run.shape_.gang_);
+  if (!wrong.empty()) {
+    RecordViolation(violations_.wrongCheckpoints_, wrong);
+  }
   Resources sum = run.shape_.resources_;
   for (const Run& other : aServer.runs_) {
     sum.cpuMilli_ += other.shape_.resources_.cpuMilli_;
@@ -251,7 +288,7 @@
     return;
   }
   if (server->behaviour_.delaysStarts_) {
-    fleet.events_.ScheduleAfter(kLateStartDelay, [&fleet, aOrder] {
+    fleet.events_.ScheduleAfter(server->behaviour_.startDelay_, [&fleet, aOrder] {
       if (Server* delayedServer = fleet.FindReachable(aOrder.to_)) {
         fleet.StartOn(*delayedServer, aOrder);
       }
@@ -272,7 +309,7 @@
   const bool disconnected = disconnected_;
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, disconnected] {
     Server* server = disconnected ? nullptr : fleet.FindReachable(aOrder.to_);
-    if (!server) {
+    if (!server || server->behaviour_.losesStops_) {
       aDone(CommandResult());
       return;
     }
@@ -330,6 +367,7 @@
 {
   PollResult result;
   static_cast<CommandResult&>(result) = MakeResult(aServer, CommandOutcome::Done);
+  result.startTimeMs_ = aServer.entry_.startTimeMs_;
   const bool disturbed =
     bestEffortDisturbs_ &&
     std::any_of(aServer.runs_.begin(), aServer.runs_.end(), [](const Run& aRun) {
@@ -339,6 +377,7 @@
     RunningTask running;
     running.load_ = disturbed ? run.shape_.disturbedTailLatencyMs_ : run.shape_.tailLatencyMs_;
     running.run_ = RunId{ run.task_, run.run_ };
+    running.checkpoint_ = run.checkpoint_;
     running.percent_ =
       run.shape_.continuous_ ? 100 : static_cast<int64_t>(std::min(run.progress_, 0.99) * 100.0);
     result.running_.push_back(running);
@@ -372,7 +411,7 @@
   const bool disconnected = disconnected_;
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, disconnected] {
     Server* server = disconnected ? nullptr : fleet.FindReachable(aOrder.to_);
-    if (!server) {
+    if (!server || server->behaviour_.losesPolls_) {
       fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(PollResult()); });
       return;
     }
@@ -484,70 +523,4 @@
   });
 }
 
-void
-SimulatedFleet::EndRun(Server& aServer, size_t aRun, RunOutcome aKind)
-{
-  const Run run = aServer.runs_[aRun];
-  aServer.runs_.erase(aServer.runs_.begin() + static_cast<ptrdiff_t>(aRun));
-  int64_t& highest = aServer.stopped_[run.task_];
-  highest = std::max(highest, run.run_);
-  aServer.ended_.push_back(
-    EndedTask{ aServer.nextEnd_++, RunId{ run.task_, run.run_ }, aKind, "" });
-}
-
-void
-SimulatedFleet::AdvanceRuns(Server& aServer)
-{
-  const TimePoint now = clock_.Now();
-  for (size_t index = aServer.runs_.size(); index-- > 0;) {
-    Run& run = aServer.runs_[index];
-    if (now >= aServer.leaseEnd_) {
-      EndRun(aServer, index, RunOutcome::LeaseExpired);
-      continue;
-    }
-    if (run.stopping_ && now >= run.stopAt_) {
-      EndRun(aServer, index, RunOutcome::Stopped);
-      continue;
-    }
-    const double worked = std::chrono::duration<double>(now - run.progressedAt_).count();
-    run.progressedAt_ = now;
-    if (aServer.behaviour_.hangs_ || run.shape_.continuous_) {
-      continue;
-    }
-    const double durationSeconds = std::chrono::duration<double>(run.shape_.duration_).count();
-    run.progress_ += worked / durationSeconds / aServer.behaviour_.slowdown_;
-    const bool fails = run.shape_.fails_ || aServer.behaviour_.failsAll_;
-    constexpr double kFailsAt = 0.3;
-    if (fails && run.progress_ >= kFailsAt) {
-      EndRun(aServer, index, RunOutcome::Failed);
-    } else if (run.progress_ >= 1.0) {
-      EndRun(aServer, index, RunOutcome::Done);
-    }
-  }
-}
-
-void
-SimulatedFleet::Step()
-{
-  for (auto& [id, server] : servers_) {
-    if (!server.alive_) {
-      continue;
-    }
-    AdvanceRuns(server);
-    for (size_t index = server.pendingPolls_.size(); index-- > 0;) {
-      const bool due = clock_.Now() >= server.pendingPolls_[index].until_ || !server.ended_.empty();
-      if (!due) {
-        continue;
-      }
-      const auto done = server.pendingPolls_[index].done_;
-      server.pendingPolls_.erase(server.pendingPolls_.begin() + static_cast<ptrdiff_t>(index));
-      const bool unresponsive = server.behaviour_.unresponsive_;
-      const PollResult pollResult = MakePollResult(server);
-      events_.ScheduleAfter(kLatency, [done, pollResult, unresponsive] {
-        done(unresponsive ? PollResult() : pollResult);
-      });
-    }
-  }
-}
-
 }
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "checkpoint_ledger.h"
 #include "event_queue.h"
 #include "memory_record_store.h"
 #include "sardinespoke/backend_commands.h"
@@ -19,9 +20,11 @@
   size_t duplicateRuns_ = 0;
   size_t overCapacity_ = 0; ///< Starts beyond the capacity of a backend server.
   size_t tooManyDown_ = 0;  ///< Hosts that a roll-out takes down beyond its limit.
+  /// Starts with a checkpoint of another task, or with another one than the rest of their gang.
+  size_t wrongCheckpoints_ = 0;
   std::string first_;
 
-  bool Any() const { return duplicateRuns_ + overCapacity_ + tooManyDown_ > 0; }
+  bool Any() const { return duplicateRuns_ + overCapacity_ + tooManyDown_ + wrongCheckpoints_ > 0; }
 };
 
 /// Simulates backend servers and host control on a manual clock, with leases, fencing tokens, end
@@ -33,9 +36,14 @@
   struct Behaviour
   {
     bool unresponsive_ = false; ///< Neither receives nor answers commands.
-    bool delaysStarts_ = false; ///< Executes start commands one second late without answering them.
-    bool failsAll_ = false;     ///< Every task fails.
-    bool hangs_ = false;        ///< Tasks make no progress.
+    bool delaysStarts_ = false; ///< Executes start commands late without answering them.
+    std::chrono::milliseconds startDelay_{ 1000 }; ///< Delay of such a start.
+    bool losesStops_ = false; ///< Stop commands have no effect and get no answer.
+    bool losesPolls_ = false; ///< Polls have no effect and get no answer.
+    /// All responses name the incarnation, not only lists of runs and registry entries.
+    bool alwaysNamesIncarnation_ = false;
+    bool failsAll_ = false; ///< Every task fails.
+    bool hangs_ = false;    ///< Tasks make no progress.
     double slowdown_ = 1.0;
   };
 
@@ -47,7 +55,9 @@
     bool continuous_ = false;
     bool fails_ = false;
     bool isBestEffort_ = false;
-    int64_t tailLatencyMs_ = 0;          ///< Tail latency of a task with a latency target.
+    bool checkpointing_ = false;
+    bool gang_ = false;         ///< The end of one run of the step ends all with the same number.
+    int64_t tailLatencyMs_ = 0; ///< Tail latency of a task with a latency target.
     int64_t disturbedTailLatencyMs_ = 0; ///< The same beside a best-effort task at full speed.
   };
   using ShapeOf = std::function<TaskShape(const std::string&)>;
@@ -69,6 +79,13 @@
 
   /// Ends a backend server immediately; its registry entry expires after three heartbeats.
   void Crash(const std::string& aPool, size_t aIndex);
+  /// Restarts a backend server under its id: all it knew and ran is lost and its clock starts anew.
+  /// @param aPublishes Whether it reaches the registry; if not, its earlier entry expires.
+  void RestartInPlace(const std::string& aPool, size_t aIndex, bool aPublishes);
+
+  /// Writes the registry entry of a backend server, as its next heartbeat does.
+  void PublishEntry(const std::string& aPool, size_t aIndex);
+
   /// Removes a host permanently, even while it is down for maintenance.
   void RemoveHost(const std::string& aPool, size_t aIndex);
   void SetDraining(const std::string& aPool, size_t aIndex);
@@ -117,6 +134,9 @@
 private:
   friend class Client;
 
+  /// Time from a command to its effect and its response.
+  static constexpr std::chrono::milliseconds kLatency{ 2 };
+
   struct Run
   {
     std::string task_;
@@ -125,6 +145,8 @@
     TimePoint begin_{};
     TimePoint progressedAt_{}; ///< Time up to which progress_ is computed.
     double progress_ = 0.0;
+    std::string checkpoint_;
+    double savedProgress_ = 0.0; ///< Progress at the checkpoint.
     uint32_t throttle_ = 100;
     bool stopping_ = false;
     TimePoint stopAt_{};
@@ -158,11 +180,15 @@
   PollResult MakePollResult(const Server& aServer) const;
   void ExtendLease(Server& aServer, int64_t aDeadline);
   void EndRun(Server& aServer, size_t aRun, RunOutcome aKind);
+  void EndGang(const Run& aRun, RunOutcome aKind);
+  void SaveCheckpoint(Run& aRun);
   void AdvanceRuns(Server& aServer);
   void AcknowledgeEnds(Server& aServer, int64_t aAcknowledgedUpTo);
   CommandResult ApplyHostCommand(const HostCommand& aOrder);
   void RecordViolation(size_t& aCounter, const std::string& aWhat);
   void ScheduleEntryRemoval(const std::string& aId);
+  void KillRuns(Server& aServer);
+  void FailPendingPolls(Server& aServer);
 
   ManualClock& clock_;
   EventQueue& events_;
@@ -176,6 +202,7 @@
   std::set<std::pair<int64_t, std::string>> maintained_;
   std::map<int64_t, size_t> down_;
   std::set<std::string> acknowledgedDone_;
+  CheckpointLedger checkpoints_;
   FleetViolations violations_;
   size_t starts_ = 0;
   size_t looks_ = 0;
--- a/tests/job_control_test.cpp
+++ b/tests/job_control_test.cpp
@@ -1,3 +1,4 @@
+#include "job_steps.h"
 #include "job_world.h"
 
 #include <gtest/gtest.h>
@@ -8,26 +9,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Resources kHost{ 16000, 65536, 0 };
-
-std::string
-JobId(unsigned int aNumber)
-{
-  std::string digits = std::to_string(aNumber);
-  return std::string(16 - digits.size(), '0') + digits;
-}
-
-StepSpec
-Tasks(uint32_t aCount, milliseconds aEstimate = milliseconds(1000))
-{
-  StepSpec step;
-  step.taskCount_ = aCount;
-  step.cpuMilli_ = 1000;
-  step.memoryMb_ = 1000;
-  step.estimate_ = aEstimate;
-  return step;
-}
-
 StepSpec
 Continuous(uint32_t aCount, uint32_t aMaxUnavailable)
 {
