Follow backend servers that restart under their id

The responses to starts and stops were booked on the incarnation that the command was sent to, also if the next one under the same id had given them. The poll that showed the restart then dropped such a run and released its task although it ran, and the task started elsewhere (TWICE). A start without a response that is carried out seconds later carries a deadline on the earlier clock. The next incarnation, whose clock begins anew and which knows of no stop, accepts it; the leader had dropped the run and never polled again, so it ran until its lease ended (UNASKED for a cancelled job, TWICE else).

Ruled out: comparing the start time alone. The platform gives it in lists of runs and registry entries only. Binding a start to one incarnation: no field does that.

A response to a start or stop that names another start time, or whose clock is below the lowest possible one at the time of sending, is a suspicion: no clock is read from it, the server gets no new work, the next poll acknowledges nothing and goes out at once. Only a poll or the registry decides. Runs that the earlier incarnation had confirmed start again as before; those whose start got no response are carried over and stopped there; those that the next incarnation has acknowledged go on. A start without a response is remembered for 15 s: its server is polled each second, and the start is stopped on each incarnation that would accept it. The list that shows a restart is applied at once. An incarnation that inherited tasks keeps them waiting also if the registry shows its restart. The record in the store is kept for the next incarnation at the same address.

--- a/include/sardinespoke/backend_commands.h
+++ b/include/sardinespoke/backend_commands.h
@@ -33,6 +33,8 @@
 {
   std::string task_;
   int64_t run_ = 0;
+
+  bool operator==(const RunId& aOther) const = default;
 };
 
 struct StartCommand
--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -29,7 +29,9 @@
   RunId id_;
   RunPhase phase_ = RunPhase::Starting;
   bool everConfirmed_ = false; ///< The backend server has reported it or acknowledged its start.
-  TimePoint sentAt_{};         ///< When the start command was sent.
+  /// The next incarnation, which no poll has shown yet, seems to have acknowledged its start.
+  bool confirmedByNext_ = false;
+  TimePoint sentAt_{}; ///< When the start command was sent.
   TimePoint confirmedAt_{};
   int64_t deadline_ = 0; ///< On the backend server's clock, in ms; it refuses a start after this.
   TimePoint stopSentAt_{};
@@ -58,6 +60,10 @@
   /// An earlier leader used it and it has not responded to this leader yet.
   bool unreconciled_ = false;
   bool hasEnded_ = false; ///< The incarnation has ended; it runs nothing.
+  /// The next incarnation under the same id, once known; it may get commands sent to this one.
+  BackendHandle next_;
+  /// When a response first seemed to be of the next incarnation; only a later poll tells.
+  std::optional<TimePoint> restartSuspectedAt_;
   /// The store has a record of it, so that a later leader waits for its response.
   bool recorded_ = false;
   /// A move or maintenance of its host was commanded; its tasks count as unavailable.
@@ -68,6 +74,7 @@
   uint32_t failedPolls_ = 0;      ///< Consecutive failures since the last response.
   TimePoint unresponsiveSince_{}; ///< When the first of these failures was seen.
   TimePoint nextPollAt_{};
+  TimePoint nextIdlePollAt_{};     ///< Next poll because of starts without a response only.
   TimePoint answeredPollSentAt_{}; ///< Send time of the newest poll with a response.
   TimePoint leaseEnd_{};           ///< No run outlives this unless the lease is renewed.
   int64_t clock_ = 0;              ///< Its clock in ms as read at clockAt_.
@@ -91,6 +98,11 @@
   /// @returns A lower bound of its clock in ms.
   int64_t ClockNow(TimePoint aNow) const;
 
+  /// @returns True if a response seems to be of a later incarnation: it names another start time
+  /// or, without one, a clock that has gone back.
+  /// @param aSent When its command was sent.
+  bool IsFromNext(TimePoint aSent, const CommandResult& aResult) const;
+
   BackendRun* FindRun(const RunId& aRun);
   bool Fits(const Resources& aNeed) const;
 };
@@ -105,6 +117,9 @@
   /// @returns The incarnation with this id that has not ended, or an invalid handle.
   BackendHandle Find(const std::string& aId) const;
 
+  /// @returns The latest known incarnation under the id of this one.
+  BackendHandle Latest(BackendHandle aBackend) const;
+
   /// @returns The registered incarnation on a host, or an invalid handle.
   BackendHandle OnHost(const std::string& aHost) const;
 
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -111,11 +111,41 @@
   }
 
 private:
+  /// A start without a response. A later incarnation under the same id may still carry it out: its
+  /// clock begins anew, so the deadline of the start does not prevent it.
+  struct LateStart
+  {
+    BackendRun run_;
+    BackendHandle stoppedOn_; ///< Last incarnation that has acknowledged its stop.
+  };
+
   void EndReplacedIncarnations();
   void SendPoll(BackendHandle aBackend);
-  void OnStarted(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult);
-  void OnStopped(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult);
-  void OnPollResult(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
+  void OnStarted(BackendHandle aBackend,
+                 const RunId& aRun,
+                 TimePoint aSent,
+                 const CommandResult& aResult);
+  void OnStartUnanswered(BackendHandle aBackend, BackendRun* aRun);
+  void OnStartRefused(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult);
+  void OnStopped(BackendHandle aBackend,
+                 const RunId& aRun,
+                 TimePoint aSent,
+                 const CommandResult& aResult);
+
+  /// Polls a backend server if a response seems to be of its next incarnation.
+  /// @returns True if it does; its clock must not be read then.
+  bool SuspectRestart(BackendHandle aBackend, TimePoint aSent, const CommandResult& aResult);
+  /// Ends an incarnation and carries over the runs whose start the next one may have received.
+  /// @returns The next incarnation.
+  BackendHandle BeginNext(BackendHandle aBackend, const BackendEntry& aEntry, const char* aReason);
+  void CarryOver(BackendRun aRun, BackendHandle aFrom, BackendHandle aTo);
+  /// Stops late starts that this incarnation would still carry out.
+  /// @param aClock Its clock in ms.
+  void StopLateStarts(BackendHandle aBackend, int64_t aClock);
+  LateStart* FindLateStart(const std::string& aBackend, const RunId& aRun);
+  void ForgetLateStart(const std::string& aBackend, const RunId& aRun);
+  void ForgetOldLateStarts();
+  void OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult);
   void OnPollFailed(BackendHandle aBackend, const PollResult& aResult);
   void ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
   void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent);
@@ -128,7 +158,8 @@
                      const std::vector<RunId>& aListed);
   void DropRun(BackendHandle aBackend, const RunId& aRun, const std::string& aCheckpoint);
   void ReadClock(Backend& aBackend, const CommandResult& aResult);
-  bool ReplaceIfRestarted(BackendHandle aBackend, const CommandResult& aResult);
+  /// @returns The incarnation that has answered a poll.
+  BackendHandle FollowRestart(BackendHandle aBackend, const CommandResult& aResult);
   bool NeedsPoll(const Backend& aBackend) const;
 
   JobTable& jobs_;
@@ -144,6 +175,7 @@
   std::function<void(const RunEvent&)> listener_;
   std::function<void(const std::string&)> onIncarnationEnded_;
   std::function<void(const std::string&, const std::string&)> onInvalidTicket_;
+  std::map<std::string, std::vector<LateStart>> lateStarts_; ///< By id of the backend server.
   /// Start time of the latest ended incarnation by id.
   std::map<std::string, int64_t> endedIncarnations_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -25,11 +25,26 @@
   return clock_ + since.count() * kMinClockRatePercent / 100;
 }
 
+bool
+Backend::IsFromNext(TimePoint aSent, const CommandResult& aResult) const
+{
+  if (aResult.startTimeMs_ != 0 && entry_.startTimeMs_ != 0) {
+    return aResult.startTimeMs_ != entry_.startTimeMs_;
+  }
+  constexpr int64_t kRoundingMs = 20;
+  // Clocks differ by up to 2 %: each direction from the last reading takes the lower bound.
+  constexpr int64_t kMaxClockRatePercent = 102;
+  const auto before = std::chrono::duration_cast<std::chrono::milliseconds>(clockAt_ - aSent);
+  const int64_t lowest =
+    aSent >= clockAt_ ? ClockNow(aSent) : clock_ - before.count() * kMaxClockRatePercent / 100;
+  return clock_ != 0 && aResult.clock_ != 0 && aResult.clock_ < lowest - kRoundingMs;
+}
+
 BackendRun*
 Backend::FindRun(const RunId& aRun)
 {
   for (BackendRun& run : runs_) {
-    if (run.id_.run_ == aRun.run_ && run.id_.task_ == aRun.task_) {
+    if (run.id_ == aRun) {
       return &run;
     }
   }
@@ -65,6 +80,15 @@
   return found == byId_.end() ? BackendHandle{} : found->second;
 }
 
+BackendHandle
+BackendTable::Latest(BackendHandle aBackend) const
+{
+  while (At(aBackend).next_.IsValid()) {
+    aBackend = At(aBackend).next_;
+  }
+  return aBackend;
+}
+
 void
 BackendTable::Close(BackendHandle aBackend)
 {
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -18,16 +18,20 @@
 // Wait of a poll while a start or stop has no confirmed outcome.
 constexpr milliseconds kPendingCommandWait{ 150 };
 constexpr milliseconds kPollRetry{ 150 };
+// Time between polls of a backend server that runs nothing but may still get a late start.
+constexpr milliseconds kIdlePollPeriod{ 1000 };
 
 }
 
 bool
 RunTracker::NeedsPoll(const Backend& aBackend) const
 {
+  const bool mayStartLate = lateStarts_.count(aBackend.entry_.id_) > 0;
   if (!aBackend.verified_) {
-    return aBackend.registered_ || clock_.Now() <= aBackend.leaseEnd_;
+    return aBackend.registered_ || mayStartLate || clock_.Now() <= aBackend.leaseEnd_;
   }
-  return !aBackend.runs_.empty() || aBackend.endsStored_ > aBackend.endsAcknowledged_ ||
+  return (mayStartLate && clock_.Now() >= aBackend.nextIdlePollAt_) || !aBackend.runs_.empty() ||
+         aBackend.endsStored_ > aBackend.endsAcknowledged_ ||
          (aBackend.failedPolls_ > 0 && aBackend.registered_);
 }
 
@@ -39,15 +43,15 @@
   PollCommand command;
   command.to_ = backend.Address();
   command.fencingToken_ = fencingToken_;
-  command.acknowledgedUpTo_ = backend.failedPolls_ == 0 ? backend.endsStored_ : 0;
+  const bool isKnown = backend.failedPolls_ == 0 && !backend.restartSuspectedAt_;
+  command.acknowledgedUpTo_ = isKnown ? backend.endsStored_ : 0;
   // The lease of an unresponsive backend server is not renewed, so that it expires and the tasks
   // can start elsewhere.
-  if (backend.clock_ != 0 && backend.verified_ && backend.failedPolls_ == 0 &&
-      !backend.runs_.empty()) {
+  if (backend.clock_ != 0 && backend.verified_ && isKnown && !backend.runs_.empty()) {
     command.deadline_ = backend.ClockNow(now) + limits_.leaseTime_.count();
     backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(limits_.leaseTime_));
   }
-  if (backend.verified_ && backend.failedPolls_ == 0 && !backend.runs_.empty()) {
+  if (backend.verified_ && isKnown && !backend.runs_.empty()) {
     const bool allRunning =
       std::all_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
         return aRun.phase_ == RunPhase::Running;
@@ -69,25 +73,19 @@
   });
 }
 
-bool
-RunTracker::ReplaceIfRestarted(BackendHandle aBackend, const CommandResult& aResult)
+BackendHandle
+RunTracker::FollowRestart(BackendHandle aBackend, const CommandResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
   if (aResult.startTimeMs_ == 0 || backend.entry_.startTimeMs_ == 0 ||
       aResult.startTimeMs_ == backend.entry_.startTimeMs_) {
     backend.entry_.startTimeMs_ =
       aResult.startTimeMs_ != 0 ? aResult.startTimeMs_ : backend.entry_.startTimeMs_;
-    return false;
+    return aBackend;
   }
   BackendEntry entry = backend.entry_;
-  const bool listed = backend.registered_;
-  EndIncarnation(aBackend, "restarted under the same id");
   entry.startTimeMs_ = aResult.startTimeMs_;
-  Backend& next = backends_.At(backends_.Add(entry));
-  next.registered_ = listed;
-  backends_.InvalidateHostIndex();
-  next.leaseEnd_ = clock_.Now() + WithClockDrift(kStartDeadline);
-  return true;
+  return BeginNext(aBackend, entry, "restarted under the same id");
 }
 
 void
@@ -118,21 +116,23 @@
 }
 
 void
-RunTracker::OnPollResult(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
+RunTracker::OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult)
 {
-  if (backends_.At(aBackend).hasEnded_) {
+  if (backends_.At(aPolled).hasEnded_) {
     return;
   }
   if (aResult.outcome_ != CommandOutcome::Done) {
-    OnPollFailed(aBackend, aResult);
+    OnPollFailed(aPolled, aResult);
     return;
   }
-  if (ReplaceIfRestarted(aBackend, aResult)) {
-    return; // The new incarnation gets its own poll, which acknowledges no end reports.
-  }
+  const BackendHandle current = FollowRestart(aPolled, aResult);
   const TimePoint now = clock_.Now();
-  Backend& backend = backends_.At(aBackend);
+  Backend& backend = backends_.At(current);
   ReadClock(backend, aResult);
+  if (backend.restartSuspectedAt_ && aSent >= *backend.restartSuspectedAt_) {
+    backend.restartSuspectedAt_.reset();
+    changed_ = true;
+  }
   backend.unreconciled_ = false;
   if (!backend.verified_ || backend.failedPolls_ > 0) {
     backend.verified_ = true;
@@ -141,14 +141,16 @@
   }
   for (const EndedTask& end : aResult.ended_) {
     if (end.number_ > backend.endsApplied_) {
-      ApplyEnd(aBackend, end);
+      ApplyEnd(current, end);
       backend.endsApplied_ = end.number_;
     }
   }
   if (aSent >= backend.answeredPollSentAt_) {
     backend.answeredPollSentAt_ = aSent;
-    ApplyRunning(aBackend, aSent, aResult);
+    ApplyRunning(current, aSent, aResult);
+    StopLateStarts(current, aResult.clock_);
   }
+  backend.nextIdlePollAt_ = now + kIdlePollPeriod;
   const bool waitedForEnd = aResult.ended_.empty() && !backend.runs_.empty();
   backend.nextPollAt_ = now + (waitedForEnd ? milliseconds(0) : kMinPollInterval);
 }
@@ -160,6 +162,7 @@
   std::vector<RunId> listed;
   for (const RunningTask& running : aResult.running_) {
     listed.push_back(running.run_);
+    ForgetLateStart(backend.entry_.id_, running.run_);
     if (BackendRun* run = backend.FindRun(running.run_)) {
       Confirm(*run, running);
       continue;
@@ -235,9 +238,7 @@
   Backend& backend = backends_.At(aBackend);
   std::vector<RunId> gone;
   for (const BackendRun& run : backend.runs_) {
-    const bool isListed = std::any_of(aListed.begin(), aListed.end(), [&run](const RunId& aId) {
-      return aId.run_ == run.id_.run_ && aId.task_ == run.id_.task_;
-    });
+    const bool isListed = std::find(aListed.begin(), aListed.end(), run.id_) != aListed.end();
     if (isListed) {
       continue;
     }
@@ -248,6 +249,9 @@
                          run.phase_ != RunPhase::Starting && !run.everConfirmed_;
     if (seenBefore || stopped || expired) {
       gone.push_back(run.id_);
+      if (!run.everConfirmed_ && !FindLateStart(backend.entry_.id_, run.id_)) {
+        lateStarts_[backend.entry_.id_].push_back(LateStart{ run, aBackend });
+      }
     }
   }
   for (const RunId& id : gone) {
--- /dev/null
+++ b/src/run_restarts.cpp
@@ -0,0 +1,165 @@
+#include "sardinespoke/run_tracker.h"
+
+#include "run_limits_p.h"
+#include "sardinespoke/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A start without a response may be carried out this long after it was sent. The platform names no
+// bound but seconds.
+constexpr milliseconds kLateStartLimit{ 15000 };
+
+}
+
+bool
+RunTracker::SuspectRestart(BackendHandle aBackend, TimePoint aSent, const CommandResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  if (aResult.outcome_ == CommandOutcome::OtherIncarnation || !backend.IsFromNext(aSent, aResult)) {
+    return false;
+  }
+  if (!backend.restartSuspectedAt_) {
+    Log(LogLevel::Info,
+        "backend.restart_suspected",
+        { { "backend", backend.entry_.id_ },
+          { "clock_ms", aResult.clock_ },
+          { "known_clock_ms", backend.clock_ } });
+    backend.restartSuspectedAt_ = clock_.Now();
+    SendPoll(aBackend);
+  }
+  return true;
+}
+
+BackendHandle
+RunTracker::BeginNext(BackendHandle aBackend, const BackendEntry& aEntry, const char* aReason)
+{
+  const TimePoint now = clock_.Now();
+  const BackendHandle next = backends_.Add(aEntry);
+  Backend& earlier = backends_.At(aBackend);
+  Backend& backend = backends_.At(next);
+  backend.registered_ = earlier.registered_;
+  backend.unreconciled_ = earlier.unreconciled_;
+  backend.leaseEnd_ = now + WithClockDrift(kStartDeadline);
+  if (earlier.unreconciled_) {
+    backend.leaseEnd_ = std::max(backend.leaseEnd_, earlier.leaseEnd_);
+  }
+  size_t carried = 0;
+  for (const BackendRun& run : earlier.runs_) {
+    // The others have ended with the incarnation that ran them.
+    if (!run.everConfirmed_ || run.confirmedByNext_) {
+      CarryOver(run, aBackend, next);
+      ++carried;
+    }
+  }
+  if (carried > 0) {
+    // The deadline of a start is on the earlier clock, so its lease may be the longest.
+    backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(limits_.holdMax_));
+  }
+  Log(LogLevel::Info,
+      "backend.restarted",
+      { { "backend", backend.entry_.id_ }, { "carried", carried } });
+  // The record leads a later leader to the next incarnation as well.
+  backend.recorded_ = earlier.recorded_ && earlier.entry_.address_ == backend.entry_.address_;
+  earlier.recorded_ = false;
+  EndIncarnation(aBackend, aReason);
+  earlier.next_ = next;
+  for (BackendRun& run : backend.runs_) {
+    if (run.phase_ == RunPhase::Uncertain || run.phase_ == RunPhase::Stopping) {
+      Stop(next, run);
+    }
+  }
+  return next;
+}
+
+void
+RunTracker::CarryOver(BackendRun aRun, BackendHandle aFrom, BackendHandle aTo)
+{
+  aRun.confirmedByNext_ = false;
+  aRun.stopDone_ = false;
+  aRun.throttleInFlight_ = false;
+  aRun.progressAt_ = clock_.Now();
+  if (aRun.task_) {
+    Task& task = jobs_.At(*aRun.task_);
+    if (task.phase_ == TaskPhase::Active && task.run_ == aRun.id_.run_ && task.backend_ == aFrom) {
+      task.backend_ = aTo;
+    }
+  }
+  backends_.AddRun(aTo, std::move(aRun));
+}
+
+RunTracker::LateStart*
+RunTracker::FindLateStart(const std::string& aBackend, const RunId& aRun)
+{
+  const auto starts = lateStarts_.find(aBackend);
+  if (starts == lateStarts_.end()) {
+    return nullptr;
+  }
+  for (LateStart& start : starts->second) {
+    if (start.run_.id_ == aRun) {
+      return &start;
+    }
+  }
+  return nullptr;
+}
+
+void
+RunTracker::ForgetLateStart(const std::string& aBackend, const RunId& aRun)
+{
+  const auto starts = lateStarts_.find(aBackend);
+  if (starts == lateStarts_.end()) {
+    return;
+  }
+  std::erase_if(starts->second,
+                [&aRun](const LateStart& aStart) { return aStart.run_.id_ == aRun; });
+  if (starts->second.empty()) {
+    lateStarts_.erase(starts);
+  }
+}
+
+void
+RunTracker::ForgetOldLateStarts()
+{
+  const TimePoint now = clock_.Now();
+  for (auto& [id, starts] : lateStarts_) {
+    std::erase_if(starts, [now](const LateStart& aStart) {
+      return now - aStart.run_.sentAt_ > kLateStartLimit;
+    });
+  }
+  std::erase_if(lateStarts_, [](const auto& aStarts) { return aStarts.second.empty(); });
+}
+
+void
+RunTracker::StopLateStarts(BackendHandle aBackend, int64_t aClock)
+{
+  Backend& backend = backends_.At(aBackend);
+  const auto starts = lateStarts_.find(backend.entry_.id_);
+  if (starts == lateStarts_.end()) {
+    return;
+  }
+  for (const LateStart& start : starts->second) {
+    const bool isRefused = start.stoppedOn_ == aBackend || aClock > start.run_.deadline_;
+    if (isRefused || backend.FindRun(start.run_.id_)) {
+      continue;
+    }
+    BackendRun run = start.run_;
+    // Its job may have been removed since.
+    TaskId id;
+    TaskRef ref;
+    run.task_.reset();
+    if (TaskId::Parse(run.id_.task_, id) && jobs_.Locate(id, ref)) {
+      run.task_ = ref;
+    }
+    backends_.AddRun(aBackend, run);
+    Stop(aBackend, *backend.FindRun(run.id_));
+  }
+}
+
+}
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -72,8 +72,7 @@
     if (handle.IsValid()) {
       const int64_t known = backends_.At(handle).entry_.startTimeMs_;
       if (known != 0 && entry.startTimeMs_ != 0 && known < entry.startTimeMs_) {
-        EndIncarnation(handle, "restarted");
-        handle = BackendHandle{};
+        handle = BeginNext(handle, entry, "restarted");
       } else if (known > entry.startTimeMs_) {
         continue;
       }
@@ -133,7 +132,8 @@
 {
   return aBackend.registered_ && aBackend.verified_ && aBackend.recorded_ && !aBackend.hasEnded_ &&
          !aBackend.cordoned_ && !aBackend.entry_.draining_ && aBackend.failedPolls_ == 0 &&
-         aBackend.clock_ != 0 && aBackend.ejectedUntil_ <= clock_.Now();
+         aBackend.clock_ != 0 && !aBackend.restartSuspectedAt_ &&
+         aBackend.ejectedUntil_ <= clock_.Now();
 }
 
 std::set<std::string>
@@ -209,9 +209,9 @@
   const RunId id = run.id_;
   backends_.AddRun(aBackend, std::move(run));
   const std::weak_ptr<bool> alive = alive_;
-  commands_.Start(command, [this, alive, aBackend, id](const CommandResult& aResult) {
+  commands_.Start(command, [this, alive, aBackend, id, now](const CommandResult& aResult) {
     if (alive.lock()) {
-      OnStarted(aBackend, id, aResult);
+      OnStarted(aBackend, id, now, aResult);
     }
   });
 }
@@ -227,20 +227,32 @@
 }
 
 void
-RunTracker::OnStarted(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult)
+RunTracker::OnStarted(BackendHandle aBackend,
+                      const RunId& aRun,
+                      TimePoint aSent,
+                      const CommandResult& aResult)
 {
-  Backend& backend = backends_.At(aBackend);
+  // The next incarnation may have carried out the command; the next poll tells.
+  const BackendHandle latest = backends_.Latest(aBackend);
+  Backend& backend = backends_.At(latest);
   if (backend.hasEnded_) {
     return;
   }
   const TimePoint now = clock_.Now();
-  ReadClock(backend, aResult);
+  const bool fromNext = latest == aBackend && SuspectRestart(latest, aSent, aResult);
+  if (latest == aBackend && !fromNext) {
+    ReadClock(backend, aResult);
+  }
   BackendRun* run = backend.FindRun(aRun);
+  if (aResult.outcome_ != CommandOutcome::Unknown) {
+    ForgetLateStart(backend.entry_.id_, aRun);
+  }
   switch (aResult.outcome_) {
     case CommandOutcome::Done:
       backend.startsWithoutResponse_ = 0;
       if (run) {
         run->everConfirmed_ = true;
+        run->confirmedByNext_ = fromNext;
         run->confirmedAt_ = now;
         run->phase_ = run->phase_ == RunPhase::Stopping ? run->phase_ : RunPhase::Running;
       }
@@ -252,45 +264,66 @@
       fenced_ = true;
       return;
     case CommandOutcome::OtherIncarnation:
-      EndIncarnation(aBackend, "another incarnation answers");
+      if (latest == aBackend) {
+        EndIncarnation(aBackend, "another incarnation answers");
+      } else {
+        DropRun(latest, aRun, "");
+      }
       return;
     case CommandOutcome::Unknown:
-      if (run && !run->everConfirmed_) {
-        run->phase_ = RunPhase::Uncertain;
-        Stop(aBackend, *run);
-      }
-      backend.nextPollAt_ = now;
-      // A single response may be lost on the network; several in a row indicate a fault of the
-      // backend server.
-      if (++backend.startsWithoutResponse_ > 1) {
-        const auto pause = kNoResponseBackoff * (backend.startsWithoutResponse_ - 1);
-        backend.ejectedUntil_ = now + std::min<milliseconds>(pause, kEjectionTime);
-      }
+      OnStartUnanswered(latest, run);
       return;
     default:
-      Log(LogLevel::Info,
-          "run.refused",
-          { { "task", aRun.task_ },
-            { "run", aRun.run_ },
-            { "backend", backend.entry_.id_ },
-            { "outcome", static_cast<int>(aResult.outcome_) } });
-      if (aResult.outcome_ == CommandOutcome::TargetNotFound) {
-        backend.unresponsiveSince_ = backend.failedPolls_ == 0 ? now : backend.unresponsiveSince_;
-        ++backend.failedPolls_;
-        backend.nextPollAt_ = now;
-      }
-      if (aResult.outcome_ == CommandOutcome::InvalidTicket && onInvalidTicket_ && run &&
-          run->task_) {
-        onInvalidTicket_(jobs_.IdOf(*run->task_).StepText(), backend.entry_.id_);
-      }
-      if (aResult.outcome_ == CommandOutcome::Refused) {
-        backend.ejectedUntil_ = now + kRefusedBackoff;
-      }
-      DropRun(aBackend, aRun, "");
+      OnStartRefused(latest, aRun, aResult);
       return;
   }
 }
 
+void
+RunTracker::OnStartUnanswered(BackendHandle aBackend, BackendRun* aRun)
+{
+  Backend& backend = backends_.At(aBackend);
+  const TimePoint now = clock_.Now();
+  if (aRun && !aRun->everConfirmed_) {
+    lateStarts_[backend.entry_.id_].push_back(LateStart{ *aRun, BackendHandle{} });
+    aRun->phase_ = RunPhase::Uncertain;
+    Stop(aBackend, *aRun);
+  }
+  backend.nextPollAt_ = now;
+  // A single response may be lost on the network; several in a row indicate a fault of the
+  // backend server.
+  if (++backend.startsWithoutResponse_ > 1) {
+    const auto pause = kNoResponseBackoff * (backend.startsWithoutResponse_ - 1);
+    backend.ejectedUntil_ = now + std::min<milliseconds>(pause, kEjectionTime);
+  }
+}
+
+void
+RunTracker::OnStartRefused(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  const TimePoint now = clock_.Now();
+  const BackendRun* run = backend.FindRun(aRun);
+  Log(LogLevel::Info,
+      "run.refused",
+      { { "task", aRun.task_ },
+        { "run", aRun.run_ },
+        { "backend", backend.entry_.id_ },
+        { "outcome", static_cast<int>(aResult.outcome_) } });
+  if (aResult.outcome_ == CommandOutcome::TargetNotFound) {
+    backend.unresponsiveSince_ = backend.failedPolls_ == 0 ? now : backend.unresponsiveSince_;
+    ++backend.failedPolls_;
+    backend.nextPollAt_ = now;
+  }
+  if (aResult.outcome_ == CommandOutcome::InvalidTicket && onInvalidTicket_ && run && run->task_) {
+    onInvalidTicket_(jobs_.IdOf(*run->task_).StepText(), backend.entry_.id_);
+  }
+  if (aResult.outcome_ == CommandOutcome::Refused) {
+    backend.ejectedUntil_ = now + kRefusedBackoff;
+  }
+  DropRun(aBackend, aRun, "");
+}
+
 void
 RunTracker::Stop(BackendHandle aBackend, BackendRun& aRun)
 {
@@ -300,20 +333,24 @@
   Backend& backend = backends_.At(aBackend);
   const RunId id = aRun.id_;
   const std::weak_ptr<bool> alive = alive_;
-  commands_.Stop(StopCommand{ backend.Address(), id, fencingToken_ },
-                 [this, alive, aBackend, id](const CommandResult& aResult) {
-                   if (alive.lock()) {
-                     OnStopped(aBackend, id, aResult);
-                   }
-                 });
+  commands_.Stop(
+    StopCommand{ backend.Address(), id, fencingToken_ },
+    [this, alive, aBackend, id, sent = aRun.stopSentAt_](const CommandResult& aResult) {
+      if (alive.lock()) {
+        OnStopped(aBackend, id, sent, aResult);
+      }
+    });
 }
 
 void
-RunTracker::OnStopped(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult)
+RunTracker::OnStopped(BackendHandle aBackend,
+                      const RunId& aRun,
+                      TimePoint aSent,
+                      const CommandResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
-  if (backend.hasEnded_) {
-    return;
+  if (backend.hasEnded_ || SuspectRestart(aBackend, aSent, aResult)) {
+    return; // The next incarnation gets its own stop command.
   }
   ReadClock(backend, aResult);
   if (aResult.outcome_ == CommandOutcome::Fenced) {
@@ -323,8 +360,14 @@
     EndIncarnation(aBackend, "another incarnation answers");
     return;
   }
+  if (aResult.outcome_ != CommandOutcome::Done) {
+    return;
+  }
+  if (LateStart* late = FindLateStart(backend.entry_.id_, aRun)) {
+    late->stoppedOn_ = aBackend;
+  }
   BackendRun* run = backend.FindRun(aRun);
-  if (!run || aResult.outcome_ != CommandOutcome::Done) {
+  if (!run) {
     return;
   }
   run->stopDone_ = true;
@@ -417,6 +460,7 @@
   const TimePoint now = clock_.Now();
   const BackendRun* run = backend.FindRun(aEnd.run_);
   UpdateFailureStreak(backend, run, aEnd);
+  ForgetLateStart(backend.entry_.id_, aEnd.run_);
   TaskId id;
   TaskRef ref;
   if (!TaskId::Parse(aEnd.run_.task_, id) || !jobs_.Locate(id, ref)) {
@@ -455,6 +499,7 @@
 RunTracker::Tick()
 {
   const TimePoint now = clock_.Now();
+  ForgetOldLateStarts();
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
     Backend& backend = backends_.At(handle);
