Start all members of a group with one checkpoint

Each task kept the checkpoint that was last learned of it, and each start carried that of its own task.

A group has one checkpoint, kept at its first task like its attempts: the one learned last. The order of two members' values of one run is not known, and all of an earlier run are older. Progress records of earlier releases have one for each member; the first is taken for all. The format stays.

Checked in passing: only the active run of a task sets its checkpoint, so an older run cannot replace a newer value.

--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -38,7 +38,7 @@
   BackendHandle backend_;        ///< Backend server of the active run.
   BackendHandle avoidedBackend_; ///< Backend server where the last run failed or got stuck.
   TimePoint startedAt_{};        ///< Start of the active run.
-  std::string checkpoint_;
+  std::string checkpoint_;       ///< A group has one for all tasks, at its first.
   /// Numbers of failed runs; each uses one attempt, also if its end is reported twice.
   std::vector<int64_t> failedRuns_;
 };
@@ -129,6 +129,15 @@
   /// Returns a task to waiting because its active run is gone without a result.
   void Release(const TaskRef& aRef, const std::string& aCheckpoint);
 
+  /// @returns The newest known checkpoint of a task, or of its group; empty if there is none.
+  const std::string& CheckpointOf(const TaskRef& aRef)
+  {
+    return At(FirstOfGroup(aRef)).checkpoint_;
+  }
+
+  /// Sets the checkpoint of a task, or of its group, from a record.
+  void RestoreCheckpoint(const TaskRef& aRef, const std::string& aCheckpoint);
+
   /// Marks a task as done; all tasks of its step if they form a group.
   void Finish(const TaskRef& aRef, TimePoint aNow);
 
@@ -157,6 +166,8 @@
 
 private:
   void MarkDone(Step& aStep, Task& aTask);
+  /// @returns The first task of a group; any other task itself.
+  TaskRef FirstOfGroup(TaskRef aRef) const;
   void OpenOccurrence(Job& aJob);
 
   std::vector<std::unique_ptr<Job>> jobs_;
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -207,7 +207,7 @@
     }
     for (const json& row : aRecord.at("checkpoints")) {
       if (const auto ref = locate(row, row.at(2))) {
-        row.at(3).get_to(aTable.At(*ref).checkpoint_);
+        aTable.RestoreCheckpoint(*ref, row.at(3).get<std::string>());
       }
     }
     aRecord.at("started").get_to(job.started_);
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -144,12 +144,28 @@
   --StepOf(aRef).active_;
   task.phase_ = TaskPhase::Waiting;
   task.backend_ = BackendHandle{};
-  if (!aCheckpoint.empty() && aCheckpoint != task.checkpoint_) {
-    task.checkpoint_ = aCheckpoint;
+  std::string& checkpoint = At(FirstOfGroup(aRef)).checkpoint_;
+  if (!aCheckpoint.empty() && aCheckpoint != checkpoint) {
+    checkpoint = aCheckpoint;
     Touch(aRef.job_);
   }
 }
 
+void
+JobTable::RestoreCheckpoint(const TaskRef& aRef, const std::string& aCheckpoint)
+{
+  // Earlier releases stored one for each task of a group; any of them is valid for all.
+  std::string& checkpoint = At(FirstOfGroup(aRef)).checkpoint_;
+  checkpoint = checkpoint.empty() ? aCheckpoint : checkpoint;
+}
+
+TaskRef
+JobTable::FirstOfGroup(TaskRef aRef) const
+{
+  aRef.index_ = SpecOf(aRef).gang_ ? 0 : aRef.index_;
+  return aRef;
+}
+
 void
 JobTable::MarkDone(Step& aStep, Task& aTask)
 {
@@ -208,9 +224,7 @@
   Job& job = *jobs_[aRef.job_];
   const StepSpec& spec = job.spec_.steps_[aRef.step_];
   // All tasks of a group fail together; the attempts are counted at its first task.
-  TaskRef counted = aRef;
-  counted.index_ = spec.gang_ ? 0 : aRef.index_;
-  auto& runs = At(counted).failedRuns_;
+  auto& runs = At(FirstOfGroup(aRef)).failedRuns_;
   if (std::find(runs.begin(), runs.end(), aRun) != runs.end()) {
     return false;
   }
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -200,7 +200,7 @@
   command.to_ = backend.Address();
   command.run_ = run.id_;
   command.payload_ = jobs_.At(aTask.job_).spec_.payload_;
-  command.checkpoint_ = jobs_.At(aTask).checkpoint_;
+  command.checkpoint_ = jobs_.CheckpointOf(aTask);
   command.ticket_ = aTicket;
   command.deadline_ = run.deadline_;
   command.fencingToken_ = fencingToken_;
