--- a/standins/checkpoint_ledger.cpp
+++ b/standins/checkpoint_ledger.cpp
@@ -18,7 +18,7 @@
 std::string
 CheckpointLedger::Save(const std::string& aTask, double aProgress)
 {
-  const std::string checkpoint = "checkpoint-" + std::to_string(saved_.size() + 1);
+  std::string checkpoint = "checkpoint-" + std::to_string(saved_.size() + 1);
   saved_[checkpoint] = Saved{ aTask, aProgress };
   return checkpoint;
 }
