Test a late start on a server whose host was down in between

Host control shows the host as down, so the incarnation ends without a next one; its id comes back later. The memory of starts without a response must outlive that.

--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -98,6 +98,12 @@
   Publish(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_));
 }
 
+void
+SimulatedFleet::SetHostState(const std::string& aPool, size_t aIndex, HostState aState)
+{
+  hosts_.at(HostOf(aPool, aIndex)).state_ = aState;
+}
+
 std::string
 SimulatedFleet::HostOf(const std::string& aPool, size_t aIndex) const
 {
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -86,6 +86,9 @@
   /// Writes the registry entry of a backend server, as its next heartbeat does.
   void PublishEntry(const std::string& aPool, size_t aIndex);
 
+  /// Changes the state of a host in host control's list only.
+  void SetHostState(const std::string& aPool, size_t aIndex, HostState aState);
+
   /// Removes a host permanently, even while it is down for maintenance.
   void RemoveHost(const std::string& aPool, size_t aIndex);
   void SetDraining(const std::string& aPool, size_t aIndex);
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -194,6 +194,21 @@
   EXPECT_TRUE(HasRun(1));
 }
 
+// The same if host control has shown the server as gone in between.
+TEST_P(RestartTest, LateStartDoesNotRunAfterItsHostWasDown)
+{
+  Begin(1);
+  SubmitToLateServer(1, seconds(6));
+  world_.Cancel("births", JobId(1));
+  Server(0).unresponsive_ = true;
+  world_.Fleet().SetHostState("births", 0, HostState::Down);
+  world_.Run(seconds(2));
+  world_.Fleet().SetHostState("births", 0, HostState::Up);
+  Restart(0, true);
+  Server(0).unresponsive_ = false;
+  EXPECT_FALSE(world_.RunUntil([this] { return HasRun(1); }, seconds(8)));
+}
+
 // A run that may still begin on the next incarnation must be stopped there, not only dropped.
 TEST_P(RestartTest, UnansweredStopIsRepeatedOnTheNextIncarnation)
 {
