Stop no serving task only since its start was not answered

A start without an answer was followed by a stop at once: eight of these runs are listed as stopped by the next leader, the job is not cancelled, and no more than 3 may be drained. Ruled out: DrainBackend counts such tasks and stops 3 at most; StopStuckRuns leaves continuous tasks out; host moves need an empty host. Not ruled out by a log line of its own: the stop after a start without an answer is not logged. Change: for steps with an availability budget the run stays uncertain after an unanswered start. A poll lists it, or its deadline (1.5 s) passes and it is started again.

--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -256,8 +256,14 @@
       return;
     case CommandOutcome::Unknown:
       if (run && !run->everConfirmed_) {
-        run->phase_ = RunPhase::Uncertain;
-        Stop(aBackend, *run);
+        // A stop could end a task that serves already, beyond the availability budget of its step.
+        // A poll or the deadline of the start shows whether it runs.
+        const bool hasBudget = run->task_ && jobs_.SpecOf(*run->task_).maxUnavailable_ > 0;
+        if (!hasBudget) {
+          Stop(aBackend, *run);
+        } else if (run->phase_ != RunPhase::Stopping) {
+          run->phase_ = RunPhase::Uncertain;
+        }
       }
       backend.nextPollAt_ = now;
       // A single response may be lost on the network; several in a row indicate a fault of the
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -261,7 +261,12 @@
   }
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone] {
     Server* reached = fleet.FindReachable(aOrder.to_);
-    aDone(reached ? fleet.StartOn(*reached, aOrder) : CommandResult());
+    const CommandResult result = reached ? fleet.StartOn(*reached, aOrder) : CommandResult();
+    if (reached && reached->behaviour_.losesAnswers_) {
+      fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(CommandResult()); });
+      return;
+    }
+    aDone(result);
   });
 }
 
@@ -372,7 +377,7 @@
   const bool disconnected = disconnected_;
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, disconnected] {
     Server* server = disconnected ? nullptr : fleet.FindReachable(aOrder.to_);
-    if (!server) {
+    if (!server || server->behaviour_.losesAnswers_) {
       fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(PollResult()); });
       return;
     }
@@ -541,7 +546,7 @@
       }
       const auto done = server.pendingPolls_[index].done_;
       server.pendingPolls_.erase(server.pendingPolls_.begin() + static_cast<ptrdiff_t>(index));
-      const bool unresponsive = server.behaviour_.unresponsive_;
+      const bool unresponsive = server.behaviour_.unresponsive_ || server.behaviour_.losesAnswers_;
       const PollResult pollResult = MakePollResult(server);
       events_.ScheduleAfter(kLatency, [done, pollResult, unresponsive] {
         done(unresponsive ? PollResult() : pollResult);
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -34,6 +34,7 @@
   {
     bool unresponsive_ = false; ///< Neither receives nor answers commands.
     bool delaysStarts_ = false; ///< Executes start commands one second late without answering them.
+    bool losesAnswers_ = false; ///< Executes starts, but answers neither them nor polls.
     bool failsAll_ = false;     ///< Every task fails.
     bool hangs_ = false;        ///< Tasks make no progress.
     double slowdown_ = 1.0;
