--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -319,8 +319,14 @@
   const TimePoint now = clock_.Now();
   if (aRun && !aRun->everConfirmed_) {
     lateStarts_[backend.entry_.id_].push_back(LateStart{ *aRun, BackendHandle{} });
-    aRun->phase_ = RunPhase::Uncertain;
-    Stop(aBackend, *aRun);
+    // A stop could end a task that serves already, beyond the availability budget of its step. A
+    // poll or the deadline of the start shows whether it runs.
+    const bool hasBudget = aRun->task_ && jobs_.SpecOf(*aRun->task_).maxUnavailable_ > 0;
+    if (!hasBudget) {
+      Stop(aBackend, *aRun);
+    } else if (aRun->phase_ != RunPhase::Stopping) {
+      aRun->phase_ = RunPhase::Uncertain;
+    }
   }
   backend.nextPollAt_ = now;
   // A single response may be lost on the network; several in a row indicate a fault of the
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -304,7 +304,12 @@
   }
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone] {
     Server* reached = fleet.FindReachable(aOrder.to_);
-    aDone(reached ? fleet.StartOn(*reached, aOrder) : CommandResult());
+    const CommandResult result = reached ? fleet.StartOn(*reached, aOrder) : CommandResult();
+    if (reached && reached->behaviour_.losesAnswers_) {
+      fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(CommandResult()); });
+      return;
+    }
+    aDone(result);
   });
 }
 
@@ -417,7 +422,7 @@
   const bool disconnected = disconnected_;
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, disconnected] {
     Server* server = disconnected ? nullptr : fleet.FindReachable(aOrder.to_);
-    if (!server || server->behaviour_.losesPolls_) {
+    if (!server || server->behaviour_.losesPolls_ || server->behaviour_.losesAnswers_) {
       fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(PollResult()); });
       return;
     }
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -42,8 +42,9 @@
     bool losesPolls_ = false; ///< Polls have no effect and get no answer.
     /// All responses name the incarnation, not only lists of runs and registry entries.
     bool alwaysNamesIncarnation_ = false;
-    bool failsAll_ = false; ///< Every task fails.
-    bool hangs_ = false;    ///< Tasks make no progress.
+    bool losesAnswers_ = false; ///< Executes starts, but answers neither them nor polls.
+    bool failsAll_ = false;     ///< Every task fails.
+    bool hangs_ = false;        ///< Tasks make no progress.
     double slowdown_ = 1.0;
   };
 
--- a/standins/simulated_runs.cpp
+++ b/standins/simulated_runs.cpp
@@ -122,7 +122,7 @@
       }
       const auto done = server.pendingPolls_[index].done_;
       server.pendingPolls_.erase(server.pendingPolls_.begin() + static_cast<ptrdiff_t>(index));
-      const bool unresponsive = server.behaviour_.unresponsive_;
+      const bool unresponsive = server.behaviour_.unresponsive_ || server.behaviour_.losesAnswers_;
       const PollResult pollResult = MakePollResult(server);
       events_.ScheduleAfter(kLatency, [done, pollResult, unresponsive] {
         done(unresponsive ? PollResult() : pollResult);
