Move what restarts do to the known incarnations beside the restarts

Change: CheckRestart, EndReplacedBy and EndReplacedIncarnations move to run_restarts.cpp, unchanged.

--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace sardinespoke {
 
@@ -98,68 +97,6 @@
   EndReplacedIncarnations();
 }
 
-void
-RunTracker::CheckRestart(BackendHandle aBackend, const BackendEntry& aEntry)
-{
-  Backend& backend = backends_.At(aBackend);
-  backend.registered_ = true;
-  if (backend.successor_ && backend.successor_->startTimeMs_ == aEntry.startTimeMs_) {
-    return;
-  }
-  // An entry may come from another writer: only the answer to a poll shows that its runs are gone.
-  backend.successor_ = aEntry;
-  backend.recorded_ = backend.recorded_ && backend.entry_.address_ == aEntry.address_;
-  backend.entry_.address_ = aEntry.address_;
-  backend.verified_ = false;
-  SendPoll(aBackend);
-}
-
-void
-RunTracker::EndReplacedBy(BackendHandle aBackend)
-{
-  const BackendEntry newer = backends_.At(aBackend).entry_;
-  const auto live = backends_.Live();
-  for (const BackendHandle handle : live) {
-    const BackendEntry& entry = backends_.At(handle).entry_;
-    const bool samePlace =
-      entry.address_ == newer.address_ || (!entry.host_.empty() && entry.host_ == newer.host_);
-    if (samePlace && entry.startTimeMs_ != 0 && entry.startTimeMs_ < newer.startTimeMs_) {
-      EndIncarnation(handle, "a newer backend server has its host or address");
-    }
-  }
-}
-
-void
-RunTracker::EndReplacedIncarnations()
-{
-  // A host or an address has one backend server at a time; a newer one that answers means that the
-  // earlier one has ended. An entry alone may come from another writer.
-  std::unordered_map<std::string, int64_t> newest;
-  const auto recordStart = [&newest](const std::string& aPlace, int64_t aStartTimeMs) {
-    int64_t& startTimeMs = newest[aPlace];
-    startTimeMs = std::max(startTimeMs, aStartTimeMs);
-  };
-  for (const BackendHandle handle : backends_.Live()) {
-    const Backend& backend = backends_.At(handle);
-    if (!backend.registered_ || !backend.verified_) {
-      continue;
-    }
-    recordStart(backend.entry_.address_, backend.entry_.startTimeMs_);
-    if (!backend.entry_.host_.empty()) {
-      recordStart(backend.entry_.host_, backend.entry_.startTimeMs_);
-    }
-  }
-  const auto live = backends_.Live();
-  for (const BackendHandle handle : live) {
-    const BackendEntry& entry = backends_.At(handle).entry_;
-    const bool replaced = newest[entry.address_] > entry.startTimeMs_ ||
-                          (!entry.host_.empty() && newest[entry.host_] > entry.startTimeMs_);
-    if (entry.startTimeMs_ != 0 && replaced) {
-      EndIncarnation(handle, "a newer backend server has its host or address");
-    }
-  }
-}
-
 bool
 RunTracker::IsUsable(const Backend& aBackend) const
 {
