Read a job's outcome before the rows of its progress

One damaged row of a progress record ended the reading before the cancel, and the next leader took the job for an open one. Change: started, cancelled and failed are read first. The comment of DecodeProgress says what is applied. Result: DamagedProgressKeepsTheCancel fails before and passes now.

--- a/include/sardinespoke/job_record.h
+++ b/include/sardinespoke/job_record.h
@@ -21,7 +21,7 @@
 EncodeProgress(const Job& aJob);
 
 /// Applies a progress record to a newly decoded job.
-/// @returns False if the text is not a progress record; the job is then unchanged.
+/// @returns False if the text is not a whole progress record; what precedes the error is applied.
 bool
 DecodeProgress(const std::string& aText, JobTable& aTable, uint32_t aJob);
 
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -224,6 +224,10 @@
                        aIndex.get<uint32_t>() };
       return aTable.Locate(id, ref) ? std::optional<TaskRef>(ref) : std::nullopt;
     };
+    // First, so that a damaged row does not bring a cancelled job back.
+    aRecord.at("started").get_to(job.started_);
+    aRecord.at("cancelled").get_to(job.cancelled_);
+    aRecord.at("failed").get_to(job.failed_);
     for (const json& row : aRecord.at("done")) {
       for (const json& index : row.at(2)) {
         if (const auto ref = locate(row, index)) {
@@ -241,9 +245,6 @@
         aTable.RestoreCheckpoint(*ref, row.at(3).get<std::string>());
       }
     }
-    aRecord.at("started").get_to(job.started_);
-    aRecord.at("cancelled").get_to(job.cancelled_);
-    aRecord.at("failed").get_to(job.failed_);
   });
 }
 
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -146,6 +146,20 @@
   EXPECT_TRUE(world_.RunUntil([this] { return world_.Starts() == 52; }, seconds(2)));
 }
 
+// The same before the leader knows the live server, which was then ignored for good.
+TEST_F(OddEntryTest, SeenFirstUnderALiveServersIdDoesNotBarIt)
+{
+  world_.AddPool("births", 4, kHost);
+  const std::string own = world_.Store().Records().at("registry/backend-1").value_;
+  Publish(Entry("backend-1", "10.0.0.1:1"));
+  world_.Configure();
+  world_.Run(seconds(1));
+  world_.Store().Put("registry/backend-1", own);
+  world_.Run(seconds(1));
+  Fill("births", 4, milliseconds(5000));
+  EXPECT_TRUE(world_.RunUntil([this] { return world_.Starts() == 64; }, seconds(2)));
+}
+
 // A host was maintained while its tasks ran: an entry that names it hid its backend server.
 TEST_F(OddEntryTest, ThatNamesAHostDoesNotHideItsServer)
 {
@@ -244,6 +258,20 @@
   return DecodeJob(aText, spec, policy, accepted);
 }
 
+// A damaged row of a progress record brought a cancelled job back.
+TEST(OddJobRecord, DamagedProgressKeepsTheCancel)
+{
+  JobTable table;
+  const JobSpec spec = StoredJob().spec_;
+  const uint32_t index = table.Add(spec, QueuePolicy(), TimePoint{}, milliseconds(0));
+  EXPECT_FALSE(DecodeProgress(
+    R"({"id":"1","started":true,"cancelled":true,"failed":false,"done":[["a"]],"failed_runs":[],
+        "checkpoints":[]})",
+    table,
+    index));
+  EXPECT_TRUE(table.At(index).cancelled_);
+}
+
 // Numbers of a stored job that no caller can have handed in must not be used.
 TEST(OddJobRecord, NumbersOutOfRangeAreRefused)
 {
