--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -26,6 +26,7 @@
   Backend& backend = backends_.At(aBackend);
   backend.registered_ = true;
   if (backend.successor_ && backend.successor_->startTimeMs_ == aEntry.startTimeMs_) {
+    backend.successor_ = aEntry;
     return;
   }
   // An entry may come from another writer: only the answer to a poll shows that its runs are gone.
@@ -108,7 +109,9 @@
   const BackendHandle next = backends_.Add(aEntry);
   Backend& earlier = backends_.At(aBackend);
   Backend& backend = backends_.At(next);
-  backend.registered_ = earlier.registered_;
+  // It may be of another kind, so that it gets no work before the registry lists it.
+  backend.registered_ = earlier.registered_ && earlier.successor_ &&
+                        earlier.successor_->startTimeMs_ == aEntry.startTimeMs_;
   backend.unreconciled_ = earlier.unreconciled_;
   backend.leaseEnd_ = now + WithClockDrift(kStartDeadline);
   if (earlier.unreconciled_) {
@@ -133,6 +136,10 @@
   backend.recorded_ = earlier.recorded_ && earlier.entry_.address_ == backend.entry_.address_;
   earlier.recorded_ = false;
   EndIncarnation(aBackend, aReason);
+  if (aEntry.startTimeMs_ < earlier.entry_.startTimeMs_) {
+    // Another writer's entry had named a later start: it must not bar the real backend server.
+    endedIncarnations_.erase(aEntry.id_);
+  }
   earlier.next_ = next;
   for (BackendRun& run : backend.runs_) {
     if (run.phase_ == RunPhase::Uncertain || run.phase_ == RunPhase::Stopping) {
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -241,7 +241,7 @@
       }
       return;
     case CommandOutcome::Unknown:
-      OnStartUnanswered(latest, run);
+      OnStartUnanswered(aBackend, run);
       return;
     default:
       OnStartRefused(latest, aRun, aResult);
@@ -252,15 +252,17 @@
 void
 RunTracker::OnStartUnanswered(BackendHandle aBackend, BackendRun* aRun)
 {
-  Backend& backend = backends_.At(aBackend);
+  const BackendHandle latest = backends_.Latest(aBackend);
+  Backend& backend = backends_.At(latest);
   const TimePoint now = clock_.Now();
   if (aRun && !aRun->everConfirmed_) {
     lateStarts_[backend.entry_.id_].push_back(LateStart{ *aRun, BackendHandle{} });
     // A stop could end a task that serves already, beyond the availability budget of its step. A
-    // poll or the deadline of the start shows whether it runs.
+    // poll or the deadline of the start shows whether it runs; on a later incarnation the deadline
+    // shows nothing.
     const bool hasBudget = aRun->task_ && jobs_.SpecOf(*aRun->task_).maxUnavailable_ > 0;
-    if (!hasBudget) {
-      Stop(aBackend, *aRun);
+    if (!hasBudget || latest != aBackend) {
+      Stop(latest, *aRun);
     } else if (aRun->phase_ != RunPhase::Stopping) {
       aRun->phase_ = RunPhase::Uncertain;
     }
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -108,6 +108,39 @@
   EXPECT_EQ(world_.Fleet().Starts(), 3U);
 }
 
+// A task must not wait for a deadline on the earlier clock. Fault: its step had an availability
+// budget, so that its lost start was not stopped.
+TEST_P(RestartTest, LostStartOfATaskWithABudgetIsRepeated)
+{
+  Begin(1);
+  Server(0).delaysStarts_ = true;
+  Server(0).startDelay_ = seconds(60);
+  StepSpec step = Tasks(1);
+  step.continuous_ = true;
+  step.maxUnavailable_ = 1;
+  EXPECT_EQ(world_.Submit("births", JobId(1), step).kind_, JobResponseKind::Accepted);
+  world_.Run(milliseconds(50));
+  Restart(0, true);
+  Server(0).delaysStarts_ = false;
+  EXPECT_TRUE(world_.RunUntil([this] { return HasRun(1); }, seconds(5)));
+}
+
+// The next incarnation may be smaller: it gets no work before its entry is known.
+TEST_P(RestartTest, NextIncarnationGetsNoWorkBeforeItsEntry)
+{
+  Begin(1);
+  Restart(0, false);
+  Submit(1, milliseconds(1));
+  world_.Run(seconds(2));
+  ASSERT_EQ(world_.StateOf("births", JobId(1)), JobState::Done);
+  const size_t starts = world_.Starts();
+  Submit(2);
+  world_.Run(seconds(1));
+  EXPECT_EQ(world_.Starts(), starts);
+  world_.Fleet().PublishEntry("births", 0);
+  EXPECT_TRUE(world_.RunUntil([this] { return HasRun(2); }, seconds(3)));
+}
+
 // A start whose stop the earlier incarnation acknowledged must not run on the next one.
 TEST_P(RestartTest, LateStartDoesNotRunOnTheNextIncarnation)
 {
