--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -1,3 +1,4 @@
+#include "job_steps.h"
 #include "job_world.h"
 
 #include <gtest/gtest.h>
@@ -12,23 +13,12 @@
 constexpr char kJob[] = "00000000000000a1";
 const std::string kLeaderKey = std::string(JobJournal::kPrefix) + "leader";
 
-StepSpec
-Tasks(uint32_t aCount, milliseconds aEstimate)
-{
-  StepSpec step;
-  step.taskCount_ = aCount;
-  step.cpuMilli_ = 1000;
-  step.memoryMb_ = 1000;
-  step.estimate_ = aEstimate;
-  return step;
-}
-
 class CancelTest : public testing::Test
 {
 protected:
   void SetUp() override
   {
-    world_.AddPool(kPool, 4, Resources{ 16000, 65536, 0 });
+    world_.AddPool(kPool, 4, kHost);
     world_.Configure();
     world_.Run(seconds(1));
   }
