--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -1,7 +1,7 @@
+#include "no_commands.h"
 #include "raw_server.h"
 
 #include "plain_fleet_format.h"
-#include "sardinespoke/backend_commands.h"
 #include "sardinespoke/entry_node.h"
 #include "sardinespoke/steady_clock.h"
 
@@ -31,19 +31,6 @@
   std::vector<Done> kept_;
 };
 
-/// Ignores all commands: without a leader none is sent in these tests.
-class NoCommands final : public BackendCommandsI
-{
-public:
-  void Start(const StartCommand&, OnResult) override {}
-  void Stop(const StopCommand&, OnResult) override {}
-  void Throttle(const ThrottleCommand&, OnResult) override {}
-  void Poll(const PollCommand&, OnPollResult) override {}
-  void ChangeHost(const HostCommand&, OnResult) override {}
-  void ListHosts(OnHosts) override {}
-  void Advise(const AdviceQuery&, OnAdvice) override {}
-};
-
 class PlainCodec final : public CallerCodecI
 {
 public:
--- a/tests/job_journal_test.cpp
+++ b/tests/job_journal_test.cpp
@@ -1,3 +1,4 @@
+#include "no_commands.h"
 #include "sardinespoke/job_journal.h"
 
 #include "sardinespoke/manual_clock.h"
@@ -51,18 +52,6 @@
   int64_t revision_ = 0;
 };
 
-class NoCommands final : public BackendCommandsI
-{
-public:
-  void Start(const StartCommand&, OnResult) override {}
-  void Stop(const StopCommand&, OnResult) override {}
-  void Throttle(const ThrottleCommand&, OnResult) override {}
-  void Poll(const PollCommand&, OnPollResult) override {}
-  void ChangeHost(const HostCommand&, OnResult) override {}
-  void ListHosts(OnHosts) override {}
-  void Advise(const AdviceQuery&, OnAdvice) override {}
-};
-
 std::string
 JobId(uint32_t aNumber)
 {
