--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -243,6 +243,10 @@
 {
   Backend& backend = backends_.At(aBackend);
   std::vector<RunId> gone;
+  const TimePoint now = clock_.Now();
+  const auto age = [now](TimePoint aThen) {
+    return std::chrono::duration_cast<milliseconds>(now - aThen).count();
+  };
   for (const BackendRun& run : backend.runs_) {
     const bool isListed = std::find(aListed.begin(), aListed.end(), run.id_) != aListed.end();
     if (isListed) {
@@ -255,15 +259,21 @@
                          run.phase_ != RunPhase::Starting && !run.everConfirmed_;
     if (seenBefore || stopped || expired) {
       gone.push_back(run.id_);
+      Log(LogLevel::Info,
+          "run.gone",
+          { { "task", run.id_.task_ },
+            { "run", run.id_.run_ },
+            { "backend", backend.entry_.id_ },
+            { "reason", seenBefore ? "listed before" : (stopped ? "stopped" : "deadline over") },
+            { "start_age_ms", age(run.sentAt_) },
+            { "poll_age_ms", age(aSent) },
+            { "ends_listed", aResult.ended_.size() } });
       if (!run.everConfirmed_ && !FindLateStart(backend.entry_.id_, run.id_)) {
         lateStarts_[backend.entry_.id_].push_back(LateStart{ run, aBackend });
       }
     }
   }
   for (const RunId& id : gone) {
-    Log(LogLevel::Info,
-        "run.gone",
-        { { "task", id.task_ }, { "run", id.run_ }, { "backend", backend.entry_.id_ } });
     DropRun(aBackend, id, "");
   }
 }
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -25,6 +25,12 @@
 // Run numbers for each leader: its fencing token forms the upper bits of the number.
 constexpr int64_t kRunsPerFencingToken = 1 << 20;
 
+int64_t
+MillisecondsBetween(TimePoint aFrom, TimePoint aTo)
+{
+  return std::chrono::duration_cast<milliseconds>(aTo - aFrom).count();
+}
+
 }
 
 RunTracker::RunTracker(JobTable& aJobs,
@@ -452,6 +458,16 @@
   }
   if (aEnd.kind_ == RunOutcome::Done) {
     const Task& task = jobs_.At(ref);
+    if (task.phase_ != TaskPhase::Done && task.run_ != aEnd.run_.run_) {
+      Log(LogLevel::Warn,
+          "run.done_after_release",
+          { { "task", aEnd.run_.task_ },
+            { "run", aEnd.run_.run_ },
+            { "backend", backend.entry_.id_ },
+            { "known_there", run != nullptr },
+            { "active", task.phase_ == TaskPhase::Active },
+            { "latest_run", task.run_ } });
+    }
     if (task.phase_ == TaskPhase::Active && task.run_ != aEnd.run_.run_) {
       Backend& other = backends_.At(task.backend_);
       if (BackendRun* second = other.FindRun(RunId{ aEnd.run_.task_, task.run_ })) {
@@ -485,7 +501,11 @@
     if (unresponsive && now > backend.leaseEnd_ && !backend.runs_.empty()) {
       Log(LogLevel::Info,
           "backend.lapsed",
-          { { "backend", backend.entry_.id_ }, { "runs", backend.runs_.size() } });
+          { { "backend", backend.entry_.id_ },
+            { "runs", backend.runs_.size() },
+            { "failed_polls", backend.failedPolls_ },
+            { "lease_over_ms", MillisecondsBetween(backend.leaseEnd_, now) },
+            { "last_answer_ms", MillisecondsBetween(backend.answeredPollSentAt_, now) } });
       while (!backend.runs_.empty()) {
         const RunId id = backend.runs_.back().id_;
         DropRun(handle, id, "");
