Reproduce TWICE by responses that arrive while the process runs late

The test fails on the current code: none of 10 responses that had arrived 0.5 s before the client's next turn is read; all calls end as Unknown.

--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -174,6 +174,40 @@
   EXPECT_EQ(SendRequest(std::move(call)).outcome_, HttpOutcome::Unknown);
 }
 
+// A response that has arrived must be read even if the process runs late. TWICE: an overloaded
+// leader timed out the lists of runs that backend servers had sent, and started their tasks again.
+TEST_F(HttpMultiTest, ReadsAnArrivedResponseAfterItsTimeout)
+{
+  std::atomic<bool> held{ true };
+  const RawServer server([&held](const std::string&, size_t) {
+    RawReply reply{ RawResponse("{}") };
+    reply.holdWhile_ = [&held] { return held.load(); };
+    return reply;
+  });
+  constexpr uint32_t kCalls = 10;
+  uint32_t ended = 0;
+  uint32_t answered = 0;
+  for (uint32_t index = 0; index < kCalls; ++index) {
+    HttpCall call = CallTo(server.Address());
+    call.maxConnections_ = kCalls;
+    call.timeout_ = milliseconds(1000);
+    http_.Send(std::move(call), [&](const HttpReply& aReply) {
+      ++ended;
+      answered += aReply.outcome_ == HttpOutcome::Answered ? 1 : 0;
+    });
+    while (server.Requests().size() <= index && ended == 0) {
+      http_.Run(milliseconds(1));
+    }
+  }
+  EXPECT_EQ(ended, 0U);
+  held = false;
+  std::this_thread::sleep_for(milliseconds(1500));
+  while (ended < kCalls) {
+    http_.Run(milliseconds(10));
+  }
+  EXPECT_EQ(answered, kCalls);
+}
+
 // A request must not be resent if a persistent connection breaks before the response.
 TEST_F(HttpMultiTest, SendsOnceWhenAKeptConnectionBreaks)
 {
