Read a response that has arrived before a call times out

Cause: a leader at its processor limit calls the HTTP client late. libcurl compares a call's timeout with the clock before it reads the socket, so that a response that had arrived in time was thrown away and the call ended without an answer.

Ruled out: a change of leader (one fencing token in all runs), a start that was carried out although refused, a run given up because a list did not name it (the lines of the traced tasks are backend.silent, 18 polls in a row without an answer, backend.lapsed), a lease counted too short (the server's clock had passed the deadline when the run was given up).

Change: calls have deadlines of our own, from when the request is sent; at a deadline the socket is read once more before the call ends. libcurl gets no timeout.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,8 +21,10 @@
   std::string target_;               ///< Path and query.
   std::vector<std::string> headers_; ///< "Name: value".
   std::string body_;
-  std::chrono::milliseconds timeout_{ 1000 }; ///< From sending to the complete response.
-  uint32_t maxConnections_ = 3;               ///< To this authority; further calls are queued.
+  /// From sending to the complete response. A response that has arrived by then is read, however
+  /// late Run() is called.
+  std::chrono::milliseconds timeout_{ 1000 };
+  uint32_t maxConnections_ = 3; ///< To this authority; further calls are queued.
   /// Its response is read before those of other calls, however many are ready.
   bool urgent_ = false;
 };
@@ -71,6 +74,14 @@
   void StartTransfer(std::unique_ptr<Transfer> aTransfer);
   void FinishTransfer(Transfer& aTransfer, int aCode);
   void StartNextTransfer(const std::string& aAuthority);
+  /// Sets when a call is due to end without a response.
+  void SetDeadline(Transfer& aTransfer, std::chrono::milliseconds aFromNow);
+  /// Reads what has arrived for calls that are due.
+  void ReadDueTransfers(std::chrono::steady_clock::time_point aNow);
+  void FinishCompletedTransfers();
+  void EndDueTransfers(std::chrono::steady_clock::time_point aNow);
+  /// @returns Time until libcurl's timer or the first deadline of a call; at most aWait.
+  std::chrono::milliseconds TimeUntilDue(std::chrono::milliseconds aWait) const;
   std::chrono::milliseconds TimeUntilTimer() const;
   void ProcessSockets(std::chrono::milliseconds aWait);
   void ProcessUrgentSockets();
@@ -97,6 +108,7 @@
   bool hasTimer_ = false;
   std::chrono::steady_clock::time_point timer_{}; ///< When libcurl's timeout is due.
   std::map<Transfer*, std::unique_ptr<Transfer>> active_;
+  std::set<std::pair<std::chrono::steady_clock::time_point, Transfer*>> deadlines_;
   std::map<std::string, AuthorityQueue> authorityQueues_;
   std::vector<void*> idleHandles_;
 };
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -32,9 +33,12 @@
 
 struct HttpMulti::Transfer
 {
+  HttpMulti* owner_ = nullptr;
   HttpCall call_;
   Done done_;
   CURL* easy_ = nullptr;
+  int socket_ = -1; ///< Watched for this call; -1 if there is none.
+  std::chrono::steady_clock::time_point deadline_{};
   curl_slist* headers_ = nullptr;
   std::string body_;
 
@@ -49,13 +53,22 @@
   {
     // libcurl resends a request on a new connection if a persistent one breaks before the response,
     // but the server may already have processed the first.
-    if (static_cast<Transfer*>(aSelf)->WasSent()) {
+    auto* self = static_cast<Transfer*>(aSelf);
+    if (self->WasSent()) {
       return CURL_SOCKET_BAD;
     }
+    self->owner_->SetDeadline(*self, kConnectTimeout);
     const int type = aAddress->socktype | SOCK_CLOEXEC; // NOLINT(hicpp-signed-bitwise)
     return socket(aAddress->family, type, aAddress->protocol);
   }
 
+  static int BeforeRequest(void* aSelf, char*, char*, int, int)
+  {
+    auto* self = static_cast<Transfer*>(aSelf);
+    self->owner_->SetDeadline(*self, self->call_.timeout_);
+    return CURL_PREREQFUNC_OK;
+  }
+
   static size_t Receive(char* aData, size_t aSize, size_t aCount, void* aSelf)
   {
     auto* self = static_cast<Transfer*>(aSelf);
@@ -121,6 +134,11 @@
 HttpMulti::OnSocket(void* aEasy, int aSocket, int aWhat, void* aSelf, void*)
 {
   auto* self = static_cast<HttpMulti*>(aSelf);
+  Transfer* transfer = nullptr;
+  curl_easy_getinfo(static_cast<CURL*>(aEasy), CURLINFO_PRIVATE, &transfer);
+  if (transfer) {
+    transfer->socket_ = aWhat == CURL_POLL_REMOVE ? -1 : aSocket;
+  }
   if (aWhat == CURL_POLL_REMOVE) {
     // Stays in the epoll set, since most connections are reused soon.
     self->sockets_[aSocket].inUse_ = false;
@@ -128,8 +146,6 @@
   }
   const uint32_t in = aWhat != CURL_POLL_OUT ? uint32_t{ EPOLLIN } : 0U;
   const uint32_t out = aWhat != CURL_POLL_IN ? uint32_t{ EPOLLOUT } : 0U;
-  Transfer* transfer = nullptr;
-  curl_easy_getinfo(static_cast<CURL*>(aEasy), CURLINFO_PRIVATE, &transfer);
   self->WatchSocket(aSocket, in | out, transfer && transfer->call_.urgent_);
   return 0;
 }
@@ -231,7 +247,7 @@
   // Sends new calls before the responses that are ready take their time. It may also end calls,
   // whose callbacks must not wait.
   auto wait = ProcessTimer() ? std::chrono::milliseconds(0) : aWait;
-  wait = hasTimer_ ? std::min(wait, TimeUntilTimer()) : wait;
+  wait = TimeUntilDue(wait);
   std::array<epoll_event, kMaxEventsPerWait> events{};
   const int count = epoll_wait(
     epollFd_, events.data(), static_cast<int>(events.size()), static_cast<int>(wait.count()));
@@ -252,12 +268,84 @@
   ProcessTimer();
 }
 
+std::chrono::milliseconds
+HttpMulti::TimeUntilDue(std::chrono::milliseconds aWait) const
+{
+  std::chrono::milliseconds wait = hasTimer_ ? std::min(aWait, TimeUntilTimer()) : aWait;
+  if (!deadlines_.empty()) {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      deadlines_.begin()->first - std::chrono::steady_clock::now());
+    wait = std::clamp(left, std::chrono::milliseconds(0), wait);
+  }
+  return wait;
+}
+
+void
+HttpMulti::SetDeadline(Transfer& aTransfer, std::chrono::milliseconds aFromNow)
+{
+  deadlines_.erase({ aTransfer.deadline_, &aTransfer });
+  aTransfer.deadline_ = std::chrono::steady_clock::now() + aFromNow;
+  deadlines_.emplace(aTransfer.deadline_, &aTransfer);
+}
+
+void
+HttpMulti::ReadDueTransfers(std::chrono::steady_clock::time_point aNow)
+{
+  std::vector<pollfd> due;
+  for (const auto& [deadline, transfer] : deadlines_) {
+    if (deadline > aNow) {
+      break;
+    }
+    const auto watched = sockets_.find(transfer->socket_);
+    if (watched == sockets_.end()) {
+      continue;
+    }
+    const auto events = static_cast<short>(watched->second.registered_ & (EPOLLIN | EPOLLOUT));
+    due.push_back(pollfd{ transfer->socket_, events, 0 });
+  }
+  if (due.empty() || poll(due.data(), due.size(), 0) <= 0) {
+    return;
+  }
+  for (const pollfd& ready : due) {
+    if (ready.revents != 0) {
+      ProcessSocket(ready.fd, static_cast<uint32_t>(ready.revents));
+    }
+  }
+}
+
+void
+HttpMulti::FinishCompletedTransfers()
+{
+  int left = 0;
+  std::vector<std::pair<Transfer*, int>> ended;
+  while (const CURLMsg* message = curl_multi_info_read(static_cast<CURLM*>(multi_), &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    Transfer* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    ended.emplace_back(transfer, message->data.result);
+  }
+  for (const auto& [transfer, code] : ended) {
+    FinishTransfer(*transfer, code);
+  }
+}
+
+void
+HttpMulti::EndDueTransfers(std::chrono::steady_clock::time_point aNow)
+{
+  while (!deadlines_.empty() && deadlines_.begin()->first <= aNow) {
+    FinishTransfer(*deadlines_.begin()->second, CURLE_OPERATION_TIMEDOUT);
+  }
+}
+
 void
 HttpMulti::Send(HttpCall aCall, Done aDone)
 {
   auto transfer = std::make_unique<Transfer>();
   transfer->call_ = std::move(aCall);
   transfer->done_ = std::move(aDone);
+  transfer->owner_ = this;
   AuthorityQueue& lane = authorityQueues_[transfer->call_.authority_];
   if (lane.active_ >= transfer->call_.maxConnections_) {
     lane.waiting_.push_back(std::move(transfer));
@@ -295,8 +383,8 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long{ CURL_HTTP_VERSION_1_1 });
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(kConnectTimeout.count()));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout_.count()));
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::BeforeRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Transfer::OpenSocket);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpMulti::OnClose);
@@ -312,8 +400,9 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body_.size()));
   }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
-  curl_multi_add_handle(static_cast<CURLM*>(multi_), easy);
+  SetDeadline(transfer, kConnectTimeout);
   active_.emplace(&transfer, std::move(aTransfer));
+  curl_multi_add_handle(static_cast<CURLM*>(multi_), easy);
 }
 
 void
@@ -322,6 +411,7 @@
   const auto found = active_.find(&aTransfer);
   const std::unique_ptr<Transfer> transfer = std::move(found->second);
   active_.erase(found);
+  deadlines_.erase({ transfer->deadline_, transfer.get() });
   HttpReply reply;
   if (aCode == CURLE_OK) {
     reply.outcome_ = HttpOutcome::Answered;
@@ -363,19 +453,11 @@
 HttpMulti::Run(std::chrono::milliseconds aWait)
 {
   ProcessSockets(aWait);
-  int left = 0;
-  std::vector<std::pair<Transfer*, int>> ended;
-  while (const CURLMsg* message = curl_multi_info_read(static_cast<CURLM*>(multi_), &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    Transfer* transfer = nullptr;
-    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-    ended.emplace_back(transfer, message->data.result);
-  }
-  for (const auto& [transfer, code] : ended) {
-    FinishTransfer(*transfer, code);
-  }
+  // libcurl ends a call at its timeout even if the response has arrived, so it is given none.
+  const auto now = std::chrono::steady_clock::now();
+  ReadDueTransfers(now);
+  FinishCompletedTransfers();
+  EndDueTransfers(now);
 }
 
 void
