Never resend a request over another kept connection

Cause: libcurl resends a request whose persistent connection broke before the response. Only the opening of a new socket was refused. With another idle connection to the same server none is opened, so the request was sent again and its second response counted as the first. Seen in the new tests: the server read 2 requests for 1 call, and the call ended as Answered.

Ruled out: that libcurl takes a fresh connection for the second attempt, as its message says; the test opens two connections and no third.

Change: the pre-request callback, which libcurl runs before each attempt over any connection, refuses one if bytes of the call were already sent. One rule for all methods. An attempt that failed before its first byte may still be repeated, and a kept connection that the server had closed before is still replaced, which a new test shows (it also passed before). The refusal closes the idle connection that libcurl had chosen.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -43,8 +43,8 @@
 };
 
 /// HTTP client for many concurrent calls on one thread, based on libcurl's multi interface and
-/// epoll, with persistent connections. No request is sent again on a new connection. The cost of
-/// Run() depends on the number of ready sockets, not of pending calls.
+/// epoll, with persistent connections. No request is sent again, neither on a new connection nor on
+/// a kept one. The cost of Run() depends on the number of ready sockets, not of pending calls.
 class HttpMulti
 {
 public:
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -49,10 +49,8 @@
   static curl_socket_t OpenSocket(void* aSelf, curlsocktype, curl_sockaddr* aAddress)
   {
     auto* self = static_cast<Transfer*>(aSelf);
-    // libcurl resends a request on a new connection if a persistent one breaks before the response,
-    // but the server may already have processed the first.
     if (self->WasSent()) {
-      return CURL_SOCKET_BAD;
+      return CURL_SOCKET_BAD; // See OnPreRequest().
     }
     const int type = aAddress->socktype | SOCK_CLOEXEC; // NOLINT(hicpp-signed-bitwise)
     const int opened = socket(aAddress->family, type, aAddress->protocol);
@@ -61,6 +59,14 @@
     return opened;
   }
 
+  /// Refuses a second attempt, also over a kept connection.
+  static int OnPreRequest(void* aSelf, char*, char*, int, int)
+  {
+    // libcurl resends a request over another connection if a persistent one breaks before the
+    // response, but the server may already have processed the first.
+    return static_cast<Transfer*>(aSelf)->WasSent() ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  }
+
   static size_t Receive(char* aData, size_t aSize, size_t aCount, void* aSelf)
   {
     auto* self = static_cast<Transfer*>(aSelf);
@@ -305,6 +311,8 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout_.count()));
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Transfer::OpenSocket);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::OnPreRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpMulti::OnClose);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::Receive);
--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -166,6 +166,35 @@
     EXPECT_EQ(server.Connections(), kCalls);
   }
 
+  /// @returns A response that is sent when two requests have arrived.
+  static RawReply RespondToTwoAtOnce(std::atomic<size_t>& aArrived)
+  {
+    ++aArrived;
+    RawReply reply{ RawResponse("{}") };
+    reply.holdWhile_ = [&aArrived] { return aArrived < 2; };
+    return reply;
+  }
+
+  /// Makes two kept connections to a server that uses RespondToTwoAtOnce().
+  void KeepTwoConnections(const RawServer& aServer)
+  {
+    ASSERT_EQ(CountOutcomes(CallTo(aServer.Address()), 2, HttpOutcome::Answered), 2U);
+    ASSERT_EQ(aServer.Connections(), 2U);
+  }
+
+  void ExpectOneSendWhenAKeptConnectionBreaks(const char* aMethod)
+  {
+    std::atomic<size_t> arrived{ 0 };
+    const RawServer server([&arrived](const std::string&, size_t aIndex) {
+      return aIndex == 2 ? RawReply{ "", true } : RespondToTwoAtOnce(arrived);
+    });
+    KeepTwoConnections(server);
+    HttpCall call = CallTo(server.Address());
+    call.method_ = aMethod;
+    EXPECT_EQ(SendRequest(std::move(call)).outcome_, HttpOutcome::Unknown);
+    EXPECT_EQ(server.Requests().size(), 3U);
+  }
+
   /// @returns CPU time of many sequential calls.
   milliseconds CpuTimeOfCalls(const std::string& aAuthority)
   {
@@ -310,6 +339,34 @@
   ExpectAnswersAfterFailedConnects(CallTo(""), urgent);
 }
 
+// A request must not be resent over another kept connection either. Fault: libcurl opened no socket
+// for the second attempt, which could have been refused.
+TEST_F(HttpMultiTest, SendsOnceWhenOneOfTwoKeptConnectionsBreaks)
+{
+  ExpectOneSendWhenAKeptConnectionBreaks("POST");
+}
+
+// As before, with a request that could be repeated.
+TEST_F(HttpMultiTest, SendsAGetOnceWhenOneOfTwoKeptConnectionsBreaks)
+{
+  ExpectOneSendWhenAKeptConnectionBreaks("GET");
+}
+
+// A call must be answered, and sent once, if the server had closed the kept connections before.
+TEST_F(HttpMultiTest, AnswersAfterTheServerClosedKeptConnections)
+{
+  std::atomic<size_t> arrived{ 0 };
+  const RawServer server([&arrived](const std::string&, size_t) {
+    RawReply reply = RespondToTwoAtOnce(arrived);
+    reply.close_ = true;
+    return reply;
+  });
+  KeepTwoConnections(server);
+  std::this_thread::sleep_for(milliseconds(100)); // Until the server has closed both.
+  EXPECT_EQ(SendRequest(CallTo(server.Address())).outcome_, HttpOutcome::Answered);
+  EXPECT_EQ(server.Requests().size(), 3U);
+}
+
 // A request to a closed port must count as not sent.
 TEST_F(HttpMultiTest, ReportsRequestsThatWereNotSent)
 {
