--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -51,20 +51,27 @@
 
   static curl_socket_t OpenSocket(void* aSelf, curlsocktype, curl_sockaddr* aAddress)
   {
-    // libcurl resends a request on a new connection if a persistent one breaks before the response,
-    // but the server may already have processed the first.
     auto* self = static_cast<Transfer*>(aSelf);
     if (self->WasSent()) {
-      return CURL_SOCKET_BAD;
+      return CURL_SOCKET_BAD; // See OnPreRequest().
     }
     self->owner_->SetDeadline(*self, kConnectTimeout);
     const int type = aAddress->socktype | SOCK_CLOEXEC; // NOLINT(hicpp-signed-bitwise)
-    return socket(aAddress->family, type, aAddress->protocol);
+    const int opened = socket(aAddress->family, type, aAddress->protocol);
+    // libcurl closes a socket that is still connecting without OnClose(); epoll forgot it then.
+    self->owner_->sockets_.erase(opened);
+    return opened;
   }
 
-  static int BeforeRequest(void* aSelf, char*, char*, int, int)
+  /// Begins the time limit of the response; refuses a second attempt, also over a kept connection.
+  static int OnPreRequest(void* aSelf, char*, char*, int, int)
   {
+    // libcurl resends a request over another connection if a persistent one breaks before the
+    // response, but the server may already have processed the first.
     auto* self = static_cast<Transfer*>(aSelf);
+    if (self->WasSent()) {
+      return CURL_PREREQFUNC_ABORT;
+    }
     self->owner_->SetDeadline(*self, self->call_.timeout_);
     return CURL_PREREQFUNC_OK;
   }
@@ -383,10 +390,10 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long{ CURL_HTTP_VERSION_1_1 });
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::BeforeRequest);
-  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Transfer::OpenSocket);
   curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::OnPreRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpMulti::OnClose);
   curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::Receive);
