Test late reading of many and of long responses, and the wait of Run()

The re-read of calls that are due (ReadDueTransfers) and the wait until the first deadline had no test: without either line all 15 tests of HttpMulti passed. Without ReadDueTransfers() the test with 300 calls fails, without the deadline in the wait the last one.

--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <ctime>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -323,6 +324,99 @@
   EXPECT_EQ(answered, kCalls);
 }
 
+// As before, with a response that takes more than one read.
+TEST_F(HttpMultiTest, ReadsAnArrivedLongResponseAfterItsTimeout)
+{
+  constexpr size_t kBytes = 60000;
+  std::atomic<bool> held{ true };
+  const RawServer server([&held](const std::string&, size_t) {
+    RawReply reply{ RawResponse(std::string(kBytes, 'a')) };
+    reply.holdWhile_ = [&held] { return held.load(); };
+    return reply;
+  });
+  HttpCall call = CallTo(server.Address());
+  call.timeout_ = milliseconds(1000);
+  bool ended = false;
+  HttpReply reply;
+  http_.Send(std::move(call), [&](const HttpReply& aReply) {
+    ended = true;
+    reply = aReply;
+  });
+  while (server.Requests().empty() && !ended) {
+    http_.Run(milliseconds(1));
+  }
+  EXPECT_FALSE(ended);
+  held = false;
+  std::this_thread::sleep_for(milliseconds(1500));
+  while (!ended) {
+    http_.Run(milliseconds(10));
+  }
+  EXPECT_EQ(reply.outcome_, HttpOutcome::Answered);
+  EXPECT_EQ(reply.body_.size(), kBytes);
+}
+
+// As before, with more responses than one turn of the client fetches events for. The two tests above
+// pass without ReadDueTransfers(), since the sockets are read before calls end.
+TEST_F(HttpMultiTest, ReadsManyArrivedResponsesAfterTheirTimeout)
+{
+  std::atomic<bool> held{ true };
+  const RawServer server([&held](const std::string&, size_t) {
+    RawReply reply{ RawResponse("{}") };
+    reply.holdWhile_ = [&held] { return held.load(); };
+    return reply;
+  });
+  constexpr uint32_t kCalls = 300;
+  uint32_t ended = 0;
+  uint32_t answered = 0;
+  for (uint32_t index = 0; index < kCalls; ++index) {
+    HttpCall call = CallTo(server.Address());
+    call.maxConnections_ = kCalls;
+    call.timeout_ = seconds(4);
+    http_.Send(std::move(call), [&](const HttpReply& aReply) {
+      ++ended;
+      answered += aReply.outcome_ == HttpOutcome::Answered ? 1 : 0;
+    });
+    while (server.Requests().size() <= index && ended == 0) {
+      http_.Run(milliseconds(1));
+    }
+  }
+  ASSERT_EQ(ended, 0U);
+  held = false;
+  std::this_thread::sleep_for(milliseconds(4500));
+  while (ended < kCalls) {
+    http_.Run(milliseconds(10));
+  }
+  EXPECT_EQ(answered, kCalls);
+}
+
+// A call must not end before it was begun because Run() is called late.
+TEST_F(HttpMultiTest, SendsACallThatRunBeginsLate)
+{
+  const RawServer server([](const std::string&, size_t) { return RawReply{ RawResponse("{}") }; });
+  std::optional<HttpOutcome> outcome;
+  http_.Send(CallTo(server.Address()), [&](const HttpReply& aReply) { outcome = aReply.outcome_; });
+  std::this_thread::sleep_for(milliseconds(600)); // Longer than the time limit of connecting.
+  while (!outcome) {
+    http_.Run(milliseconds(10));
+  }
+  EXPECT_EQ(*outcome, HttpOutcome::Answered);
+}
+
+// A long wait must end when a call is due.
+TEST_F(HttpMultiTest, WaitsNoLongerThanUntilACallIsDue)
+{
+  const UnresponsiveServer silent;
+  HttpCall call = CallTo(silent.Address());
+  call.timeout_ = milliseconds(700); // No timer of libcurl ends then.
+  bool ended = false;
+  http_.Send(std::move(call), [&](const HttpReply&) { ended = true; });
+  const auto begin = std::chrono::steady_clock::now();
+  while (!ended) {
+    http_.Run(seconds(5));
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, seconds(2));
+}
+
 // A request must not be resent if a persistent connection breaks before the response.
 TEST_F(HttpMultiTest, SendsOnceWhenAKeptConnectionBreaks)
 {
