Give up a silent backend server's runs only after a poll past its lease

The task was started elsewhere, then the list was read that named the run as done. The same on a link so slow that lists arrive after their poll's timeout, and in a new leader that waits for the backend servers of an earlier one (UnreconciledServices).

Ruled out: that the deadlines of calls alone cure it.

Change: a lease counts as over once a poll that was sent after its end got no answer; such a list would have named what lapsed. Evidence of host control is not held up by this.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -78,6 +78,7 @@
   TimePoint nextPollAt_{};
   TimePoint nextIdlePollAt_{};     ///< Next poll because of starts without a response only.
   TimePoint answeredPollSentAt_{}; ///< Send time of the newest poll with a response.
+  TimePoint failedPollSentAt_{};   ///< Send time of the newest poll without a response.
   TimePoint leaseEnd_{};           ///< No run outlives this unless the lease is renewed.
   int64_t clock_ = 0;              ///< Its clock in ms as read at clockAt_.
   TimePoint clockAt_{};
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -148,7 +148,7 @@
   void ForgetLateStart(const std::string& aBackend, const RunId& aRun);
   void ForgetOldLateStarts();
   void OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult);
-  void OnPollFailed(BackendHandle aBackend, const PollResult& aResult);
+  void OnPollFailed(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
   void ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
   void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent);
   void Confirm(BackendRun& aRun, const RunningTask& aRunning);
@@ -163,6 +163,9 @@
   /// @returns The incarnation that has answered a poll.
   BackendHandle FollowRestart(BackendHandle aBackend, const CommandResult& aResult);
   bool NeedsPoll(const Backend& aBackend) const;
+  /// @returns True if all runs of a backend server have lapsed and a poll sent after that got no
+  /// response. The responses to earlier ones may not have been read yet.
+  bool IsLeaseOver(const Backend& aBackend) const;
 
   JobTable& jobs_;
   BackendTable& backends_;
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -28,13 +28,19 @@
 {
   const bool mayStartLate = lateStarts_.count(aBackend.entry_.id_) > 0;
   if (!aBackend.verified_) {
-    return aBackend.registered_ || mayStartLate || clock_.Now() <= aBackend.leaseEnd_;
+    return aBackend.registered_ || mayStartLate || !IsLeaseOver(aBackend);
   }
   return (mayStartLate && clock_.Now() >= aBackend.nextIdlePollAt_) || !aBackend.runs_.empty() ||
          aBackend.endsStored_ > aBackend.endsAcknowledged_ ||
          (aBackend.failedPolls_ > 0 && aBackend.registered_);
 }
 
+bool
+RunTracker::IsLeaseOver(const Backend& aBackend) const
+{
+  return clock_.Now() > aBackend.leaseEnd_ && aBackend.failedPollSentAt_ > aBackend.leaseEnd_;
+}
+
 void
 RunTracker::SendPoll(BackendHandle aBackend)
 {
@@ -91,9 +97,10 @@
 }
 
 void
-RunTracker::OnPollFailed(BackendHandle aBackend, const PollResult& aResult)
+RunTracker::OnPollFailed(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
+  backend.failedPollSentAt_ = std::max(backend.failedPollSentAt_, aSent);
   if (aResult.outcome_ == CommandOutcome::Fenced) {
     fenced_ = true;
     return;
@@ -124,7 +131,7 @@
     return;
   }
   if (aResult.outcome_ != CommandOutcome::Done) {
-    OnPollFailed(aPolled, aResult);
+    OnPollFailed(aPolled, aSent, aResult);
     return;
   }
   const BackendHandle current = FollowRestart(aPolled, aResult);
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -118,7 +118,7 @@
   std::set<std::string> services;
   for (const BackendHandle handle : backends_.Live()) {
     const Backend& backend = backends_.At(handle);
-    if (backend.unreconciled_ && clock_.Now() <= backend.leaseEnd_) {
+    if (backend.unreconciled_ && !IsLeaseOver(backend)) {
       services.insert(backend.entry_.service_);
     }
   }
@@ -498,7 +498,7 @@
   for (const BackendHandle handle : live) {
     Backend& backend = backends_.At(handle);
     const bool unresponsive = backend.failedPolls_ > 0 || !backend.verified_;
-    if (unresponsive && now > backend.leaseEnd_ && !backend.runs_.empty()) {
+    if (unresponsive && IsLeaseOver(backend) && !backend.runs_.empty()) {
       Log(LogLevel::Info,
           "backend.lapsed",
           { { "backend", backend.entry_.id_ },
@@ -511,7 +511,7 @@
         DropRun(handle, id, "");
       }
     }
-    if (!backend.registered_ && backend.runs_.empty() && now > backend.leaseEnd_ && unresponsive) {
+    if (!backend.registered_ && backend.runs_.empty() && IsLeaseOver(backend) && unresponsive) {
       EndIncarnation(handle, "gone from the registry and unresponsive");
       // The incarnation may return: only its lease has expired.
       endedIncarnations_.erase(backends_.At(handle).entry_.id_);
