Do not set a backend server's clock back by an answer read late

The deadlines of the next starts and renewals were early by the delay, so that starts were refused as too late and leases lapsed.

Ruled out: ignoring every lower reading; a clock that stood still would then be thought ahead for good and leases longer than counted. A reading that is below the lower bound at the time of sending is taken as before.

--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -159,7 +159,7 @@
                      const PollResult& aResult,
                      const std::vector<RunId>& aListed);
   void DropRun(BackendHandle aBackend, const RunId& aRun, const std::string& aCheckpoint);
-  void ReadClock(Backend& aBackend, const CommandResult& aResult);
+  void ReadClock(Backend& aBackend, TimePoint aSent, const CommandResult& aResult);
   /// @returns The incarnation that has answered a poll.
   BackendHandle FollowRestart(BackendHandle aBackend, const CommandResult& aResult);
   bool NeedsPoll(const Backend& aBackend) const;
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -137,7 +137,7 @@
   const BackendHandle current = FollowRestart(aPolled, aResult);
   const TimePoint now = clock_.Now();
   Backend& backend = backends_.At(current);
-  ReadClock(backend, aResult);
+  ReadClock(backend, aSent, aResult);
   if (backend.restartSuspectedAt_ && aSent >= *backend.restartSuspectedAt_) {
     backend.restartSuspectedAt_.reset();
     changed_ = true;
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -193,13 +193,18 @@
 }
 
 void
-RunTracker::ReadClock(Backend& aBackend, const CommandResult& aResult)
+RunTracker::ReadClock(Backend& aBackend, TimePoint aSent, const CommandResult& aResult)
 {
-  if (aResult.clock_ == 0) {
+  const TimePoint now = clock_.Now();
+  // A response that was read late tells less than what is known. One that contradicts it is of a
+  // new incarnation, or the clock has stood still.
+  const bool isLate = aResult.clock_ < aBackend.ClockNow(now) &&
+                      aResult.clock_ >= aBackend.ClockNow(aSent) && !aBackend.restartSuspectedAt_;
+  if (aResult.clock_ == 0 || (aBackend.clock_ != 0 && isLate)) {
     return;
   }
   aBackend.clock_ = aResult.clock_;
-  aBackend.clockAt_ = clock_.Now();
+  aBackend.clockAt_ = now;
 }
 
 void
@@ -217,7 +222,7 @@
   const TimePoint now = clock_.Now();
   const bool fromNext = latest == aBackend && SuspectRestart(latest, aSent, aResult);
   if (latest == aBackend && !fromNext) {
-    ReadClock(backend, aResult);
+    ReadClock(backend, aSent, aResult);
   }
   BackendRun* run = backend.FindRun(aRun);
   if (aResult.outcome_ != CommandOutcome::Unknown) {
@@ -336,7 +341,7 @@
   if (backend.hasEnded_ || SuspectRestart(aBackend, aSent, aResult)) {
     return; // The next incarnation gets its own stop command.
   }
-  ReadClock(backend, aResult);
+  ReadClock(backend, aSent, aResult);
   if (aResult.outcome_ == CommandOutcome::Fenced) {
     fenced_ = true;
   }
--- a/tests/run_lapse_test.cpp
+++ b/tests/run_lapse_test.cpp
@@ -124,7 +124,8 @@
   commands_.startClock_ = clockMs_;
   runs_.Start(task_, backend_, runs_.NextRun());
   const TimePoint begin = clock_.Now();
-  while (jobs_.At(task_).phase_ == TaskPhase::Active && clock_.Now() - begin < milliseconds(10000)) {
+  while (jobs_.At(task_).phase_ == TaskPhase::Active &&
+         clock_.Now() - begin < milliseconds(10000)) {
     Advance(milliseconds(50));
     runs_.Tick();
     if (!commands_.held_.empty()) {
@@ -152,5 +153,17 @@
   EXPECT_GE(backend.ClockNow(clock_.Now()), known);
 }
 
+// The known clock must follow a backend server whose clock has stood still: a deadline ahead of it
+// would be a longer lease than the leader counts.
+TEST_F(RunLapseTest, AClockThatStoodStillIsReadAgain)
+{
+  commands_.startClock_ = clockMs_;
+  runs_.Start(task_, backend_, runs_.NextRun());
+  clock_.Advance(milliseconds(3000));
+  runs_.Tick();
+  Answer(ListAt(clockMs_));
+  EXPECT_LE(backends_.At(backend_).ClockNow(clock_.Now()), clockMs_);
+}
+
 }
 }
