Test that starts keep to a capacity that changes

A backend server's capacity may now shrink and grow while it runs. The simulated fleet gets a call for that; its check counts accelerators as well and compares with the present capacity.

Entries whose capacity changes while their start time stays are read (platform_codec_test).

--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -98,6 +98,18 @@
   Publish(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_));
 }
 
+void
+SimulatedFleet::SetCapacity(const std::string& aPool,
+                            size_t aIndex,
+                            Resources aCapacity,
+                            bool aPublishes)
+{
+  servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_).entry_.capacity_ = aCapacity;
+  if (aPublishes) {
+    PublishEntry(aPool, aIndex);
+  }
+}
+
 void
 SimulatedFleet::SetHostState(const std::string& aPool, size_t aIndex, HostState aState)
 {
@@ -194,6 +206,12 @@
   return count;
 }
 
+size_t
+SimulatedFleet::RunsOn(const std::string& aPool, size_t aIndex) const
+{
+  return servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_).runs_.size();
+}
+
 void
 SimulatedFleet::RecordViolation(size_t& aCounter, const std::string& aWhat)
 {
@@ -273,9 +291,11 @@
   for (const Run& other : aServer.runs_) {
     sum.cpuMilli_ += other.shape_.resources_.cpuMilli_;
     sum.memoryMb_ += other.shape_.resources_.memoryMb_;
+    sum.accelerators_ += other.shape_.resources_.accelerators_;
   }
   const Resources& room = aServer.entry_.capacity_;
-  if (sum.cpuMilli_ > room.cpuMilli_ || sum.memoryMb_ > room.memoryMb_) {
+  if (sum.cpuMilli_ > room.cpuMilli_ || sum.memoryMb_ > room.memoryMb_ ||
+      sum.accelerators_ > room.accelerators_) {
     RecordViolation(violations_.overCapacity_, aServer.entry_.id_ + " exceeds its capacity");
   }
   aServer.runs_.push_back(std::move(run));
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -18,7 +18,7 @@
 {
   /// Concurrent runs of one task, or starts after its end was acknowledged.
   size_t duplicateRuns_ = 0;
-  size_t overCapacity_ = 0; ///< Starts beyond the capacity of a backend server.
+  size_t overCapacity_ = 0; ///< Starts beyond the present capacity of a backend server.
   size_t tooManyDown_ = 0;  ///< Hosts that a roll-out takes down beyond its limit.
   /// Starts with a checkpoint of another task, or with another one than the rest of their gang.
   size_t wrongCheckpoints_ = 0;
@@ -87,6 +87,14 @@
   /// Writes the registry entry of a backend server, as its next heartbeat does.
   void PublishEntry(const std::string& aPool, size_t aIndex);
 
+  /// Changes the capacity of a backend server, which ends none of its runs. Host control's list and
+  /// the next backend server of the host keep the host's capacity.
+  /// @param aPublishes Whether it reaches the registry; if not, PublishEntry() shows it.
+  void SetCapacity(const std::string& aPool,
+                   size_t aIndex,
+                   Resources aCapacity,
+                   bool aPublishes = true);
+
   /// Changes the state of a host in host control's list only.
   void SetHostState(const std::string& aPool, size_t aIndex, HostState aState);
 
@@ -129,6 +137,9 @@
   size_t Maintained() const { return maintained_.size(); }
   size_t RunsOf(const std::string& aTask) const;
 
+  /// @returns Number of runs on the nth backend server of a pool.
+  size_t RunsOn(const std::string& aPool, size_t aIndex) const;
+
   /// @returns CPU limit of a task in percent; 0 if it does not run.
   uint32_t ThrottleOf(const std::string& aTask) const;
 
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -47,6 +47,27 @@
   EXPECT_FALSE(entry.draining_);
 }
 
+// A room that shrinks to nothing and grows again must be read, though the server has not restarted.
+TEST(FleetFormat, ReadsEachCapacityOfOneIncarnation)
+{
+  const std::string whole = kEntry;
+  const std::string room = R"({"cpu":16000,"mem-mb":32768,"gpu":0})";
+  const auto read = [&](const std::string& aRoom) {
+    std::string text = whole;
+    text.replace(text.find(room), room.size(), aRoom);
+    BackendEntry entry;
+    EXPECT_TRUE(FleetFormat().ReadBackend(Entry(text), entry)) << aRoom;
+    EXPECT_EQ(entry.startTimeMs_, 17);
+    return entry.capacity_;
+  };
+  const Resources shrunk = read(R"({"cpu":0,"mem-mb":1024})");
+  EXPECT_EQ(shrunk.cpuMilli_, 0);
+  EXPECT_EQ(shrunk.memoryMb_, 1024);
+  EXPECT_EQ(shrunk.accelerators_, 0);
+  EXPECT_EQ(read(R"({"cpu":8000,"mem-mb":0,"gpu":2})").accelerators_, 2);
+  EXPECT_EQ(read(room).cpuMilli_, 16000);
+}
+
 // Malformed entries must be neither used nor stop the process.
 TEST(FleetFormat, RejectsMalformedEntries)
 {
