Start nothing beside a run of unknown size

Cause: a run that belongs to no known job reserved the capacity of its backend server as it was at its adoption. If that grew afterwards, the difference counted as free, and a start went beyond the capacity, since the run may hold any part of the server.

Ruled out: a capacity of the next leader's record (the registry's entry replaces it before any start), and a run that was dropped too early (it is kept until its end is listed).

Change: the run is marked as of unknown size, and nothing fits beside it. What it adds to the figures of use is still that capacity.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -46,6 +46,7 @@
   uint32_t confirmedCpuPercent_ = 100;
   bool throttleInFlight_ = false; ///< A throttle command is in flight.
   Resources resources_;
+  bool isSizeUnknown_ = false;    ///< It may hold the whole server; resources_ is an estimate.
   bool hasLatencyTarget_ = false; ///< The task has a bound on its response times.
   bool isBestEffort_ = false;
   std::string checkpoint_;
@@ -87,6 +88,7 @@
   int64_t endsAcknowledged_ = 0;
   std::vector<BackendRun> runs_;
   Resources used_;
+  uint32_t runsOfUnknownSize_ = 0;
   TimePoint ejectedUntil_{};
   uint32_t failuresInRow_ = 0;
   uint32_t startsWithoutResponse_ = 0; ///< Consecutive starts without a response.
@@ -106,6 +108,8 @@
   bool IsFromNext(TimePoint aSent, const CommandResult& aResult) const;
 
   BackendRun* FindRun(const RunId& aRun);
+
+  /// @returns True if this much is certainly free, within its present capacity.
   bool Fits(const Resources& aNeed) const;
 };
 
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -55,7 +55,7 @@
 Backend::Fits(const Resources& aNeed) const
 {
   const Resources& all = entry_.capacity_;
-  return used_.cpuMilli_ + aNeed.cpuMilli_ <= all.cpuMilli_ &&
+  return runsOfUnknownSize_ == 0 && used_.cpuMilli_ + aNeed.cpuMilli_ <= all.cpuMilli_ &&
          used_.memoryMb_ + aNeed.memoryMb_ <= all.memoryMb_ &&
          used_.accelerators_ + aNeed.accelerators_ <= all.accelerators_;
 }
@@ -97,6 +97,7 @@
   backend.runs_.clear();
   backend.runs_.shrink_to_fit();
   backend.used_ = Resources{};
+  backend.runsOfUnknownSize_ = 0;
   live_.erase(std::remove(live_.begin(), live_.end(), aBackend), live_.end());
   const auto found = byId_.find(backend.entry_.id_);
   if (found != byId_.end() && found->second == aBackend) {
@@ -131,6 +132,7 @@
 {
   Backend& backend = At(aBackend);
   AdjustBy(backend.used_, aRun.resources_, 1);
+  backend.runsOfUnknownSize_ += aRun.isSizeUnknown_ ? 1 : 0;
   backend.runs_.push_back(std::move(aRun));
 }
 
@@ -143,6 +145,7 @@
     return;
   }
   AdjustBy(backend.used_, run->resources_, -1);
+  backend.runsOfUnknownSize_ -= run->isSizeUnknown_ ? 1 : 0;
   backend.runs_.erase(backend.runs_.begin() + (run - backend.runs_.data()));
 }
 
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -209,7 +209,8 @@
   run.sentAt_ = aSent;
   run.phase_ = RunPhase::Running;
   run.progressAt_ = now;
-  run.resources_ = backend.entry_.capacity_; // Size unknown: reserves the whole server.
+  run.resources_ = backend.entry_.capacity_;
+  run.isSizeUnknown_ = true;
   TaskId id;
   TaskRef ref;
   bool wanted = false;
@@ -217,6 +218,7 @@
     const StepSpec& spec = jobs_.SpecOf(ref);
     run.task_ = ref;
     run.resources_ = spec.Need();
+    run.isSizeUnknown_ = false;
     run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
     run.isBestEffort_ = spec.bestEffort_;
     wanted = jobs_.At(ref).phase_ == TaskPhase::Waiting && !jobs_.At(ref.job_).HasEnded();
