Count no negative free processors for a rack

Cause: a group goes to the rack with the most free processors first. A server that runs more than its shrunk capacity had a negative amount, which was taken off what the others on its rack had free, so that a group could be spread over racks though one had room for all of it.

Ruled out: the placing itself. It asks each server whether the sum fits, so that neither a negative amount nor another server's room was ever used.

Change: such a server counts as having nothing free.

--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -217,8 +217,9 @@
   std::map<std::string, int64_t> freeCpuOfRack;
   for (const BackendHandle handle : aPool) {
     const Backend& backend = backends_.At(handle);
-    freeCpuOfRack[backend.entry_.rack_] +=
-      backend.entry_.capacity_.cpuMilli_ - backend.used_.cpuMilli_;
+    // A server whose capacity has shrunk may run more than that.
+    const int64_t free = backend.entry_.capacity_.cpuMilli_ - backend.used_.cpuMilli_;
+    freeCpuOfRack[backend.entry_.rack_] += std::max<int64_t>(free, 0);
   }
   std::vector<BackendHandle> pool = aPool;
   std::stable_sort(pool.begin(), pool.end(), [&](BackendHandle aLeft, BackendHandle aRight) {
