Size pools by the present capacity of backend servers

Cause: the allocator took a serving host's processors from host control's list. Where that keeps the host's full capacity, a pool whose servers have shrunk seemed to have enough, got no host, and a task that fitted on none of them never started.

Ruled out: placing, which reads the registry's entry alone, and waiting-work figures, which name no capacity.

Change: a host with a usable backend server counts with the capacity in that server's entry. Hosts that move or are switched off still count as listed.

--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -109,6 +109,8 @@
   // A move ends the backend server, and its unacknowledged end reports would be lost with it.
   poolHost.movable_ =
     mayMove && backend.runs_.empty() && backend.endsApplied_ == backend.endsAcknowledged_;
+  // It may have shrunk; the capacity in the list of hosts need not show that.
+  poolHost.cpuMilli_ = backend.entry_.capacity_.cpuMilli_;
   poolHost.idleFor_ = backend.runs_.empty()
                         ? std::chrono::duration_cast<milliseconds>(now - backend.idleSince_)
                         : milliseconds(0);
