Test a late answer from before a restart

The simulated fleet can delay the answer to a poll that waited. Such an answer of the earlier incarnation, which arrives once the registry lists a smaller next one, lets the leader start tasks there by the earlier capacity: three starts beyond it.

--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -40,6 +40,8 @@
     std::chrono::milliseconds startDelay_{ 1000 }; ///< Delay of such a start.
     bool losesStops_ = false; ///< Stop commands have no effect and get no answer.
     bool losesPolls_ = false; ///< Polls have no effect and get no answer.
+    /// Additional time until the answer to a poll that waited for an end arrives.
+    std::chrono::milliseconds waitedPollDelay_{ 0 };
     /// All responses name the incarnation, not only lists of runs and registry entries.
     bool alwaysNamesIncarnation_ = false;
     bool losesAnswers_ = false; ///< Executes starts, but answers neither them nor polls.
--- a/standins/simulated_runs.cpp
+++ b/standins/simulated_runs.cpp
@@ -124,9 +124,9 @@
       server.pendingPolls_.erase(server.pendingPolls_.begin() + static_cast<ptrdiff_t>(index));
       const bool unresponsive = server.behaviour_.unresponsive_ || server.behaviour_.losesAnswers_;
       const PollResult pollResult = MakePollResult(server);
-      events_.ScheduleAfter(kLatency, [done, pollResult, unresponsive] {
-        done(unresponsive ? PollResult() : pollResult);
-      });
+      events_.ScheduleAfter(
+        kLatency + server.behaviour_.waitedPollDelay_,
+        [done, pollResult, unresponsive] { done(unresponsive ? PollResult() : pollResult); });
     }
   }
 }
--- a/tests/capacity_change_test.cpp
+++ b/tests/capacity_change_test.cpp
@@ -292,6 +292,27 @@
   EXPECT_EQ(RunsOn(0), 2U);
 }
 
+// The same if a late answer of the earlier incarnation arrives once the registry lists the next.
+TEST_F(CapacityChangeTest, LateAnswerDoesNotBringTheEarlierRoomBack)
+{
+  Begin(1);
+  SimulatedFleet::Behaviour& server = world_.Fleet().BehaviourOf(kPool, 0);
+  server.waitedPollDelay_ = milliseconds(500);
+  Submit(1, Tasks(1, kLong));
+  ASSERT_TRUE(Reaches(0, 1));
+  world_.Run(milliseconds(2750)); // The poll has waited and its answer is on its way.
+  world_.Fleet().SetCapacity(kPool, 0, Resources{ 1000, 1000, 0 }, false);
+  world_.Fleet().BehaviourOf(kPool, 0).losesPolls_ = true;
+  world_.Fleet().RestartInPlace(kPool, 0, true);
+  world_.Run(milliseconds(200)); // The leader reads the entry.
+  Submit(2, Tasks(3, kLong));
+  world_.Run(milliseconds(800));
+  world_.Fleet().BehaviourOf(kPool, 0).losesPolls_ = false;
+  EXPECT_TRUE(Reaches(0, 1, seconds(4)));
+  world_.Run(kSettled);
+  EXPECT_EQ(RunsOn(0), 1U);
+}
+
 // The same if its entry comes late, and the one of the earlier incarnation is written once more.
 TEST_F(CapacityChangeTest, EarlierEntryDoesNotBringItsRoomBack)
 {
