Let only a poll sent after the registry's news confirm an incarnation

Cause: when the registry lists a later incarnation, its predecessor gets no work until it has answered a poll. An answer that the predecessor gave before it ended, delayed on its way, counted as that answer, so that tasks were started by its capacity on the next incarnation, which may be smaller.

Ruled out: starts before the registry's news (the first version of the test had these; they are sent now after the leader has read the entry), and the next incarnation's own capacity, which is in use once a poll has shown it.

Change: the news counts as a suspected restart, which only the answer to a poll sent since then ends. An entry of another writer costs the same one poll as before.

--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -34,6 +34,8 @@
   backend.recorded_ = backend.recorded_ && backend.entry_.address_ == aEntry.address_;
   backend.entry_.address_ = aEntry.address_;
   backend.verified_ = false;
+  // The answer to an earlier poll may be of the incarnation that has ended.
+  backend.restartSuspectedAt_ = clock_.Now();
   SendPoll(aBackend);
 }
 
