--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -110,6 +110,8 @@
   shape.tailLatencyMs_ = step.latencyTarget_.count() / 2;
   shape.disturbedTailLatencyMs_ = step.latencyTarget_.count() * 2;
   shape.fails_ = poison_.count(id.job_) > 0;
+  const auto deadly = deadly_.find(aTask);
+  shape.crashesAfter_ = deadly == deadly_.end() ? milliseconds(0) : deadly->second;
   return shape;
 }
 
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -80,6 +80,13 @@
   /// Sets the duration of all tasks of a job; by default they take their declared duration.
   void SetDuration(const std::string& aJob, std::chrono::milliseconds aDuration);
   void SetPoison(const std::string& aJob) { poison_.insert(aJob); }
+  /// Makes a task crash each backend server that starts it.
+  /// @param aAfter Time from its start to the crash.
+  void SetDeadly(const std::string& aTask,
+                 std::chrono::milliseconds aAfter = std::chrono::milliseconds(100))
+  {
+    deadly_[aTask] = aAfter;
+  }
 
   MemoryRecordStore::Client& StoreOf(size_t aHost) { return *nodes_[aHost].store_; }
   SimulatedFleet::Client& FleetOf(size_t aHost) { return *nodes_[aHost].commands_; }
@@ -128,6 +135,7 @@
   std::map<std::string, std::vector<StepSpec>> specs_;
   std::map<std::string, std::chrono::milliseconds> durations_;
   std::set<std::string> poison_;
+  std::map<std::string, std::chrono::milliseconds> deadly_;
   std::chrono::milliseconds wall_{ 1000000 };
 };
 
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -119,20 +119,14 @@
 void
 SimulatedFleet::Crash(const std::string& aPool, size_t aIndex)
 {
-  const std::string id = hosts_.at(HostOf(aPool, aIndex)).backend_;
-  Server& server = servers_.at(id);
-  server.alive_ = false;
-  KillRuns(server);
-  FailPendingPolls(server);
-  ScheduleEntryRemoval(id);
+  EndServer(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_), kCommandTimeout);
 }
 
 void
-SimulatedFleet::FailPendingPolls(Server& aServer)
+SimulatedFleet::FailPendingPolls(Server& aServer, milliseconds aDelay)
 {
   for (PendingPoll& waiting : aServer.pendingPolls_) {
-    events_.ScheduleAfter(kCommandTimeout,
-                          [done = std::move(waiting.done_)] { done(PollResult()); });
+    events_.ScheduleAfter(aDelay, [done = std::move(waiting.done_)] { done(PollResult()); });
   }
   aServer.pendingPolls_.clear();
 }
@@ -142,7 +136,7 @@
 {
   Server& server = servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_);
   KillRuns(server);
-  FailPendingPolls(server);
+  FailPendingPolls(server, kCommandTimeout);
   Server next;
   next.entry_ = server.entry_;
   next.entry_.startTimeMs_ = static_cast<int64_t>(++nextId_);
@@ -281,6 +275,7 @@
   aServer.runs_.push_back(std::move(run));
   ExtendLease(aServer, aOrder.deadline_);
   ++starts_;
+  ++startsOf_[aOrder.run_.task_];
   return MakeResult(aServer, CommandOutcome::Done);
 }
 
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -57,8 +57,10 @@
     bool fails_ = false;
     bool isBestEffort_ = false;
     bool checkpointing_ = false;
-    bool gang_ = false;         ///< The end of one run of the step ends all with the same number.
-    int64_t tailLatencyMs_ = 0; ///< Tail latency of a task with a latency target.
+    bool gang_ = false; ///< The end of one run of the step ends all with the same number.
+    /// Time from its start to the crash of its backend server; 0: it does not crash it.
+    std::chrono::milliseconds crashesAfter_{ 0 };
+    int64_t tailLatencyMs_ = 0;          ///< Tail latency of a task with a latency target.
     int64_t disturbedTailLatencyMs_ = 0; ///< The same beside a best-effort task at full speed.
   };
   using ShapeOf = std::function<TaskShape(const std::string&)>;
@@ -80,6 +82,8 @@
 
   /// Ends a backend server immediately; its registry entry expires after three heartbeats.
   void Crash(const std::string& aPool, size_t aIndex);
+  /// Ends a backend server immediately; its host starts another one after some seconds.
+  void CrashForSeconds(const std::string& aPool, size_t aIndex);
   /// Restarts a backend server under its id: all it knew and ran is lost and its clock starts anew.
   /// @param aPublishes Whether it reaches the registry; if not, its earlier entry expires.
   void RestartInPlace(const std::string& aPool, size_t aIndex, bool aPublishes);
@@ -128,6 +132,7 @@
   size_t Polls() const { return looks_; }
   size_t Maintained() const { return maintained_.size(); }
   size_t RunsOf(const std::string& aTask) const;
+  size_t StartsOf(const std::string& aTask) const;
 
   /// @returns CPU limit of a task in percent; 0 if it does not run.
   uint32_t ThrottleOf(const std::string& aTask) const;
@@ -192,7 +197,12 @@
   void RecordViolation(size_t& aCounter, const std::string& aWhat);
   void ScheduleEntryRemoval(const std::string& aId);
   void KillRuns(Server& aServer);
-  void FailPendingPolls(Server& aServer);
+  /// Ends the backend server if one of its runs crashes it now.
+  bool CrashIfDue(Server& aServer);
+  /// @param aPollDelay When the polls that wait there fail.
+  void EndServer(Server& aServer, std::chrono::milliseconds aPollDelay);
+  void CrashForSeconds(Server& aServer);
+  void FailPendingPolls(Server& aServer, std::chrono::milliseconds aDelay);
 
   ManualClock& clock_;
   EventQueue& events_;
@@ -209,6 +219,7 @@
   CheckpointLedger checkpoints_;
   FleetViolations violations_;
   size_t starts_ = 0;
+  std::map<std::string, size_t> startsOf_;
   size_t looks_ = 0;
   size_t nextId_ = 1;
 
--- a/standins/simulated_runs.cpp
+++ b/standins/simulated_runs.cpp
@@ -9,6 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kCheckpointInterval{ 500 }; // Of work.
+constexpr milliseconds kRestartTime{ 2500 };       // Of a backend server after a crash.
 
 }
 
@@ -22,6 +23,54 @@
   }
 }
 
+void
+SimulatedFleet::EndServer(Server& aServer, milliseconds aPollDelay)
+{
+  aServer.alive_ = false;
+  KillRuns(aServer);
+  FailPendingPolls(aServer, aPollDelay);
+  ScheduleEntryRemoval(aServer.entry_.id_);
+}
+
+void
+SimulatedFleet::CrashForSeconds(Server& aServer)
+{
+  EndServer(aServer, kLatency);
+  hosts_.at(aServer.entry_.host_).backend_.clear();
+  events_.ScheduleAfter(kRestartTime, [this, host = aServer.entry_.host_] {
+    if (hosts_.count(host) > 0) {
+      Boot(host);
+    }
+  });
+}
+
+void
+SimulatedFleet::CrashForSeconds(const std::string& aPool, size_t aIndex)
+{
+  CrashForSeconds(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_));
+}
+
+bool
+SimulatedFleet::CrashIfDue(Server& aServer)
+{
+  const TimePoint now = clock_.Now();
+  const bool due = std::any_of(aServer.runs_.begin(), aServer.runs_.end(), [now](const Run& aRun) {
+    const milliseconds delay = aRun.shape_.crashesAfter_;
+    return delay > milliseconds(0) && now - aRun.begin_ >= delay;
+  });
+  if (due) {
+    CrashForSeconds(aServer);
+  }
+  return due;
+}
+
+size_t
+SimulatedFleet::StartsOf(const std::string& aTask) const
+{
+  const auto found = startsOf_.find(aTask);
+  return found == startsOf_.end() ? 0 : found->second;
+}
+
 void
 SimulatedFleet::EndRun(Server& aServer, size_t aRun, RunOutcome aKind)
 {
@@ -111,7 +160,7 @@
 SimulatedFleet::Step()
 {
   for (auto& [id, server] : servers_) {
-    if (!server.alive_) {
+    if (!server.alive_ || CrashIfDue(server)) {
       continue;
     }
     AdvanceRuns(server);
