Give up tasks that crash their backend servers

Cause: a task whose backend server crashed went back to waiting and was started on the next one at once, for ever, and the runs beside it were lost each time. Nothing counted crashes.

Ruled out: failed attempts (a crash lists no end), lost answers to starts (the starts were acknowledged; the crash came 15 to 20 ms later), a change of leader (none before the breaks).

Change: when an incarnation ends unexpectedly, tasks that have not worked there for 0.3 s on its clock are in question; their count goes up and is stored with the progress of their job. A task with a count is started apart, beside proven runs only, on at most a third of a pool. If it is alone in question at the second crash, its job fails. Evidence is weak if the rack is lost, only the lease is over, or an earlier leader began the run: then the fourth crash decides. A run started apart is marked in the record until its outcome is known, so that a later leader counts it if it is gone. 3 s of work clear a task.

Not covered: a crash of a first start that the leader has not stored when it is lost itself.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -33,6 +33,10 @@
   bool confirmedByNext_ = false;
   TimePoint sentAt_{}; ///< When the start command was sent.
   TimePoint confirmedAt_{};
+  int64_t confirmedClock_ = 0; ///< The backend server's clock in ms when it first reported it.
+  bool proven_ = false;        ///< It has worked for longer than a task that crashes its server.
+  bool isAdopted_ = false;     ///< An earlier leader started it.
+  bool isSuspect_ = false;     ///< Backend servers have crashed under its task.
   int64_t deadline_ = 0; ///< On the backend server's clock, in ms; it refuses a start after this.
   TimePoint stopSentAt_{};
   TimePoint stopDoneAt_{}; ///< When the stop was acknowledged; unset until then.
@@ -92,6 +96,8 @@
   uint32_t startsWithoutResponse_ = 0; ///< Consecutive starts without a response.
   std::string lastFailedJob_;
   TimePoint idleSince_{};
+  bool listedGone_ = false;             ///< Host control's newest list has its host without it.
+  TimePoint reservedUntil_{};           ///< Until then it is kept free for a suspect.
   uint32_t bestEffortCpuPercent_ = 100; ///< Limit of the processor time of best-effort tasks.
   TimePoint belowTargetSince_{}; ///< Since then every task was well below its latency target.
 
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -41,6 +41,10 @@
   std::string checkpoint_;       ///< A group has one for all tasks, at its first.
   /// Numbers of failed runs; each uses one attempt, also if its end is reported twice.
   std::vector<int64_t> failedRuns_;
+  /// Backend servers that crashed while it was in question; a group has one count, at its first.
+  uint32_t crashes_ = 0;
+  /// It was started although backend servers had crashed, and the outcome is not known yet.
+  bool inTrial_ = false;
 };
 
 struct Step
@@ -152,6 +156,26 @@
   /// @returns True if this was the last attempt and the job has failed.
   bool Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow);
 
+  /// @returns Backend servers that crashed while the task, or its group, was in question.
+  uint32_t CrashesOf(const TaskRef& aRef) { return At(FirstOfGroup(aRef)).crashes_; }
+
+  /// @returns True if a run of it that may crash its backend server has no known outcome yet.
+  bool IsInTrial(const TaskRef& aRef) { return At(FirstOfGroup(aRef)).inTrial_; }
+  void EndTrial(const TaskRef& aRef) { SetTrial(aRef, false); }
+
+  /// Sets the number of crashes of a task, or of its group.
+  void SetCrashes(const TaskRef& aRef, uint32_t aCrashes);
+
+  /// Sets what a record tells about the crashes of a task, or of its group.
+  void RestoreCrashes(const TaskRef& aRef, uint32_t aCrashes, bool aInTrial);
+
+  /// Ends a job as failed because of a task that crashes its backend servers.
+  /// @returns False if the job had ended before.
+  bool GiveUp(const TaskRef& aRef, TimePoint aNow);
+
+  /// @returns The first task of a group; any other task itself.
+  TaskRef FirstOfGroup(TaskRef aRef) const;
+
   /// Jobs by index; removed ones are nullptr.
   const std::vector<std::unique_ptr<Job>>& Jobs() const { return jobs_; }
 
@@ -173,8 +197,7 @@
 
 private:
   void MarkDone(Step& aStep, Task& aTask);
-  /// @returns The first task of a group; any other task itself.
-  TaskRef FirstOfGroup(TaskRef aRef) const;
+  void SetTrial(const TaskRef& aRef, bool aInTrial);
   void OpenOccurrence(Job& aJob);
 
   std::vector<std::unique_ptr<Job>> jobs_;
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -25,6 +25,23 @@
   std::chrono::milliseconds lasted_{ 0 };
 };
 
+/// Decisions on tasks that crash their backend servers since this leader took over.
+struct CrashCounts
+{
+  uint64_t attributed_ = 0; ///< Tasks in question when their backend server crashed.
+  uint64_t isolated_ = 0;   ///< Starts of suspects.
+  uint64_t cleared_ = 0;    ///< Suspects that have worked for long enough.
+  uint64_t givenUp_ = 0;    ///< Jobs that failed.
+};
+
+enum class IncarnationEnd
+{
+  Planned,   ///< Its host is moved or maintained.
+  Unplanned, ///< It has crashed, or its host has failed.
+  Uncertain, ///< It does not respond and the lease of its runs is over; it may return.
+  Count
+};
+
 /// Starts and stops runs on backend servers and polls which runs exist and which have ended. At
 /// most one run of a task may exist: a start without a response occupies its backend server and its
 /// task until it is certain that it will not be carried out.
@@ -59,7 +76,15 @@
   void StopJob(uint32_t aJob);
 
   /// Marks an incarnation of a backend server as ended, with all its runs.
-  void EndIncarnation(BackendHandle aBackend, const char* aReason);
+  void EndIncarnation(BackendHandle aBackend,
+                      const char* aReason,
+                      IncarnationEnd aEnd = IncarnationEnd::Unplanned);
+
+  /// Settles a run in question of a waiting task that an earlier leader has started.
+  /// @returns False if the task is given up.
+  bool SettleTrial(const TaskRef& aTask);
+
+  const CrashCounts& Crashes() const { return crashCounts_; }
 
   /// Sends polls and repeated stops that are due; drops runs whose lease has expired.
   void Tick();
@@ -150,8 +175,24 @@
   void OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult);
   void OnPollFailed(BackendHandle aBackend, const PollResult& aResult);
   void ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
-  void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent);
-  void Confirm(BackendRun& aRun, const RunningTask& aRunning);
+  void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent, int64_t aClock);
+  /// @param aClock Clock of its backend server in ms.
+  void Confirm(BackendRun& aRun, const RunningTask& aRunning, int64_t aClock);
+  void ObserveWork(BackendRun& aRun, int64_t aClock);
+  /// Notes hosts that host control lists without their backend server, also those that run nothing.
+  void NoteLostHosts(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt);
+  /// @returns True if all other hosts of its rack with a backend server are lost as well.
+  bool IsRackLost(const Backend& aBackend);
+  /// @returns Tasks, of a group its first, that may be why the backend server has ended.
+  std::vector<TaskRef> InQuestion(const Backend& aBackend) const;
+  /// @returns True if an earlier leader started a run of the task there; when, is not known.
+  bool HasAdoptedRun(const Backend& aBackend, const TaskRef& aTask) const;
+  /// Counts the loss of a backend server with its runs for the tasks in question.
+  /// @returns Jobs that have failed by it.
+  std::vector<uint32_t> AttributeLoss(const Backend& aBackend,
+                                      const char* aReason,
+                                      IncarnationEnd aEnd);
+  void DropAllRuns(BackendHandle aBackend);
   void ApplyEnd(BackendHandle aBackend, const EndedTask& aEnd);
   void UpdateFailureStreak(Backend& aBackend, const BackendRun* aRun, const EndedTask& aEnd);
   void RemoveMissing(BackendHandle aBackend,
@@ -177,6 +218,9 @@
   std::function<void(const RunEvent&)> listener_;
   std::function<void(const std::string&)> onIncarnationEnded_;
   std::function<void(const std::string&, const std::string&)> onInvalidTicket_;
+  CrashCounts crashCounts_;
+  /// When hosts were lost, by rack and host.
+  std::map<std::string, std::map<std::string, TimePoint>> lostHosts_;
   std::map<std::string, std::vector<LateStart>> lateStarts_; ///< By id of the backend server.
   /// Start time of the latest ended incarnation by id.
   std::map<std::string, int64_t> endedIncarnations_;
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "sardinespoke/advice_cache.h"
 #include "sardinespoke/run_tracker.h"
+#include "sardinespoke/suspect_placement.h"
 #include "sardinespoke/wait_order.h"
 
 #include <map>
@@ -43,6 +44,10 @@
   void StartTask(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun);
   size_t PlaceGang(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
   BackendHandle Pick(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool) const;
+  BackendHandle PickForSuspect(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool);
+  /// Keeps the places of a group in question until no other run there is in question.
+  /// @returns True if the group may start.
+  bool MayStartGang(const TaskRef& aFirst, const std::vector<BackendHandle>& aPlaces);
   double Score(const Backend& aBackend, const StepSpec& aSpec) const;
   bool MeetsConstraints(const Backend& aBackend, const TaskRef& aTask, const StepSpec& aSpec) const;
 
@@ -53,6 +58,7 @@
   const DurationModel& durations_;
   const WaitOrder& order_;
   const ClockI& clock_;
+  SuspectPlacement suspects_;
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
 };
--- /dev/null
+++ b/src/crash_suspects.cpp
@@ -0,0 +1,33 @@
+#include "sardinespoke/crash_suspects.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+// Crashes after which a task that was alone in question is given up.
+constexpr uint32_t kCrashesAlone = 2;
+// Crashes after which a task is given up on any evidence. A task may be started twice after the
+// third crash, and the last of a leader may have gone unseen.
+constexpr uint32_t kMostCrashes = 4;
+// Of the backend servers of a pool, one in this many may be kept for suspects.
+constexpr uint32_t kPoolShare = 3;
+
+}
+
+CrashVerdict
+CrashSuspects::Judge(const CrashEvidence& aEvidence)
+{
+  const bool isNamed = aEvidence.inQuestion_ == 1 && !aEvidence.isWeak_;
+  const uint32_t most = isNamed ? kCrashesAlone : kMostCrashes;
+  return aEvidence.crashes_ >= most ? CrashVerdict::GivenUp : CrashVerdict::Suspect;
+}
+
+uint32_t
+CrashSuspects::MostTrials(uint32_t aPoolSize)
+{
+  return std::max<uint32_t>(1, aPoolSize / kPoolShare);
+}
+
+}
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -268,7 +268,8 @@
       found->second.since_ = clock_.Now();
       // A move that was already complete must not end the new backend server.
       if (oldBackend.IsValid() && backends_.At(oldBackend).entry_.service_ != found->second.to_) {
-        runs_.EndIncarnation(oldBackend, "its host is moving to another pool");
+        runs_.EndIncarnation(
+          oldBackend, "its host is moving to another pool", IncarnationEnd::Planned);
       }
       return;
     case CommandOutcome::Fenced:
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -169,6 +169,11 @@
   metrics_.Set("active_runs", static_cast<double>(runs));
   metrics_.Set("live_backends", static_cast<double>(backends_.Live().size()));
   metrics_.Set("silent_backends", static_cast<double>(unresponsive));
+  const CrashCounts& crashes = runs_.Crashes();
+  metrics_.Set("tasks_suspected", static_cast<double>(crashes.attributed_));
+  metrics_.Set("suspects_started", static_cast<double>(crashes.isolated_));
+  metrics_.Set("suspects_cleared", static_cast<double>(crashes.cleared_));
+  metrics_.Set("jobs_given_up", static_cast<double>(crashes.givenUp_));
   metrics_.Set("config_version", static_cast<double>(config_.version_));
   metrics_.Set("owner_fence", static_cast<double>(leadership_.FencingToken()));
 }
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -179,6 +179,7 @@
   json done = json::array();
   json failed = json::array();
   json checkpoints = json::array();
+  json crashes = json::array();
   for (uint32_t occurrence = 0; occurrence < aJob.occurrences_.size(); ++occurrence) {
     const auto& steps = aJob.occurrences_[occurrence].steps_;
     for (uint32_t step = 0; step < steps.size(); ++step) {
@@ -191,6 +192,9 @@
         if (!task.failedRuns_.empty()) {
           failed.push_back({ occurrence, step, index, task.failedRuns_ });
         }
+        if (task.crashes_ > 0) {
+          crashes.push_back({ occurrence, step, index, task.crashes_, task.inTrial_ });
+        }
         if (!task.checkpoint_.empty()) {
           checkpoints.push_back({ occurrence, step, index, task.checkpoint_ });
         }
@@ -207,7 +211,8 @@
     { "failed", aJob.failed_ },
     { "done", std::move(done) },
     { "failed_runs", std::move(failed) },
-    { "checkpoints", std::move(checkpoints) }
+    { "checkpoints", std::move(checkpoints) },
+    { "crashes", std::move(crashes) }
   }.dump();
 }
 
@@ -245,6 +250,19 @@
         aTable.RestoreCheckpoint(*ref, row.at(3).get<std::string>());
       }
     }
+    if (!aRecord.contains("crashes")) {
+      return; // Written by an earlier release.
+    }
+    for (const json& row : aRecord.at("crashes")) {
+      const auto ref = locate(row, row.at(2));
+      const auto crashes = ReadInteger(row.at(3), kCountRange);
+      if (!crashes) {
+        throw NumberError();
+      }
+      if (ref) {
+        aTable.RestoreCrashes(*ref, static_cast<uint32_t>(*crashes), row.at(4).get<bool>());
+      }
+    }
   });
 }
 
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -143,6 +143,7 @@
   task.backend_ = aBackend;
   task.startedAt_ = aNow;
   jobs_[aRef.job_]->started_ = true;
+  SetTrial(aRef, CrashesOf(aRef) > 0);
 }
 
 void
@@ -155,6 +156,7 @@
   --StepOf(aRef).active_;
   task.phase_ = TaskPhase::Waiting;
   task.backend_ = BackendHandle{};
+  EndTrial(aRef);
   std::string& checkpoint = At(FirstOfGroup(aRef)).checkpoint_;
   if (!aCheckpoint.empty() && aCheckpoint != checkpoint) {
     checkpoint = aCheckpoint;
@@ -249,6 +251,46 @@
   return true;
 }
 
+void
+JobTable::SetCrashes(const TaskRef& aRef, uint32_t aCrashes)
+{
+  uint32_t& crashes = At(FirstOfGroup(aRef)).crashes_;
+  if (crashes != aCrashes) {
+    crashes = aCrashes;
+    Touch(aRef.job_);
+  }
+}
+
+void
+JobTable::SetTrial(const TaskRef& aRef, bool aInTrial)
+{
+  bool& inTrial = At(FirstOfGroup(aRef)).inTrial_;
+  if (inTrial != aInTrial) {
+    inTrial = aInTrial;
+    Touch(aRef.job_);
+  }
+}
+
+void
+JobTable::RestoreCrashes(const TaskRef& aRef, uint32_t aCrashes, bool aInTrial)
+{
+  SetCrashes(aRef, aCrashes);
+  SetTrial(aRef, aInTrial);
+}
+
+bool
+JobTable::GiveUp(const TaskRef& aRef, TimePoint aNow)
+{
+  Job& job = *jobs_[aRef.job_];
+  if (job.HasEnded()) {
+    return false;
+  }
+  job.failed_ = true;
+  job.endedAt_ = aNow;
+  Touch(aRef.job_);
+  return true;
+}
+
 const std::vector<uint32_t>&
 JobTable::Open()
 {
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -412,7 +412,7 @@
         backends_.At(old).verified_ = false;
         backends_.At(old).nextPollAt_ = now;
       } else if (old.IsValid()) {
-        runs_.EndIncarnation(old, "its host is under maintenance");
+        runs_.EndIncarnation(old, "its host is under maintenance", IncarnationEnd::Planned);
       }
       return;
     }
--- /dev/null
+++ b/src/run_crashes.cpp
@@ -0,0 +1,186 @@
+#include "sardinespoke/crash_suspects.h"
+#include "sardinespoke/logging.h"
+#include "sardinespoke/run_tracker.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Losses in one rack within this time have one cause.
+constexpr milliseconds kSameCauseTime{ 3000 };
+
+}
+
+void
+RunTracker::NoteLostHosts(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt)
+{
+  for (const BackendHandle handle : backends_.Live()) {
+    Backend& backend = backends_.At(handle);
+    const auto found = aHosts.find(backend.entry_.host_);
+    const bool isOlderThanList = backend.verified_ && backend.answeredPollSentAt_ < aAskedAt;
+    backend.listedGone_ =
+      found != aHosts.end() && isOlderThanList &&
+      (found->second.state_ != HostState::Up || found->second.backend_ != backend.entry_.id_);
+    if (backend.listedGone_) {
+      lostHosts_[backend.entry_.rack_].emplace(backend.entry_.host_, clock_.Now());
+    }
+  }
+}
+
+bool
+RunTracker::IsRackLost(const Backend& aBackend)
+{
+  const TimePoint now = clock_.Now();
+  const std::string& rack = aBackend.entry_.rack_;
+  std::map<std::string, TimePoint>& lost = lostHosts_[rack];
+  std::erase_if(lost, [now](const auto& aHost) { return now - aHost.second > kSameCauseTime; });
+  lost[aBackend.entry_.host_] = now;
+  if (rack.empty()) {
+    return false;
+  }
+  size_t others = lost.size() - 1;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& other = backends_.At(handle);
+    if (other.entry_.rack_ != rack || lost.count(other.entry_.host_) > 0) {
+      continue;
+    }
+    if (other.failedPolls_ == 0) {
+      return false;
+    }
+    ++others;
+  }
+  return others > 0;
+}
+
+std::vector<TaskRef>
+RunTracker::InQuestion(const Backend& aBackend) const
+{
+  std::vector<TaskRef> tasks;
+  for (const BackendRun& run : aBackend.runs_) {
+    if (run.proven_ || !run.task_ || jobs_.At(run.task_->job_).HasEnded()) {
+      continue;
+    }
+    const TaskRef first = jobs_.FirstOfGroup(*run.task_);
+    if (std::find(tasks.begin(), tasks.end(), first) == tasks.end()) {
+      tasks.push_back(first);
+    }
+  }
+  return tasks;
+}
+
+bool
+RunTracker::HasAdoptedRun(const Backend& aBackend, const TaskRef& aTask) const
+{
+  return std::any_of(aBackend.runs_.begin(), aBackend.runs_.end(), [&](const BackendRun& aRun) {
+    return aRun.isAdopted_ && aRun.task_ && jobs_.FirstOfGroup(*aRun.task_) == aTask;
+  });
+}
+
+std::vector<uint32_t>
+RunTracker::AttributeLoss(const Backend& aBackend, const char* aReason, IncarnationEnd aEnd)
+{
+  // A backend server that leaves has not crashed.
+  if (aEnd == IncarnationEnd::Planned || aBackend.disruptionStarted_ || aBackend.entry_.draining_) {
+    return {};
+  }
+  const bool isRackLost = IsRackLost(aBackend);
+  const std::vector<TaskRef> tasks = InQuestion(aBackend);
+  std::vector<uint32_t> failedJobs;
+  for (const TaskRef& task : tasks) {
+    CrashEvidence evidence;
+    evidence.crashes_ = jobs_.CrashesOf(task) + 1;
+    evidence.inQuestion_ = static_cast<uint32_t>(tasks.size());
+    evidence.isWeak_ =
+      isRackLost || aEnd == IncarnationEnd::Uncertain || HasAdoptedRun(aBackend, task);
+    jobs_.SetCrashes(task, evidence.crashes_);
+    ++crashCounts_.attributed_;
+    const bool isGivenUp = CrashSuspects::Judge(evidence) == CrashVerdict::GivenUp;
+    Log(LogLevel::Info,
+        isGivenUp ? "task.given_up" : "task.suspected",
+        { { "task", jobs_.IdOf(task).Text() },
+          { "backend", aBackend.entry_.id_ },
+          { "host", aBackend.entry_.host_ },
+          { "reason", aReason },
+          { "crashes", evidence.crashes_ },
+          { "in_question", evidence.inQuestion_ },
+          { "runs", aBackend.runs_.size() },
+          { "rack_lost", isRackLost },
+          { "weak", evidence.isWeak_ },
+          { "certain", aEnd != IncarnationEnd::Uncertain } });
+    if (isGivenUp && jobs_.GiveUp(task, clock_.Now())) {
+      ++crashCounts_.givenUp_;
+      failedJobs.push_back(task.job_);
+    }
+  }
+  return failedJobs;
+}
+
+void
+RunTracker::DropAllRuns(BackendHandle aBackend)
+{
+  const Backend& backend = backends_.At(aBackend);
+  while (!backend.runs_.empty()) {
+    const RunId id = backend.runs_.back().id_;
+    DropRun(aBackend, id, "");
+  }
+}
+
+void
+RunTracker::ObserveWork(BackendRun& aRun, int64_t aClock)
+{
+  if (aRun.confirmedClock_ == 0) {
+    aRun.confirmedClock_ = aClock;
+  }
+  const milliseconds worked{ aClock - aRun.confirmedClock_ };
+  if (!aRun.proven_ && CrashSuspects::IsProven(worked)) {
+    aRun.proven_ = true;
+    changed_ = true; // A suspect may wait for this.
+    if (aRun.task_) {
+      jobs_.EndTrial(*aRun.task_);
+    }
+  }
+  if (aRun.task_ && CrashSuspects::IsCleared(worked) && jobs_.CrashesOf(*aRun.task_) > 0) {
+    Log(LogLevel::Info,
+        "task.cleared",
+        { { "task", aRun.id_.task_ },
+          { "run", aRun.id_.run_ },
+          { "crashes", jobs_.CrashesOf(*aRun.task_) },
+          { "worked_ms", worked.count() } });
+    jobs_.SetCrashes(*aRun.task_, 0);
+    ++crashCounts_.cleared_;
+  }
+}
+
+bool
+RunTracker::SettleTrial(const TaskRef& aTask)
+{
+  if (!jobs_.IsInTrial(aTask)) {
+    return true;
+  }
+  // An earlier leader started it alone and no backend server knows of that run.
+  CrashEvidence evidence;
+  evidence.crashes_ = jobs_.CrashesOf(aTask) + 1;
+  evidence.isWeak_ = true;
+  jobs_.SetCrashes(aTask, evidence.crashes_);
+  jobs_.EndTrial(aTask);
+  ++crashCounts_.attributed_;
+  const bool isGivenUp = CrashSuspects::Judge(evidence) == CrashVerdict::GivenUp;
+  Log(LogLevel::Info,
+      isGivenUp ? "task.given_up" : "task.suspected",
+      { { "task", jobs_.IdOf(aTask).Text() },
+        { "reason", "its run under an earlier leader is gone" },
+        { "crashes", evidence.crashes_ } });
+  if (isGivenUp && jobs_.GiveUp(aTask, clock_.Now())) {
+    ++crashCounts_.givenUp_;
+    StopJob(aTask.job_);
+  }
+  return !isGivenUp;
+}
+
+}
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kPollWait{ 2000 };
 // Wait of a poll while a start or stop has no confirmed outcome.
 constexpr milliseconds kPendingCommandWait{ 150 };
+// Wait of a poll while a suspect is in question there: it shows that it works on.
+constexpr milliseconds kTrialWait{ 350 };
 constexpr milliseconds kPollRetry{ 150 };
 // Time between polls of a backend server that runs nothing but may still get a late start.
 constexpr milliseconds kIdlePollPeriod{ 1000 };
@@ -56,7 +58,11 @@
       std::all_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
         return aRun.phase_ == RunPhase::Running;
       });
-    command.wait_ = allRunning ? kPollWait : kPendingCommandWait;
+    const bool hasTrial =
+      std::any_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
+        return aRun.isSuspect_ && !aRun.proven_;
+      });
+    command.wait_ = allRunning ? (hasTrial ? kTrialWait : kPollWait) : kPendingCommandWait;
   }
   ++backend.pollsInFlight_;
   const std::weak_ptr<bool> alive = alive_;
@@ -170,16 +176,16 @@
     listed.push_back(running.run_);
     ForgetLateStart(backend.entry_.id_, running.run_);
     if (BackendRun* run = backend.FindRun(running.run_)) {
-      Confirm(*run, running);
+      Confirm(*run, running, aResult.clock_);
       continue;
     }
-    Adopt(aBackend, running, aSent);
+    Adopt(aBackend, running, aSent, aResult.clock_);
   }
   RemoveMissing(aBackend, aSent, aResult, listed);
 }
 
 void
-RunTracker::Confirm(BackendRun& aRun, const RunningTask& aRunning)
+RunTracker::Confirm(BackendRun& aRun, const RunningTask& aRunning, int64_t aClock)
 {
   const TimePoint now = clock_.Now();
   if (!aRun.everConfirmed_) {
@@ -193,17 +199,22 @@
     aRun.percent_ = aRunning.percent_;
     aRun.progressAt_ = now;
   }
+  ObserveWork(aRun, aClock);
   aRun.load_ = aRunning.load_;
   aRun.checkpoint_ = aRunning.checkpoint_;
 }
 
 void
-RunTracker::Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent)
+RunTracker::Adopt(BackendHandle aBackend,
+                  const RunningTask& aRunning,
+                  TimePoint aSent,
+                  int64_t aClock)
 {
   Backend& backend = backends_.At(aBackend);
   const TimePoint now = clock_.Now();
   BackendRun run;
   run.id_ = aRunning.run_;
+  run.isAdopted_ = true;
   run.everConfirmed_ = true;
   run.confirmedAt_ = aSent;
   run.sentAt_ = aSent;
@@ -219,11 +230,17 @@
     run.resources_ = spec.Need();
     run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
     run.isBestEffort_ = spec.bestEffort_;
+    run.isSuspect_ = jobs_.CrashesOf(ref) > 0;
+    // An earlier leader has stored that it works on.
+    run.proven_ = run.isSuspect_ && !jobs_.IsInTrial(ref);
     wanted = jobs_.At(ref).phase_ == TaskPhase::Waiting && !jobs_.At(ref.job_).HasEnded();
   }
-  Confirm(run, aRunning);
+  Confirm(run, aRunning, aClock);
   if (wanted) {
     jobs_.Activate(ref, run.id_.run_, aBackend, TimePoint{});
+    if (run.proven_) {
+      jobs_.EndTrial(ref);
+    }
   }
   Log(LogLevel::Info,
       wanted ? "run.adopted" : "run.unwanted",
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -108,7 +108,7 @@
 {
   return aBackend.registered_ && aBackend.verified_ && aBackend.recorded_ && !aBackend.hasEnded_ &&
          !aBackend.cordoned_ && !aBackend.entry_.draining_ && aBackend.failedPolls_ == 0 &&
-         aBackend.clock_ != 0 && !aBackend.restartSuspectedAt_ &&
+         aBackend.clock_ != 0 && !aBackend.restartSuspectedAt_ && !aBackend.listedGone_ &&
          aBackend.ejectedUntil_ <= clock_.Now();
 }
 
@@ -138,6 +138,7 @@
 void
 RunTracker::ApplyHosts(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt)
 {
+  NoteLostHosts(aHosts, aAskedAt);
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
     const Backend& backend = backends_.At(handle);
@@ -172,6 +173,17 @@
   run.resources_ = spec.Need();
   run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
   run.isBestEffort_ = spec.bestEffort_;
+  run.isSuspect_ = jobs_.CrashesOf(aTask) > 0;
+  if (run.isSuspect_) {
+    ++crashCounts_.isolated_;
+    Log(LogLevel::Info,
+        "task.isolated",
+        { { "task", run.id_.task_ },
+          { "run", aRun },
+          { "backend", backend.entry_.id_ },
+          { "crashes", jobs_.CrashesOf(aTask) },
+          { "proven_beside", backend.runs_.size() } });
+  }
   StartCommand command;
   command.to_ = backend.Address();
   command.run_ = run.id_;
@@ -230,9 +242,12 @@
         run->everConfirmed_ = true;
         run->confirmedByNext_ = fromNext;
         run->confirmedAt_ = now;
+        run->confirmedClock_ = run->confirmedClock_ == 0 ? aResult.clock_ : run->confirmedClock_;
         run->phase_ = run->phase_ == RunPhase::Stopping ? run->phase_ : RunPhase::Running;
       }
-      if (backend.pollsInFlight_ == 0) {
+      if (run && run->isSuspect_) {
+        SendPoll(latest); // Another poll may wait for long; others wait for the proof.
+      } else if (backend.pollsInFlight_ == 0) {
         backend.nextPollAt_ = std::min(backend.nextPollAt_, now + kMinPollInterval);
       }
       return;
@@ -391,7 +406,7 @@
 }
 
 void
-RunTracker::EndIncarnation(BackendHandle aBackend, const char* aReason)
+RunTracker::EndIncarnation(BackendHandle aBackend, const char* aReason, IncarnationEnd aEnd)
 {
   Backend& backend = backends_.At(aBackend);
   Log(LogLevel::Info,
@@ -400,16 +415,17 @@
         { "host", backend.entry_.host_ },
         { "reason", aReason },
         { "runs", backend.runs_.size() } });
-  while (!backend.runs_.empty()) {
-    const RunId id = backend.runs_.back().id_;
-    DropRun(aBackend, id, "");
-  }
+  const std::vector<uint32_t> failedJobs = AttributeLoss(backend, aReason, aEnd);
+  DropAllRuns(aBackend);
   endedIncarnations_[backend.entry_.id_] = backend.entry_.startTimeMs_;
   if (backend.recorded_ && onIncarnationEnded_) {
     onIncarnationEnded_(backend.entry_.id_);
   }
   backends_.Close(aBackend);
   changed_ = true;
+  for (const uint32_t job : failedJobs) {
+    StopJob(job);
+  }
 }
 
 void
@@ -482,6 +498,9 @@
       StopJob(ref.job_);
     }
   }
+  if (jobs_.At(ref).phase_ != TaskPhase::Active) {
+    jobs_.EndTrial(ref);
+  }
   DropRun(aBackend, aEnd.run_, aEnd.checkpoint_);
   changed_ = true;
   if (listener_) {
@@ -506,9 +525,11 @@
             { "failed_polls", backend.failedPolls_ },
             { "lease_over_ms", MillisecondsBetween(backend.leaseEnd_, now) },
             { "last_answer_ms", MillisecondsBetween(backend.answeredPollSentAt_, now) } });
-      while (!backend.runs_.empty()) {
-        const RunId id = backend.runs_.back().id_;
-        DropRun(handle, id, "");
+      const auto failedJobs =
+        AttributeLoss(backend, "the lease of its runs is over", IncarnationEnd::Uncertain);
+      DropAllRuns(handle);
+      for (const uint32_t job : failedJobs) {
+        StopJob(job);
       }
     }
     if (!backend.registered_ && backend.runs_.empty() && now > backend.leaseEnd_ && unresponsive) {
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -38,6 +38,7 @@
   , durations_(aDurations)
   , order_(aOrder)
   , clock_(aClock)
+  , suspects_(aBackends, aClock)
 {
 }
 
@@ -59,6 +60,7 @@
 TaskScheduler::Run()
 {
   waitingCoreMs_.clear();
+  suspects_.BeginRound();
   unplacedContinuousTasks_.clear();
   std::map<std::string, std::vector<uint32_t>> waiting;
   const std::set<std::string> awaited = runs_.UnreconciledServices();
@@ -187,17 +189,31 @@
 {
   const StepSpec& spec = jobs_.At(aJob).spec_.steps_[aStep];
   size_t started = 0;
+  bool isFull = false;
   for (uint32_t index = 0; index < spec.taskCount_; ++index) {
     const TaskRef ref{ aJob, aOccurrence, aStep, index };
     const Task& task = jobs_.At(ref);
     if (task.phase_ != TaskPhase::Waiting) {
       continue;
     }
+    if (jobs_.CrashesOf(ref) > 0) {
+      if (!runs_.SettleTrial(ref)) {
+        return started;
+      }
+      const BackendHandle place = PickForSuspect(ref, spec, aPool);
+      if (place.IsValid()) {
+        StartTask(ref, place, runs_.NextRun());
+        ++started;
+      }
+      continue;
+    }
+    if (isFull) {
+      continue;
+    }
     const BackendHandle backend = Pick(ref, spec, aPool);
     if (!backend.IsValid()) {
-      if (!task.avoidedBackend_.IsValid()) {
-        break; // The tasks of a step have equal requirements: none of the others fits.
-      }
+      // The tasks of a step have equal requirements: none of the others fits.
+      isFull = !task.avoidedBackend_.IsValid();
       continue;
     }
     StartTask(ref, backend, runs_.NextRun());
@@ -213,6 +229,11 @@
   if (jobs_.At(aJob).occurrences_[aOccurrence].steps_[aStep].active_ > 0) {
     return 0; // Some tasks of the previous run have not ended yet.
   }
+  const TaskRef first{ aJob, aOccurrence, aStep, 0 };
+  const bool isSuspect = jobs_.CrashesOf(first) > 0;
+  if (isSuspect && !runs_.SettleTrial(first)) {
+    return 0;
+  }
   // Fills rack by rack, the one with the most free CPU first.
   std::map<std::string, int64_t> freeCpuOfRack;
   for (const BackendHandle handle : aPool) {
@@ -229,8 +250,7 @@
   std::vector<BackendHandle> places;
   for (const BackendHandle handle : pool) {
     const Backend& backend = backends_.At(handle);
-    const TaskRef first{ aJob, aOccurrence, aStep, 0 };
-    if (!MeetsConstraints(backend, first, spec)) {
+    if (!MeetsConstraints(backend, first, spec) || (!isSuspect && !suspects_.Admits(backend))) {
       continue;
     }
     Resources sum;
@@ -248,6 +268,9 @@
   if (places.size() < spec.taskCount_) {
     return 0;
   }
+  if (isSuspect && !MayStartGang(first, places)) {
+    return 0;
+  }
   const int64_t run = runs_.NextRun();
   for (uint32_t index = 0; index < spec.taskCount_; ++index) {
     StartTask(TaskRef{ aJob, aOccurrence, aStep, index }, places[index], run);
@@ -312,7 +335,8 @@
   for (const BackendHandle handle : aPool) {
     const Backend& backend = backends_.At(handle);
     const bool avoided = handle == avoid && aPool.size() > 1;
-    if (avoided || !backend.Fits(need) || !MeetsConstraints(backend, aTask, aSpec)) {
+    if (avoided || !backend.Fits(need) || !MeetsConstraints(backend, aTask, aSpec) ||
+        !suspects_.Admits(backend)) {
       continue;
     }
     const double score = Score(backend, aSpec);
@@ -324,4 +348,35 @@
   return best;
 }
 
+BackendHandle
+TaskScheduler::PickForSuspect(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool)
+{
+  const BackendHandle avoid = jobs_.At(aTask).avoidedBackend_;
+  Pool eligible;
+  for (const BackendHandle handle : aPool) {
+    const bool avoided = handle == avoid && aPool.size() > 1;
+    if (!avoided && MeetsConstraints(backends_.At(handle), aTask, aSpec)) {
+      eligible.push_back(handle);
+    }
+  }
+  return suspects_.Place(aPool, eligible, aSpec.Need());
+}
+
+bool
+TaskScheduler::MayStartGang(const TaskRef& aFirst, const std::vector<BackendHandle>& aPlaces)
+{
+  const bool areClean =
+    std::all_of(aPlaces.begin(), aPlaces.end(), [this](const BackendHandle& aHandle) {
+      return SuspectPlacement::IsClean(backends_.At(aHandle));
+    });
+  if (areClean) {
+    return true;
+  }
+  for (const BackendHandle place : aPlaces) {
+    suspects_.Reserve(place);
+  }
+  Log(LogLevel::Debug, "gang.waits_apart", { { "step", jobs_.IdOf(aFirst).StepText() } });
+  return false;
+}
+
 }
--- /dev/null
+++ b/tests/crash_suspects_test.cpp
@@ -0,0 +1,53 @@
+#include "sardinespoke/crash_suspects.h"
+
+#include <gtest/gtest.h>
+
+namespace sardinespoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The first crash must not name a task: its backend server may have ended for another reason.
+TEST(CrashSuspectsTest, OneCrashGivesNoTaskUp)
+{
+  EXPECT_EQ(CrashSuspects::Judge({ 1, 1, false }), CrashVerdict::Suspect);
+  EXPECT_EQ(CrashSuspects::Judge({ 1, 12, false }), CrashVerdict::Suspect);
+}
+
+// A task that was alone in question is given up before a third backend server crashes.
+TEST(CrashSuspectsTest, SecondCrashNamesTheTaskThatWasAlone)
+{
+  EXPECT_EQ(CrashSuspects::Judge({ 2, 1, false }), CrashVerdict::GivenUp);
+}
+
+// Others in question, or the loss of a rack, may explain the crash.
+TEST(CrashSuspectsTest, SecondCrashOnWeakEvidenceGivesNoTaskUp)
+{
+  EXPECT_EQ(CrashSuspects::Judge({ 2, 2, false }), CrashVerdict::Suspect);
+  EXPECT_EQ(CrashSuspects::Judge({ 2, 1, true }), CrashVerdict::Suspect);
+}
+
+// Three crashes and two more starts are the most that a task may have.
+TEST(CrashSuspectsTest, FourthCrashGivesUpOnAnyEvidence)
+{
+  EXPECT_EQ(CrashSuspects::Judge({ 4, 9, true }), CrashVerdict::GivenUp);
+}
+
+// Suspects must not take a pool from the rest of the work.
+TEST(CrashSuspectsTest, TrialsTakeAPartOfThePool)
+{
+  EXPECT_EQ(CrashSuspects::MostTrials(1), 1U);
+  EXPECT_EQ(CrashSuspects::MostTrials(9), 3U);
+}
+
+// A run must be proven harmless before its task is cleared of earlier crashes.
+TEST(CrashSuspectsTest, ProofTakesLessTimeThanClearance)
+{
+  EXPECT_FALSE(CrashSuspects::IsProven(CrashSuspects::kTrialTime - milliseconds(1)));
+  EXPECT_TRUE(CrashSuspects::IsProven(CrashSuspects::kTrialTime));
+  EXPECT_FALSE(CrashSuspects::IsCleared(CrashSuspects::kTrialTime));
+  EXPECT_TRUE(CrashSuspects::IsCleared(CrashSuspects::kClearTime));
+}
+
+}
+}
