--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -21,8 +21,9 @@
   std::string target_;               ///< Path and query.
   std::vector<std::string> headers_; ///< "Name: value".
   std::string body_;
-  /// From sending to the complete response. A response that has arrived by then is read, however
-  /// late Run() is called.
+  /// From sending to the complete response; connecting has a limit of its own, waiting for a free
+  /// connection has none. A response that has arrived by then is read, however late Run() is
+  /// called.
   std::chrono::milliseconds timeout_{ 1000 };
   uint32_t maxConnections_ = 3; ///< To this authority; further calls are queued.
   /// Its response is read before those of other calls, however many are ready.
@@ -46,8 +47,9 @@
 };
 
 /// HTTP client for many concurrent calls on one thread, based on libcurl's multi interface and
-/// epoll, with persistent connections. No request is sent again, neither on a new connection nor on
-/// a kept one. The cost of Run() depends on the number of ready sockets, not of pending calls.
+/// epoll, with persistent connections. A request of which a byte was sent is not sent again,
+/// neither on a new connection nor on a kept one. The cost of Run() depends on the number of ready
+/// sockets, not of pending calls.
 class HttpMulti
 {
 public:
@@ -61,7 +63,8 @@
   /// Sends a call. The callback runs exactly once, in Run().
   void Send(HttpCall aCall, Done aDone);
 
-  /// Transfers data and runs callbacks; waits at most aWait for the first event.
+  /// Transfers data and runs callbacks; waits at most aWait for the first event. Not to be called
+  /// from a callback.
   void Run(std::chrono::milliseconds aWait);
 
   /// Wakes up Run(). The only thread-safe method.
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -460,7 +460,7 @@
 HttpMulti::Run(std::chrono::milliseconds aWait)
 {
   ProcessSockets(aWait);
-  // libcurl ends a call at its timeout even if the response has arrived, so it is given none.
+  // libcurl would end a call at its timeout even if the response has arrived; it is given none.
   const auto now = std::chrono::steady_clock::now();
   ReadDueTransfers(now);
   FinishCompletedTransfers();
--- a/src/run_limits_p.h
+++ b/src/run_limits_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace sardinespoke {
 
@@ -18,6 +19,14 @@
 /// Longest delay before a poll without a response is repeated.
 constexpr std::chrono::milliseconds kPollRetryMax{ 500 };
 
+/// @returns Time between two points in ms, for the log.
+inline int64_t
+MillisecondsBetween(std::chrono::steady_clock::time_point aFrom,
+                    std::chrono::steady_clock::time_point aTo)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTo - aFrom).count();
+}
+
 /// @returns Upper bound of a lease time measured by a backend server whose clock is 2 % slow.
 constexpr std::chrono::milliseconds
 WithClockDrift(std::chrono::milliseconds aLease)
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -270,9 +270,6 @@
   Backend& backend = backends_.At(aBackend);
   std::vector<RunId> gone;
   const TimePoint now = clock_.Now();
-  const auto age = [now](TimePoint aThen) {
-    return std::chrono::duration_cast<milliseconds>(now - aThen).count();
-  };
   for (const BackendRun& run : backend.runs_) {
     const bool isListed = std::find(aListed.begin(), aListed.end(), run.id_) != aListed.end();
     if (isListed) {
@@ -285,14 +282,15 @@
                          run.phase_ != RunPhase::Starting && !run.everConfirmed_;
     if (seenBefore || stopped || expired) {
       gone.push_back(run.id_);
+      const char* unlisted = stopped ? "stopped" : "deadline over";
       Log(LogLevel::Info,
           "run.gone",
           { { "task", run.id_.task_ },
             { "run", run.id_.run_ },
             { "backend", backend.entry_.id_ },
-            { "reason", seenBefore ? "listed before" : (stopped ? "stopped" : "deadline over") },
-            { "start_age_ms", age(run.sentAt_) },
-            { "poll_age_ms", age(aSent) },
+            { "reason", seenBefore ? "listed before" : unlisted },
+            { "start_age_ms", MillisecondsBetween(run.sentAt_, now) },
+            { "poll_age_ms", MillisecondsBetween(aSent, now) },
             { "ends_listed", aResult.ended_.size() } });
       if (!run.everConfirmed_ && !FindLateStart(backend.entry_.id_, run.id_)) {
         lateStarts_[backend.entry_.id_].push_back(LateStart{ run, aBackend });
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -25,12 +25,6 @@
 // Run numbers for each leader: its fencing token forms the upper bits of the number.
 constexpr int64_t kRunsPerFencingToken = 1 << 20;
 
-int64_t
-MillisecondsBetween(TimePoint aFrom, TimePoint aTo)
-{
-  return std::chrono::duration_cast<milliseconds>(aTo - aFrom).count();
-}
-
 }
 
 RunTracker::RunTracker(JobTable& aJobs,
--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -207,7 +207,7 @@
     return ThreadCpuTime() - begin;
   }
 
-  // libcurl also reads the response of a call when its time limit for connecting has passed.
+  // Longer than the time limit for connecting.
   static constexpr milliseconds kHold{ 600 };
   HttpMulti http_;
 };
@@ -264,7 +264,7 @@
   urgent.urgent_ = true;
   http_.Send(std::move(urgent), [&](const HttpReply&) { urgentAnswered = true; });
   sendAll(store, 1);
-  // libcurl also reads the response of a call when its time limit for connecting has passed.
+  // Longer than the time limit for connecting.
   const auto begin = std::chrono::steady_clock::now();
   while (std::chrono::steady_clock::now() - begin < milliseconds(600)) {
     http_.Run(milliseconds(10));
@@ -355,8 +355,7 @@
   EXPECT_EQ(reply.body_.size(), kBytes);
 }
 
-// As before, with more responses than one turn of the client fetches events for. The two tests above
-// pass without ReadDueTransfers(), since the sockets are read before calls end.
+// As before, with more responses than one turn of the client fetches events for.
 TEST_F(HttpMultiTest, ReadsManyArrivedResponsesAfterTheirTimeout)
 {
   std::atomic<bool> held{ true };
--- a/tests/run_lapse_test.cpp
+++ b/tests/run_lapse_test.cpp
@@ -93,9 +93,8 @@
   RunTracker runs_{ jobs_, backends_, commands_, clock_, RunLimits(), 1 };
 };
 
-// A run must not be given up while a poll is under way, whose answer may wait to be read. Fails on
-// 314f97e: Tick() runs before the sockets are read, so that a leader that is late takes the poll
-// that it has not read for silence. So were 86 of 169 lapses in the trial bd1a2224.
+// A run must not be given up while a poll is under way. TWICE: the leader decides before it reads
+// its sockets, so that a late leader took a list that it had not read for silence.
 TEST_F(RunLapseTest, IsNotGivenUpWhileAPollIsUnderWay)
 {
   const int64_t run = runs_.NextRun();
@@ -137,8 +136,8 @@
   EXPECT_LT(clock_.Now() - begin, milliseconds(6500));
 }
 
-// An answer that was read late must not set the clock of its backend server back. Fails on 314f97e:
-// the deadlines of the next starts are early by the delay, so that the backend server refuses them.
+// An answer that was read late must not set the clock of its backend server back: the deadlines of
+// the next starts would be early by the delay.
 TEST_F(RunLapseTest, ALateAnswerDoesNotSetTheClockBack)
 {
   commands_.startClock_ = clockMs_;
