Reach a peer by a new connection if the open one has gone silent

Cause: nng sends and receives over one TCP connection to each peer and does not notice that it went silent without an end. Ruled out: the leader, which went on and took jobs of other hosts.

Change: a call that times out while nothing is heard over its connection makes later calls use a new socket; the earlier one is closed with its last call. A stand-in proxy silences open connections, both ways or one way.

--- a/include/sardinespoke/nng_peer_link.h
+++ b/include/sardinespoke/nng_peer_link.h
@@ -12,13 +12,14 @@
 /// Totals of a peer link since its start.
 struct PeerLinkCounters
 {
-  std::atomic<uint64_t> served_{ 0 };      ///< Messages answered by a handler.
-  std::atomic<uint64_t> malformed_{ 0 };   ///< Messages that could not be decoded.
-  std::atomic<uint64_t> unknown_{ 0 };     ///< Messages of a type without a handler.
-  std::atomic<uint64_t> refused_{ 0 };     ///< Messages that a handler refused.
-  std::atomic<uint64_t> duplicates_{ 0 };  ///< Messages received more than once.
-  std::atomic<uint64_t> bytesSent_{ 0 };   ///< Of requests and replies.
-  std::atomic<uint64_t> callsFailed_{ 0 }; ///< Calls without a reply.
+  std::atomic<uint64_t> served_{ 0 };              ///< Messages answered by a handler.
+  std::atomic<uint64_t> malformed_{ 0 };           ///< Messages that could not be decoded.
+  std::atomic<uint64_t> unknown_{ 0 };             ///< Messages of a type without a handler.
+  std::atomic<uint64_t> refused_{ 0 };             ///< Messages that a handler refused.
+  std::atomic<uint64_t> duplicates_{ 0 };          ///< Messages received more than once.
+  std::atomic<uint64_t> bytesSent_{ 0 };           ///< Of requests and replies.
+  std::atomic<uint64_t> callsFailed_{ 0 };         ///< Calls without a reply.
+  std::atomic<uint64_t> connectionsReplaced_{ 0 }; ///< Because nothing was heard over them.
 };
 
 /// Settings of a peer link.
@@ -33,6 +34,9 @@
 ///
 /// nng resends a request if the connection is lost before the reply. Each request carries a nonce;
 /// a duplicate gets the cached first reply, without running the handler again.
+///
+/// A connection may go silent without an error. If a call times out and nothing was heard over its
+/// connection meanwhile, later calls use a new one.
 class NngPeerLink final : public PeerLinkI
 {
 public:
--- a/src/nng_peer_link.cpp
+++ b/src/nng_peer_link.cpp
@@ -65,6 +65,31 @@
   nng_aio* aio_ = nullptr;
 };
 
+/// A context for one call, closed with it.
+class CallContext
+{
+public:
+  explicit CallContext(nng_socket aSocket)
+    : isOpen_(nng_ctx_open(&context_, aSocket) == 0)
+  {
+  }
+  CallContext(const CallContext&) = delete;
+  CallContext& operator=(const CallContext&) = delete;
+  ~CallContext()
+  {
+    if (isOpen_) {
+      nng_ctx_close(context_);
+    }
+  }
+
+  bool IsOpen() const { return isOpen_; }
+  nng_ctx Get() const { return context_; }
+
+private:
+  nng_ctx context_ = NNG_CTX_INITIALIZER;
+  bool isOpen_;
+};
+
 int
 Send(nng_ctx aContext, const std::vector<uint8_t>& aBytes, nng_duration aTimeout)
 {
@@ -192,6 +217,28 @@
   return impl_->Counters();
 }
 
+/// A socket to one peer, closed after the last call over it.
+struct NngPeerLink::Impl::PeerConnection
+{
+  explicit PeerConnection(nng_socket aSocket)
+    : socket_(aSocket)
+  {
+  }
+  PeerConnection(const PeerConnection&) = delete;
+  PeerConnection& operator=(const PeerConnection&) = delete;
+  ~PeerConnection()
+  {
+    if (!closed_) {
+      CloseSockets({ socket_ }, std::chrono::seconds(0));
+    }
+  }
+
+  const nng_socket socket_;
+  std::atomic<bool> closed_{ false };
+  std::atomic<bool> hasSent_{ false };
+  std::atomic<std::chrono::steady_clock::time_point> heardAt_{}; ///< When the last reply arrived.
+};
+
 /// A server context with an nng_aio to send its reply asynchronously.
 struct NngPeerLink::Impl::ReplyContext
 {
@@ -247,7 +294,7 @@
 void
 NngPeerLink::Impl::Stop()
 {
-  std::map<std::string, nng_socket> peers;
+  std::map<std::string, std::shared_ptr<PeerConnection>> peers;
   std::vector<std::unique_ptr<ReplyContext>> replyContexts;
   {
     const std::lock_guard lock(mutex_);
@@ -273,8 +320,9 @@
   threads_.clear();
   std::vector<nng_socket> sockets;
   sockets.reserve(peers.size() + 1);
-  for (const auto& [address, socket] : peers) {
-    sockets.push_back(socket);
+  for (const auto& [address, connection] : peers) {
+    connection->closed_ = true;
+    sockets.push_back(connection->socket_);
   }
   if (nng_socket_id(server_) > 0) {
     sockets.push_back(server_);
@@ -482,18 +530,15 @@
 leaf::result<json>
 NngPeerLink::Impl::Call(const std::string& aAddress, const json& aMessage, milliseconds aTimeout)
 {
-  BOOST_LEAF_AUTO(socket, PeerSocket(aAddress));
-  nng_ctx context = NNG_CTX_INITIALIZER;
-  if (nng_ctx_open(&context, socket) != 0) {
-    return Fail(PeerError::Code::Unreachable, "nng context could not be opened");
-  }
+  BOOST_LEAF_AUTO(connection, ConnectionTo(aAddress));
   const std::vector<uint8_t> request =
     json::to_cbor(json{ { "nonce", NextNonce() }, { "body", aMessage } });
+  const auto sent = std::chrono::steady_clock::now();
   leaf::result<std::vector<uint8_t>> bytes =
-    SendAndReceive(context, request, std::min(aTimeout, kMaxTimeout));
-  nng_ctx_close(context);
+    SendAndReceive(*connection, request, std::min(aTimeout, kMaxTimeout));
   if (!bytes) {
     ++counters_.callsFailed_;
+    ReplaceIfSilent(aAddress, connection, sent);
     return bytes.error();
   }
   std::optional<json> reply = DecodeCbor(bytes->data(), bytes->size());
@@ -507,28 +552,34 @@
 }
 
 leaf::result<std::vector<uint8_t>>
-NngPeerLink::Impl::SendAndReceive(nng_ctx aContext,
+NngPeerLink::Impl::SendAndReceive(PeerConnection& aConnection,
                                   const std::vector<uint8_t>& aRequest,
                                   milliseconds aTimeout)
 {
+  const CallContext context(aConnection.socket_);
+  if (!context.IsOpen()) {
+    return Fail(PeerError::Code::Unreachable, "nng context could not be opened");
+  }
   const auto start = std::chrono::steady_clock::now();
-  int result = Send(aContext, aRequest, static_cast<nng_duration>(aTimeout.count()));
+  int result = Send(context.Get(), aRequest, static_cast<nng_duration>(aTimeout.count()));
   if (result != 0) {
     return Fail(PeerError::Code::Unreachable, nng_strerror(result));
   }
+  aConnection.hasSent_ = true;
   counters_.bytesSent_ += aRequest.size();
   const auto spent = std::chrono::ceil<milliseconds>(std::chrono::steady_clock::now() - start);
   const milliseconds left = std::max(aTimeout - spent, milliseconds(1));
   std::vector<uint8_t> reply;
-  result = Receive(aContext, reply, static_cast<nng_duration>(left.count()));
+  result = Receive(context.Get(), reply, static_cast<nng_duration>(left.count()));
   if (result != 0) {
     return Fail(PeerError::Code::Timeout, nng_strerror(result));
   }
+  aConnection.heardAt_ = std::chrono::steady_clock::now();
   return reply;
 }
 
-leaf::result<nng_socket>
-NngPeerLink::Impl::PeerSocket(const std::string& aAddress)
+leaf::result<std::shared_ptr<NngPeerLink::Impl::PeerConnection>>
+NngPeerLink::Impl::ConnectionTo(const std::string& aAddress)
 {
   const std::lock_guard lock(mutex_);
   if (stopped_) {
@@ -539,7 +590,6 @@
     return found->second;
   }
   if (peers_.size() >= kMaxPeers) {
-    CloseSockets({ peers_.begin()->second }, std::chrono::seconds(0));
     peers_.erase(peers_.begin());
   }
   nng_socket socket = NNG_SOCKET_INITIALIZER;
@@ -555,8 +605,26 @@
     nng_close(socket);
     return Fail(PeerError::Code::Unreachable, aAddress + ": " + nng_strerror(result));
   }
-  peers_[aAddress] = socket;
-  return socket;
+  auto connection = std::make_shared<PeerConnection>(socket);
+  peers_[aAddress] = connection;
+  return connection;
+}
+
+void
+NngPeerLink::Impl::ReplaceIfSilent(const std::string& aAddress,
+                                   const std::shared_ptr<PeerConnection>& aConnection,
+                                   std::chrono::steady_clock::time_point aSent)
+{
+  // A socket that has sent nothing is still connecting, which nng retries by itself.
+  if (!aConnection->hasSent_ || aConnection->heardAt_.load() >= aSent) {
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  const auto current = peers_.find(aAddress);
+  if (current != peers_.end() && current->second == aConnection) {
+    peers_.erase(current);
+    ++counters_.connectionsReplaced_;
+  }
 }
 
 std::string
--- a/src/nng_peer_link_impl_p.h
+++ b/src/nng_peer_link_impl_p.h
@@ -32,6 +32,7 @@
 private:
   struct ReplyContext;
   struct PendingReply;
+  struct PeerConnection;
 
   void Serve();
   ReplyContext* AcquireContext();
@@ -44,8 +45,13 @@
   void ReleaseContext(ReplyContext& aReplyContext);
   std::vector<uint8_t> Dispatch(const nlohmann::json& aRequest);
   leaf::result<nlohmann::json> RunHandler(const nlohmann::json& aRequest);
-  leaf::result<nng_socket> PeerSocket(const std::string& aAddress);
-  leaf::result<std::vector<uint8_t>> SendAndReceive(nng_ctx aContext,
+  leaf::result<std::shared_ptr<PeerConnection>> ConnectionTo(const std::string& aAddress);
+  /// Lets later calls use a new connection if nothing was heard over this one since a call was
+  /// sent.
+  void ReplaceIfSilent(const std::string& aAddress,
+                       const std::shared_ptr<PeerConnection>& aConnection,
+                       std::chrono::steady_clock::time_point aSent);
+  leaf::result<std::vector<uint8_t>> SendAndReceive(PeerConnection& aConnection,
                                                     const std::vector<uint8_t>& aRequest,
                                                     std::chrono::milliseconds aTimeout);
   std::string NextNonce();
@@ -63,7 +69,7 @@
   std::vector<ReplyContext*> idleContexts_; ///< Without a message in progress.
   std::vector<std::thread> threads_;
   std::mutex mutex_; ///< Guards peers_, stopped_ and the reply contexts.
-  std::map<std::string, nng_socket> peers_;
+  std::map<std::string, std::shared_ptr<PeerConnection>> peers_;
   bool stopped_ = false;
   std::atomic<uint64_t> nonce_{ 0 };
   std::shared_ptr<std::mutex> replyMutex_ =
--- a/tests/nng_peer_link_test.cpp
+++ b/tests/nng_peer_link_test.cpp
@@ -1,6 +1,7 @@
 #include "sardinespoke/nng_peer_link.h"
 
 #include "bounded_json_p.h"
+#include "silencing_proxy.h"
 
 #include <gtest/gtest.h>
 #include <nng/nng.h>
@@ -201,5 +202,41 @@
   EXPECT_TRUE(client_.Call(address, { { "type", "Echo" } }, kTimeout));
 }
 
+// An entry host must reach its leader again by a new connection if the open one goes silent without
+// an end. LOST: two of six hosts refused all requests for the rest of the day, since nng noticed
+// nothing.
+TEST_F(NngPeerLinkTest, CallsOverANewConnectionAfterSilence)
+{
+  for (const SilentDirection direction :
+       { SilentDirection::Both, SilentDirection::Requests, SilentDirection::Replies }) {
+    SilencingProxy proxy(server_.Address());
+    const auto call = [&](milliseconds aTimeout) {
+      return client_.Call(proxy.Address(), { { "type", "Echo" }, { "text", "a" } }, aTimeout);
+    };
+    ASSERT_TRUE(call(kTimeout));
+    proxy.Silence(direction);
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(CodeOf([&] { return call(milliseconds(300)); }), PeerError::Code::Timeout);
+    EXPECT_TRUE(call(kTimeout));
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, kTimeout);
+    EXPECT_EQ(proxy.Connections(), 2U);
+  }
+  EXPECT_EQ(client_.Counters().connectionsReplaced_, 3U);
+}
+
+// A reply that takes long must not cost the connection while others arrive over it.
+TEST_F(NngPeerLinkTest, KeepsTheConnectionOfASlowReplyWhileOthersArrive)
+{
+  SilencingProxy proxy(server_.Address());
+  std::thread slow([&] {
+    EXPECT_FALSE(client_.Call(proxy.Address(), { { "type", "Later" } }, milliseconds(600)));
+  });
+  std::this_thread::sleep_for(milliseconds(200));
+  EXPECT_TRUE(client_.Call(proxy.Address(), { { "type", "Echo" }, { "text", "a" } }, kTimeout));
+  slow.join();
+  EXPECT_TRUE(client_.Call(proxy.Address(), { { "type", "Echo" }, { "text", "b" } }, kTimeout));
+  EXPECT_EQ(proxy.Connections(), 1U);
+}
+
 }
 }
