Give up kept HTTP connections that went silent together after one timeout

Cause: after connections to the store went silent, each kept one cost its next call 0.7 s; up to ten are kept, and the leader's lease lasts 1.25 s.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -28,6 +28,9 @@
   uint32_t maxConnections_ = 3; ///< To this authority; further calls are queued.
   /// Its response is read before those of other calls, however many are ready.
   bool urgent_ = false;
+  /// If it times out, the idle connections over which nothing was heard since it was sent are
+  /// closed: they may have gone silent with the one that it used.
+  bool closeIdleOnTimeout_ = false;
 };
 
 /// How a call ended.
@@ -83,6 +86,9 @@
   void ReadDueTransfers(std::chrono::steady_clock::time_point aNow);
   void FinishCompletedTransfers();
   void EndDueTransfers(std::chrono::steady_clock::time_point aNow);
+  /// Closes idle connections to an authority over which nothing was heard since then.
+  void CloseIdle(const std::string& aAuthority,
+                 std::chrono::steady_clock::time_point aNotHeardSince);
   /// @returns Time until libcurl's timer or the first deadline of a call; at most aWait.
   std::chrono::milliseconds TimeUntilDue(std::chrono::milliseconds aWait) const;
   std::chrono::milliseconds TimeUntilTimer() const;
@@ -103,9 +109,11 @@
   /// A socket in the epoll set. An idle persistent connection stays registered.
   struct SocketState
   {
-    uint32_t registered_ = 0; ///< Events registered with epoll.
-    bool inUse_ = false;      ///< libcurl waits for this socket.
-    bool urgent_ = false;     ///< Registered with urgentEpollFd_.
+    uint32_t registered_ = 0;                         ///< Events registered with epoll.
+    bool inUse_ = false;                              ///< libcurl waits for this socket.
+    bool urgent_ = false;                             ///< Registered with urgentEpollFd_.
+    std::string authority_;                           ///< Of the last call over it.
+    std::chrono::steady_clock::time_point heardAt_{}; ///< When data last arrived.
   };
   std::unordered_map<int, SocketState> sockets_;
   bool hasTimer_ = false;
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -5,6 +5,8 @@
 #include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -23,6 +25,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kConnectTimeout{ 400 };
+// Keep-alive probes close an idle connection that went silent; both in seconds, the shortest that
+// TCP takes.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 1;
 constexpr size_t kMaxResponseBytes = 8U << 20U;
 constexpr long kKeptConnections = 4096;
 constexpr size_t kMaxIdleHandles = 64;
@@ -39,6 +46,7 @@
   CURL* easy_ = nullptr;
   int socket_ = -1; ///< Watched for this call; -1 if there is none.
   std::chrono::steady_clock::time_point deadline_{};
+  std::chrono::steady_clock::time_point sentAt_{};
   curl_slist* headers_ = nullptr;
   std::string body_;
 
@@ -58,11 +66,27 @@
     self->owner_->SetDeadline(*self, kConnectTimeout);
     const int type = aAddress->socktype | SOCK_CLOEXEC; // NOLINT(hicpp-signed-bitwise)
     const int opened = socket(aAddress->family, type, aAddress->protocol);
+    if (opened >= 0) {
+      EnableKeepAlive(opened);
+    }
     // libcurl closes a socket that is still connecting without OnClose(); epoll forgot it then.
     self->owner_->sockets_.erase(opened);
     return opened;
   }
 
+  static void EnableKeepAlive(int aSocket)
+  {
+    const auto set = [aSocket](int aLevel, int aOption, int aValue) {
+      if (setsockopt(aSocket, aLevel, aOption, &aValue, sizeof(aValue)) != 0) {
+        Log(LogLevel::Warn, "http.option_refused", { { "option", aOption }, { "errno", errno } });
+      }
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  }
+
   /// Begins the time limit of the response; refuses a second attempt, also over a kept connection.
   static int OnPreRequest(void* aSelf, char*, char*, int, int)
   {
@@ -72,6 +96,7 @@
     if (self->WasSent()) {
       return CURL_PREREQFUNC_ABORT;
     }
+    self->sentAt_ = std::chrono::steady_clock::now();
     self->owner_->SetDeadline(*self, self->call_.timeout_);
     return CURL_PREREQFUNC_OK;
   }
@@ -154,6 +179,9 @@
   const uint32_t in = aWhat != CURL_POLL_OUT ? uint32_t{ EPOLLIN } : 0U;
   const uint32_t out = aWhat != CURL_POLL_IN ? uint32_t{ EPOLLOUT } : 0U;
   self->WatchSocket(aSocket, in | out, transfer && transfer->call_.urgent_);
+  if (transfer) {
+    self->sockets_[aSocket].authority_ = transfer->call_.authority_;
+  }
   return 0;
 }
 
@@ -218,6 +246,9 @@
     return;
   }
   const unsigned int readable = (aEvents & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0;
+  if (readable != 0) {
+    watched->second.heardAt_ = std::chrono::steady_clock::now();
+  }
   const unsigned int writable = (aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
   const unsigned int broken = (aEvents & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0;
   int running = 0;
@@ -342,7 +373,31 @@
 HttpMulti::EndDueTransfers(std::chrono::steady_clock::time_point aNow)
 {
   while (!deadlines_.empty() && deadlines_.begin()->first <= aNow) {
-    FinishTransfer(*deadlines_.begin()->second, CURLE_OPERATION_TIMEDOUT);
+    Transfer& late = *deadlines_.begin()->second;
+    if (late.call_.closeIdleOnTimeout_ && late.WasSent()) {
+      CloseIdle(late.call_.authority_, late.sentAt_);
+    }
+    FinishTransfer(late, CURLE_OPERATION_TIMEDOUT);
+  }
+}
+
+void
+HttpMulti::CloseIdle(const std::string& aAuthority,
+                     std::chrono::steady_clock::time_point aNotHeardSince)
+{
+  size_t closed = 0;
+  for (const auto& [socket, state] : sockets_) {
+    if (state.inUse_ || state.authority_ != aAuthority || state.heardAt_ >= aNotHeardSince) {
+      continue;
+    }
+    // libcurl discards a kept connection that is at its end when it looks for one to reuse.
+    shutdown(socket, SHUT_RDWR);
+    ++closed;
+  }
+  if (closed > 0) {
+    Log(LogLevel::Info,
+        "http.idle_closed",
+        { { "authority", aAuthority }, { "connections", closed } });
   }
 }
 
--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -1,4 +1,5 @@
 #include "raw_server.h"
+#include "silencing_proxy.h"
 
 #include "sardinespoke/http_multi.h"
 
@@ -505,5 +506,59 @@
   EXPECT_EQ(SendRequest(CallTo(address)).outcome_, HttpOutcome::NotSent);
 }
 
+// One timeout must suffice to give up the kept connections that went silent together. Fault: each
+// of them cost a leader another 0.7 s, and its lease ran out meanwhile.
+TEST_F(HttpMultiTest, UsesNoIdleConnectionThatWentSilent)
+{
+  constexpr uint32_t kKept = 4;
+  std::atomic<size_t> arrived{ 0 };
+  const RawServer server([&arrived](const std::string&, size_t) {
+    ++arrived;
+    RawReply reply{ RawResponse("{}") };
+    reply.holdWhile_ = [&arrived] { return arrived < kKept; };
+    return reply;
+  });
+  SilencingProxy proxy(server.Address());
+  HttpCall call = CallTo(proxy.Address());
+  ASSERT_EQ(CountOutcomes(call, kKept, HttpOutcome::Answered), kKept);
+  proxy.Silence();
+  call.timeout_ = milliseconds(300);
+  call.closeIdleOnTimeout_ = true;
+  EXPECT_EQ(SendRequest(call).outcome_, HttpOutcome::Unknown);
+  EXPECT_EQ(SendRequest(call).outcome_, HttpOutcome::Answered);
+  EXPECT_EQ(proxy.Connections(), kKept + 1);
+}
+
+// As before: a connection over which something was heard since then is kept.
+TEST_F(HttpMultiTest, KeepsIdleConnectionsThatWereHeard)
+{
+  std::atomic<size_t> arrived{ 0 };
+  std::atomic<bool> held{ true };
+  const RawServer server([&](const std::string&, size_t aIndex) {
+    if (aIndex < 2) {
+      return RespondToTwoAtOnce(arrived);
+    }
+    RawReply reply{ RawResponse("{}") };
+    reply.holdWhile_ = [&held, aIndex] { return held && aIndex == 2; };
+    return reply;
+  });
+  KeepTwoConnections(server);
+  HttpCall call = CallTo(server.Address());
+  call.timeout_ = milliseconds(300);
+  call.closeIdleOnTimeout_ = true;
+  bool ended = false;
+  http_.Send(call, [&ended](const HttpReply&) { ended = true; });
+  while (server.Requests().size() < 3) {
+    http_.Run(milliseconds(10));
+  }
+  EXPECT_EQ(SendRequest(call).outcome_, HttpOutcome::Answered);
+  while (!ended) {
+    http_.Run(milliseconds(10));
+  }
+  held = false;
+  EXPECT_EQ(SendRequest(call).outcome_, HttpOutcome::Answered);
+  EXPECT_EQ(server.Connections(), 2U);
+}
+
 }
 }
