Never give up a continuous task whose backend servers are lost

Cause: a continuous task that had just begun on two backend servers which were replaced counted as the cause of two crashes. Its job failed, which ended all its tasks beyond the availability budget (AVAIL) and left them away (LOST). A continuous task is restarted however it ends.

Change: continuous tasks stay suspects and are started apart, but are never given up.

--- a/include/sardinespoke/crash_suspects.h
+++ b/include/sardinespoke/crash_suspects.h
@@ -12,6 +12,8 @@
   uint32_t crashes_ = 0;    ///< Crashes while the task was in question, this one included.
   uint32_t inQuestion_ = 1; ///< Tasks that were in question on the backend server; 1: it alone.
   bool isWeak_ = false;     ///< Something else may explain it, such as the loss of a rack.
+  /// The task is continuous: it is restarted however often it ends, and its job never fails.
+  bool isContinuous_ = false;
 };
 
 enum class CrashVerdict
--- a/src/crash_suspects.cpp
+++ b/src/crash_suspects.cpp
@@ -19,6 +19,9 @@
 CrashVerdict
 CrashSuspects::Judge(const CrashEvidence& aEvidence)
 {
+  if (aEvidence.isContinuous_) {
+    return CrashVerdict::Suspect;
+  }
   const bool isNamed = aEvidence.inQuestion_ == 1 && !aEvidence.isWeak_;
   const uint32_t most = isNamed ? kCrashesAlone : kMostCrashes;
   return aEvidence.crashes_ >= most ? CrashVerdict::GivenUp : CrashVerdict::Suspect;
--- a/src/run_crashes.cpp
+++ b/src/run_crashes.cpp
@@ -98,6 +98,7 @@
     evidence.inQuestion_ = static_cast<uint32_t>(tasks.size());
     evidence.isWeak_ =
       isRackLost || aEnd == IncarnationEnd::Uncertain || HasAdoptedRun(aBackend, task);
+    evidence.isContinuous_ = jobs_.SpecOf(task).continuous_;
     jobs_.SetCrashes(task, evidence.crashes_);
     ++crashCounts_.attributed_;
     const bool isGivenUp = CrashSuspects::Judge(evidence) == CrashVerdict::GivenUp;
@@ -167,6 +168,7 @@
   CrashEvidence evidence;
   evidence.crashes_ = jobs_.CrashesOf(aTask) + 1;
   evidence.isWeak_ = true;
+  evidence.isContinuous_ = jobs_.SpecOf(aTask).continuous_;
   jobs_.SetCrashes(aTask, evidence.crashes_);
   jobs_.EndTrial(aTask);
   ++crashCounts_.attributed_;
--- a/tests/crash_suspects_test.cpp
+++ b/tests/crash_suspects_test.cpp
@@ -33,6 +33,13 @@
   EXPECT_EQ(CrashSuspects::Judge({ 4, 9, true }), CrashVerdict::GivenUp);
 }
 
+// LOST: a release with reused addresses ended the jobs of continuous tasks as failed.
+TEST(CrashSuspectsTest, ContinuousTasksAreNeverGivenUp)
+{
+  EXPECT_EQ(CrashSuspects::Judge({ 2, 1, false, true }), CrashVerdict::Suspect);
+  EXPECT_EQ(CrashSuspects::Judge({ 9, 1, false, true }), CrashVerdict::Suspect);
+}
+
 // Suspects must not take a pool from the rest of the work.
 TEST(CrashSuspectsTest, TrialsTakeAPartOfThePool)
 {
--- a/tests/crashing_task_test.cpp
+++ b/tests/crashing_task_test.cpp
@@ -149,6 +149,27 @@
   }
 }
 
+// A continuous task whose backend servers are lost under it, as in a release, must run again, and
+// the others of its step must run on. AVAIL and LOST: its job failed, which ended them all.
+TEST_F(CrashingTaskTest, ContinuousTaskRunsAgainAfterItsBackendServersAreLost)
+{
+  StepSpec continuous = Tasks(2);
+  continuous.continuous_ = true;
+  continuous.maxPerServer_ = 1;
+  continuous.maxUnavailable_ = 1;
+  world_.SetDeadly(TaskOf(1, 1));
+  Submit(1, continuous);
+  const bool isLostTwice =
+    world_.RunUntil([this] { return world_.Fleet().StartsOf(TaskOf(1, 1)) > 2; }, seconds(20));
+  EXPECT_TRUE(isLostTwice);
+  world_.SetDeadly(TaskOf(1, 1), milliseconds(0));
+  EXPECT_TRUE(
+    world_.RunUntil([this] { return world_.Fleet().RunsOf(TaskOf(1, 1)) == 1; }, seconds(20)));
+  world_.Run(seconds(2));
+  EXPECT_EQ(world_.StateOf("births", JobId(1)), JobState::Running);
+  EXPECT_EQ(world_.Fleet().RunsOf(TaskOf(1, 0)) + world_.Fleet().RunsOf(TaskOf(1, 1)), 2U);
+}
+
 // A continuous task has no part in the crash of its backend server long after its start.
 TEST_F(CrashingTaskTest, DoesNotEndContinuousTasksBesideIt)
 {
