--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -28,8 +28,8 @@
   uint32_t maxConnections_ = 3; ///< To this authority; further calls are queued.
   /// Its response is read before those of other calls, however many are ready.
   bool urgent_ = false;
-  /// If it times out, the idle connections over which nothing was heard since it was sent are
-  /// closed: they may have gone silent with the one that it used.
+  /// If it times out, the idle connections on which no data was waited for and came since it was
+  /// sent are closed: they may have gone silent with the one that it used.
   bool closeIdleOnTimeout_ = false;
 };
 
--- a/tests/http_multi_test.cpp
+++ b/tests/http_multi_test.cpp
@@ -539,7 +539,10 @@
       return RespondToTwoAtOnce(arrived);
     }
     RawReply reply{ RawResponse("{}") };
-    reply.holdWhile_ = [&held, aIndex] { return held && aIndex == 2; };
+    const auto answersAt = std::chrono::steady_clock::now() + milliseconds(20);
+    reply.holdWhile_ = [&held, aIndex, answersAt] {
+      return aIndex == 2 ? held.load() : std::chrono::steady_clock::now() < answersAt;
+    };
     return reply;
   });
   KeepTwoConnections(server);
