Log what a leader's time is spent on, once a second

Cause: nothing showed why a leader is late. Change: leader.load (time by phase, ticks, polls, ends and progress that wait for the store, callers that wait) and leader.http (time in the HTTP client and in its callbacks), one line a second.

--- a/include/sardinespoke/entry_node.h
+++ b/include/sardinespoke/entry_node.h
@@ -66,6 +66,7 @@
   void RunControlLoop();
   void HandleQueuedRequests();
   void FollowLeadership();
+  void LogLoad();
   void HandleRequest(const Request& aRequest);
   CallerReply HandleLocally(const CallerCall& aCall);
   CallerReply ForwardToLeader(const CallerCall& aCall);
--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sardinespoke {
@@ -70,6 +71,14 @@
   /// from a callback.
   void Run(std::chrono::milliseconds aWait);
 
+  /// Time that Run() has spent since the last call, without the wait for events.
+  struct BusyTime
+  {
+    std::chrono::nanoseconds all_{ 0 };
+    std::chrono::nanoseconds callbacks_{ 0 }; ///< Part of it.
+  };
+  BusyTime TakeBusyTime() { return std::exchange(busyTime_, BusyTime{}); }
+
   /// Wakes up Run(). The only thread-safe method.
   void Wake();
 
@@ -116,6 +125,7 @@
     std::chrono::steady_clock::time_point heardAt_{}; ///< When data last arrived.
   };
   std::unordered_map<int, SocketState> sockets_;
+  BusyTime busyTime_;
   bool hasTimer_ = false;
   std::chrono::steady_clock::time_point timer_{}; ///< When libcurl's timeout is due.
   std::map<Transfer*, std::unique_ptr<Transfer>> active_;
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -5,6 +5,7 @@
 #include "sardinespoke/job_journal.h"
 #include "sardinespoke/job_request.h"
 #include "sardinespoke/metrics.h"
+#include "sardinespoke/phase_times.h"
 #include "sardinespoke/task_scheduler.h"
 
 namespace sardinespoke {
@@ -74,6 +75,9 @@
   void RemoveEndedJobs();
   void OnRunEnded(const RunEvent& aEvent);
   void PublishMetrics();
+  void LogLoad();
+  void TickLoaded();
+  void DoHousekeeping();
 
   RecordStoreI& store_;
   BackendCommandsI& commands_;
@@ -116,6 +120,8 @@
   TimePoint nextHousekeeping_{};
   TimePoint nextMetrics_{};
   TimePoint nextSchedule_{};
+  PhaseTimes phases_;
+  uint32_t ticks_ = 0; ///< Since the last report.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -70,6 +70,12 @@
   /// @returns True if no submission, progress or record waits for the store.
   bool IsIdle() const;
 
+  /// @returns Number of jobs whose progress waits for a transaction.
+  size_t QueuedProgress() const { return progress_.Size(); }
+
+  /// @returns Number of callers that wait for the store.
+  size_t Waiters() const { return waiters_.size(); }
+
   TimePoint NextDue() const;
 
   /// Reports all waiting writes as Unknown, and submissions that were never sent as NotStored.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <set>
+#include <utility>
 
 namespace sardinespoke {
 
@@ -86,6 +87,9 @@
 
   const CrashCounts& Crashes() const { return crashCounts_; }
 
+  /// @returns Polls sent since the last call.
+  uint64_t TakePolls() { return std::exchange(polls_, 0); }
+
   /// Sends polls and repeated stops that are due; drops runs whose lease has expired.
   void Tick();
 
@@ -222,6 +226,7 @@
   std::function<void(const std::string&)> onIncarnationEnded_;
   std::function<void(const std::string&, const std::string&)> onInvalidTicket_;
   CrashCounts crashCounts_;
+  uint64_t polls_ = 0;
   /// When hosts were lost, by rack and host.
   std::map<std::string, std::map<std::string, TimePoint>> lostHosts_;
   std::map<std::string, std::vector<LateStart>> lateStarts_; ///< By id of the backend server.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -36,6 +36,7 @@
 constexpr milliseconds kMaxCallerTimeout{ 30000 };
 constexpr milliseconds kRetryAfter{ 1000 };
 constexpr milliseconds kMaxLoopWait{ 100 };
+constexpr milliseconds kLoadReportPeriod{ 1000 };
 constexpr milliseconds kJournalIdleTimeout{ 500 };
 constexpr milliseconds kStopPoll{ 20 };
 // Requests that are in transit when a host starts to refuse are received within this time.
@@ -191,6 +192,7 @@
 {
   TimePoint last = clock_.Now();
   TimePoint stopSeen{};
+  TimePoint nextReport{};
   bool resigned = false;
   while (!exiting_) {
     const TimePoint now = clock_.Now();
@@ -213,6 +215,10 @@
     if (control_) {
       due = std::min(due, control_->NextDue());
     }
+    if (now >= nextReport) {
+      nextReport = now + kLoadReportPeriod;
+      LogLoad();
+    }
     // Rounded up, since waits of 0 ms would spin until the due time.
     const auto wait = std::chrono::ceil<milliseconds>(due - clock_.Now());
     const milliseconds bounded = std::clamp(wait, milliseconds(0), kMaxLoopWait);
@@ -225,6 +231,21 @@
   }
 }
 
+void
+EntryNode::LogLoad()
+{
+  const HttpMulti::BusyTime busy = http_.TakeBusyTime();
+  if (!control_) {
+    return;
+  }
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  Log(LogLevel::Info,
+      "leader.http",
+      { { "busy_us", duration_cast<microseconds>(busy.all_).count() },
+        { "callbacks_us", duration_cast<microseconds>(busy.callbacks_).count() } });
+}
+
 void
 EntryNode::FollowLeadership()
 {
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -287,9 +287,11 @@
   auto wait = ProcessTimer() ? std::chrono::milliseconds(0) : aWait;
   wait = TimeUntilDue(wait);
   std::array<epoll_event, kMaxEventsPerWait> events{};
+  const auto waitBegin = std::chrono::steady_clock::now();
   const int count = epoll_wait(
     epollFd_, events.data(), static_cast<int>(events.size()), static_cast<int>(wait.count()));
-  ProcessUrgentSockets();
+  busyTime_.all_ -= std::chrono::steady_clock::now() - waitBegin;
+  ServeUrgentCalls();
   for (int index = 0; index < count; ++index) {
     const epoll_event& event = events[static_cast<size_t>(index)];
     if (event.data.fd == wakeFd_) {
@@ -492,7 +494,9 @@
   const std::string authority = transfer->call_.authority_;
   --authorityQueues_[authority].active_;
   StartNextTransfer(authority);
+  const auto begin = std::chrono::steady_clock::now();
   transfer->done_(reply);
+  busyTime_.callbacks_ += std::chrono::steady_clock::now() - begin;
 }
 
 void
@@ -514,12 +518,14 @@
 void
 HttpMulti::Run(std::chrono::milliseconds aWait)
 {
+  const auto begin = std::chrono::steady_clock::now();
   ProcessSockets(aWait);
   // libcurl would end a call at its timeout even if the response has arrived; it is given none.
   const auto now = std::chrono::steady_clock::now();
   ReadDueTransfers(now);
   FinishCompletedTransfers();
   EndDueTransfers(now);
+  busyTime_.all_ += std::chrono::steady_clock::now() - begin;
 }
 
 void
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -98,6 +98,7 @@
               aClock,
               FeedSettings{ aFormat.OperatorPrefix(), kOperatorWait, milliseconds(0) })
   , parts_(PartCount)
+  , phases_(aClock)
 {
   runs_.OnEnd([this](const RunEvent& aEvent) { OnRunEnded(aEvent); });
   runs_.OnInvalidTicket([this](const std::string& aStep, const std::string& aBackend) {
@@ -176,6 +177,32 @@
   metrics_.Set("jobs_given_up", static_cast<double>(crashes.givenUp_));
   metrics_.Set("config_version", static_cast<double>(config_.version_));
   metrics_.Set("owner_fence", static_cast<double>(leadership_.FencingToken()));
+  LogLoad();
+}
+
+void
+JobControl::LogLoad()
+{
+  int64_t unstored = 0;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    unstored += backend.endsApplied_ - backend.endsStored_;
+  }
+  Log(LogLevel::Info,
+      "leader.load",
+      { { "ticks", ticks_ },
+        { "busy_us", phases_.At(LoopPhase::Total).count() },
+        { "housekeeping_us", phases_.At(LoopPhase::Housekeeping).count() },
+        { "schedule_us", phases_.At(LoopPhase::Schedule).count() },
+        { "runs_us", phases_.At(LoopPhase::Runs).count() },
+        { "journal_us", phases_.At(LoopPhase::Journal).count() },
+        { "open_jobs", jobs_.Open().size() },
+        { "polls", runs_.TakePolls() },
+        { "ends_unstored", unstored },
+        { "progress_queued", journal_.QueuedProgress() },
+        { "callers_waiting", journal_.Waiters() } });
+  phases_.Clear();
+  ticks_ = 0;
 }
 
 void
@@ -512,6 +539,13 @@
     }
     RestoreState();
   }
+  ++ticks_;
+  phases_.Measure(LoopPhase::Total, [this] { TickLoaded(); });
+}
+
+void
+JobControl::TickLoaded()
+{
   const bool operatorChanged = operator_.TakeChanged();
   if (operatorChanged) {
     ReadOperator();
@@ -525,33 +559,38 @@
   const TimePoint now = clock_.Now();
   if (now >= nextHousekeeping_) {
     nextHousekeeping_ = now + kHousekeepingPeriod;
-    for (const uint32_t index : jobs_.Open()) {
-      jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
-    }
-    StopStuckRuns();
-    EnforceLatencyTargets();
-    directory_.Tick(runs_.HasUnresponsive() ? kUnresponsiveListPeriod
-                                            : rolloutRunner_.ListPeriod());
-    runs_.ApplyHosts(directory_.All(), directory_.RequestedAt());
-    rolloutRunner_.Tick(rollouts_);
-    allocator_.Tick(config_);
-    RemoveEndedJobs();
-    PublishMetrics();
+    phases_.Measure(LoopPhase::Housekeeping, [this] { DoHousekeeping(); });
   }
   advice_.Tick();
   const bool advised = advice_.TakeChanged();
   const bool changed = runs_.TakeChanged() || advised;
   if (changed || now >= nextSchedule_) {
     nextSchedule_ = now + kSchedulePeriod;
-    scheduler_.Run();
+    phases_.Measure(LoopPhase::Schedule, [this] { scheduler_.Run(); });
   }
-  runs_.Tick();
-  journal_.Tick();
+  phases_.Measure(LoopPhase::Runs, [this] { runs_.Tick(); });
+  phases_.Measure(LoopPhase::Journal, [this] { journal_.Tick(); });
   if (runs_.IsFenced()) {
     leadership_.StepDown("a backend server has seen a higher fencing token");
   }
 }
 
+void
+JobControl::DoHousekeeping()
+{
+  for (const uint32_t index : jobs_.Open()) {
+    jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
+  }
+  StopStuckRuns();
+  EnforceLatencyTargets();
+  directory_.Tick(runs_.HasUnresponsive() ? kUnresponsiveListPeriod : rolloutRunner_.ListPeriod());
+  runs_.ApplyHosts(directory_.All(), directory_.RequestedAt());
+  rolloutRunner_.Tick(rollouts_);
+  allocator_.Tick(config_);
+  RemoveEndedJobs();
+  PublishMetrics();
+}
+
 TimePoint
 JobControl::NextDue() const
 {
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -71,6 +71,7 @@
     command.wait_ = allRunning ? (hasTrial ? kTrialWait : kPollWait) : kPendingCommandWait;
   }
   ++backend.pollsInFlight_;
+  ++polls_;
   const std::weak_ptr<bool> alive = alive_;
   commands_.Poll(command, [this, alive, aBackend, now, command](const PollResult& aResult) {
     if (!alive.lock()) {
