Write a backlog between the ticks of a busy leader

Cause: one transaction of 29 entries a tick. At its processor limit a leader ticks 16 to 20 times a second, so progress waited for seconds, ends were not acknowledged, backend servers listed them again in each answer, which took the leader's time; and hosts with unacknowledged ends cannot move to another pool. Ruled out: the store (4 ms) and the decisions (0.25 s of a second).

Change: the answer to a transaction sends the next one if it is full, and the HTTP client serves the store between every 16 other events.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -67,8 +67,8 @@
   /// Sends a call. The callback runs exactly once, in Run().
   void Send(HttpCall aCall, Done aDone);
 
-  /// Transfers data and runs callbacks; waits at most aWait for the first event. Not to be called
-  /// from a callback.
+  /// Transfers data and runs callbacks, of urgent calls also between others; waits at most aWait
+  /// for the first event. Not to be called from a callback.
   void Run(std::chrono::milliseconds aWait);
 
   /// Time that Run() has spent since the last call, without the wait for events.
@@ -103,6 +103,8 @@
   std::chrono::milliseconds TimeUntilTimer() const;
   void ProcessSockets(std::chrono::milliseconds aWait);
   void ProcessUrgentSockets();
+  /// Reads urgent responses, runs the callbacks of completed calls and sends new calls.
+  void ServeUrgentCalls();
   void ProcessSocket(int aSocket, uint32_t aEvents);
   /// @returns True if a timeout of libcurl was due.
   bool ProcessTimer();
--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -121,6 +121,7 @@
 
   void CollectChanges();
   void StartBatch();
+  void StartBatchIfUrgent();
   void FillBatch(Batch& aBatch, std::vector<BackendHandle>& aUnrecorded, Shares aShares);
   void AddProgress(Batch& aBatch, const ProgressQueue::Entry& aEntry);
   void TakeEnds(Batch& aBatch);
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -35,6 +35,8 @@
 constexpr size_t kMaxIdleHandles = 64;
 // Events fetched by one epoll_wait(); the rest is fetched by the next.
 constexpr size_t kMaxEventsPerWait = 128;
+// Other responses take tenths of a millisecond each; the store answers within 4 ms.
+constexpr int kEventsBetweenUrgent = 16;
 
 }
 
@@ -294,6 +296,9 @@
   ServeUrgentCalls();
   for (int index = 0; index < count; ++index) {
     const epoll_event& event = events[static_cast<size_t>(index)];
+    if (index > 0 && index % kEventsBetweenUrgent == 0) {
+      ServeUrgentCalls();
+    }
     if (event.data.fd == wakeFd_) {
       uint64_t wakes = 0;
       // A failed read means that the wake-ups were already consumed.
@@ -304,7 +309,15 @@
       ProcessSocket(event.data.fd, event.events);
     }
   }
+  ServeUrgentCalls();
+}
+
+void
+HttpMulti::ServeUrgentCalls()
+{
   ProcessUrgentSockets();
+  // Runs the callbacks, which may send the next urgent call, and sends it.
+  FinishCompletedTransfers();
   ProcessTimer();
 }
 
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -334,6 +334,22 @@
       waiter.done_(JournalOutcome::Stored);
     }
   }
+  // On a busy leader, ticks are far apart: one transaction for each would be too few. Less than a
+  // full one waits for the tick, so that several changes of a job are written once.
+  if (leadership_.IsLeader()) {
+    CollectChanges();
+    if (submitted_.size() + progress_.Size() + writes_.size() >= kEntriesPerTransaction) {
+      StartBatchIfUrgent();
+    }
+  }
+}
+
+void
+JobJournal::StartBatchIfUrgent()
+{
+  if (!inFlight_ && !hasBatch_ && IsUrgent()) {
+    StartBatch();
+  }
 }
 
 void
@@ -431,9 +447,7 @@
     SendBatch();
     return;
   }
-  if (IsUrgent()) {
-    StartBatch();
-  }
+  StartBatchIfUrgent();
 }
 
 TimePoint
--- a/tests/job_journal_test.cpp
+++ b/tests/job_journal_test.cpp
@@ -270,5 +270,36 @@
   EXPECT_EQ(backends_.At(backend_).endsStored_, 7);
 }
 
+// A backlog must be written between the ticks of a busy leader. Fault: a leader at its processor
+// limit ticked 16 times a second, with one transaction each; ends stayed unstored, so that backend
+// servers listed them again in each answer, which made the leader slower still.
+TEST_F(JobJournalTest, BacklogIsWrittenBetweenTheTicksOfABusyLeader)
+{
+  TouchAll();
+  backends_.At(backend_).endsApplied_ = 7;
+  ASSERT_FALSE(Next().empty());
+  size_t transactions = 0;
+  for (; !store_.held_.empty(); ++transactions) {
+    Answer();
+  }
+  EXPECT_GE(transactions, kJobs / kEntriesPerTransaction);
+  EXPECT_LT(journal_.QueuedProgress(), kEntriesPerTransaction);
+  ASSERT_FALSE(Next(milliseconds(130)).empty());
+  Answer();
+  EXPECT_EQ(backends_.At(backend_).endsStored_, 7);
+}
+
+// Less than a full transaction waits, so that several changes of a job are written once.
+TEST_F(JobJournalTest, SmallTransactionsWaitForTheTick)
+{
+  jobs_.Touch(0);
+  clock_.Advance(milliseconds(1));
+  journal_.Tick();
+  EXPECT_EQ(Next(milliseconds(200)).size(), 2U);
+  jobs_.Touch(1);
+  Answer();
+  EXPECT_TRUE(store_.held_.empty());
+}
+
 }
 }
