--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -85,6 +85,7 @@
   TimePoint answeredPollSentAt_{}; ///< Send time of the newest poll with a response.
   TimePoint failedPollSentAt_{};   ///< Send time of the newest poll without a response.
   TimePoint leaseEnd_{};           ///< No run outlives this unless the lease is renewed.
+  TimePoint renewedUntil_{};       ///< End of the lease that the newest poll has asked for.
   int64_t clock_ = 0;              ///< Its clock in ms as read at clockAt_.
   TimePoint clockAt_{};
   int64_t endsApplied_ = 0; ///< End reports up to this number are applied to the job table.
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -40,6 +40,15 @@
          (aBackend.failedPolls_ > 0 && aBackend.registered_);
 }
 
+bool
+RunTracker::LacksLease(const Backend& aBackend) const
+{
+  // A start is a lease of its own, but a short one. The poll in flight may have been sent before.
+  return !aBackend.runs_.empty() && aBackend.verified_ && aBackend.failedPolls_ == 0 &&
+         !aBackend.restartSuspectedAt_ && aBackend.pollsInFlight_ == 1 &&
+         aBackend.renewedUntil_ < clock_.Now() + kStartDeadline;
+}
+
 bool
 RunTracker::IsLeaseOver(const Backend& aBackend) const
 {
@@ -61,6 +70,7 @@
   if (backend.clock_ != 0 && backend.verified_ && isKnown && !backend.runs_.empty()) {
     command.deadline_ = backend.ClockNow(now) + limits_.leaseTime_.count();
     backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(limits_.leaseTime_));
+    backend.renewedUntil_ = now + limits_.leaseTime_;
   }
   if (backend.verified_ && isKnown && !backend.runs_.empty()) {
     const bool allRunning =
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -544,7 +544,9 @@
         Stop(handle, run);
       }
     }
-    if (backend.pollsInFlight_ == 0 && now >= backend.nextPollAt_ && NeedsPoll(backend)) {
+    const bool isDue =
+      backend.pollsInFlight_ == 0 && now >= backend.nextPollAt_ && NeedsPoll(backend);
+    if (isDue || LacksLease(backend)) {
       SendPoll(handle);
     }
   }
