Place a waiting backlog at a cost that follows what changed

Cause: each round asked all backend servers of a full pool for each waiting task, and estimated each waiting job anew. Change: what needs at least as much as a task that found no room in this round is not tried; estimates are kept until the job goes on, 250 ms at most.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -53,6 +53,7 @@
   bool isSizeUnknown_ = false;    ///< It may hold the whole server; resources_ is an estimate.
   bool hasLatencyTarget_ = false; ///< The task has a bound on its response times.
   bool isBestEffort_ = false;
+  bool isContinuous_ = false;
   std::string checkpoint_;
 };
 
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -82,6 +82,7 @@
   bool finished_ = false;                    ///< All tasks are done.
   bool touched_ = false;                     ///< Progress differs from the stored record.
   JobState visibleState_ = JobState::Queued; ///< State in the stored progress record.
+  uint32_t progress_ = 0;                    ///< Grows when a task is done or an occurrence begins.
   TimePoint endedAt_{};
 
   bool HasEnded() const { return cancelled_ || failed_ || finished_; }
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinespoke/advice_cache.h"
+#include "sardinespoke/refused_needs.h"
 #include "sardinespoke/run_tracker.h"
 #include "sardinespoke/suspect_placement.h"
 #include "sardinespoke/wait_order.h"
@@ -59,6 +60,8 @@
   const WaitOrder& order_;
   const ClockI& clock_;
   SuspectPlacement suspects_;
+  RefusedNeeds refused_; ///< Of the pool whose jobs are being placed.
+  size_t poolSize_ = 0;  ///< Of that pool.
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
 };
--- a/include/sardinespoke/wait_order.h
+++ b/include/sardinespoke/wait_order.h
@@ -21,10 +21,23 @@
   void Sort(const JobTable& aJobs, TimePoint aNow, std::vector<uint32_t>& aWaiting) const;
 
   /// @returns True if the job can no longer finish within its latency objective.
-  bool IsLate(const Job& aJob, TimePoint aNow) const;
+  bool IsLate(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
 
 private:
+  /// What the order of a job depends on, besides the time.
+  struct Estimate
+  {
+    uint32_t progress_ = 0; ///< Progress of the job that it was made for.
+    TimePoint madeAt_{};
+    TimePoint lateFrom_{}; ///< A job that has not gone on by then is late.
+    double remainingWork_ = 0.0;
+  };
+
+  /// @returns The estimate of a job, made anew if the job has gone on or some time has passed.
+  const Estimate& EstimateOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
+
   const DurationModel& durations_;
+  mutable std::vector<Estimate> estimates_; ///< By index of the job.
 };
 
 }
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -96,6 +96,7 @@
     occurrence.steps_.push_back(std::move(step));
   }
   aJob.occurrences_.push_back(std::move(occurrence));
+  ++aJob.progress_;
 }
 
 void
@@ -208,6 +209,7 @@
     step.measured_ = (step.measured_ * before + lasted) / (before + 1);
   }
   Touch(aRef.job_);
+  ++job.progress_;
   if (job.spec_.steps_[aRef.step_].gang_) {
     for (Task& member : step.tasks_) {
       MarkDone(step, member);
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -260,6 +260,7 @@
     run.isSizeUnknown_ = false;
     run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
     run.isBestEffort_ = spec.bestEffort_;
+    run.isContinuous_ = spec.continuous_;
     run.isSuspect_ = jobs_.CrashesOf(ref) > 0;
     // An earlier leader has stored that it works on.
     run.proven_ = run.isSuspect_ && !jobs_.IsInTrial(ref);
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -167,6 +167,7 @@
   run.resources_ = spec.Need();
   run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
   run.isBestEffort_ = spec.bestEffort_;
+  run.isContinuous_ = spec.continuous_;
   run.isSuspect_ = jobs_.CrashesOf(aTask) > 0;
   if (run.isSuspect_) {
     ++crashCounts_.isolated_;
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -84,6 +84,8 @@
   for (auto& [service, jobs] : waiting) {
     order_.Sort(jobs_, clock_.Now(), jobs);
     const Pool& pool = pools[service];
+    refused_ = RefusedNeeds();
+    poolSize_ = pool.size();
     for (const uint32_t job : jobs) {
       started += PlaceJob(job, pool);
     }
@@ -115,7 +117,7 @@
       if (job.spec_.steps_[step].continuous_ && waiting > placed) {
         unplacedContinuousTasks_[job.policy_.service_] += static_cast<uint32_t>(waiting - placed);
       }
-      if (waiting > placed && !order_.IsLate(job, clock_.Now())) {
+      if (waiting > placed && !order_.IsLate(jobs_, aJob, clock_.Now())) {
         const auto coreMsPerTask = job.spec_.steps_[step].cpuMilli_ *
                                    durations_.ExpectedDuration(job, state, step).count() / 1000;
         waitingCoreMs_[job.policy_.service_] +=
@@ -132,7 +134,7 @@
           { "queue", job.spec_.queue_ },
           { "waited_ms", waited.count() },
           { "tasks", started },
-          { "late", order_.IsLate(job, clock_.Now()) },
+          { "late", order_.IsLate(jobs_, aJob, clock_.Now()) },
           { "usable_backends", aPool.size() } });
   }
   if (job.inherited_ && !job.resumed_ && started > 0) {
@@ -210,10 +212,15 @@
     if (isFull) {
       continue;
     }
-    const BackendHandle backend = Pick(ref, spec, aPool);
+    const BackendHandle backend =
+      refused_.Includes(spec.Need()) ? BackendHandle{} : Pick(ref, spec, aPool);
     if (!backend.IsValid()) {
       // The tasks of a step have equal requirements: none of the others fits.
       isFull = !task.avoidedBackend_.IsValid();
+      if (isFull && spec.requiredLabel_.empty() && spec.maxPerServer_ == 0 &&
+          aPool.size() == poolSize_) {
+        refused_.Add(spec.Need());
+      }
       continue;
     }
     StartTask(ref, backend, runs_.NextRun());
@@ -318,7 +325,7 @@
   const bool hasLatencyTarget = aSpec.latencyTarget_ > std::chrono::milliseconds(0);
   bool hasContinuous = false;
   for (const BackendRun& run : aBackend.runs_) {
-    hasContinuous = hasContinuous || (run.task_ && jobs_.SpecOf(*run.task_).continuous_);
+    hasContinuous = hasContinuous || run.isContinuous_;
     score += (hasLatencyTarget && run.isBestEffort_) || (aSpec.bestEffort_ && run.hasLatencyTarget_)
                ? kInterferencePenalty
                : 0.0;
--- a/src/wait_order.cpp
+++ b/src/wait_order.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// The durations that a queue has learned change little within this time.
+constexpr std::chrono::milliseconds kEstimateAge{ 250 };
+
 struct Rank
 {
   uint32_t job_ = 0;
@@ -30,16 +33,34 @@
 {
 }
 
-bool
-WaitOrder::IsLate(const Job& aJob, TimePoint aNow) const
+const WaitOrder::Estimate&
+WaitOrder::EstimateOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const
 {
-  const auto criticalPath = durations_.CriticalPath(aJob);
+  if (aJob >= estimates_.size()) {
+    estimates_.resize(aJob + 1);
+  }
+  const Job& job = aJobs.At(aJob);
+  Estimate& known = estimates_[aJob];
+  if (known.madeAt_ != TimePoint{} && known.progress_ == job.progress_ &&
+      aNow - known.madeAt_ < kEstimateAge) {
+    return known;
+  }
   const double stretched =
-    std::min(aJob.policy_.stretch_ * static_cast<double>(criticalPath.count()),
+    std::min(job.policy_.stretch_ * static_cast<double>(durations_.CriticalPath(job).count()),
              static_cast<double>(kDurationRange.max_));
   const auto objective =
-    std::chrono::milliseconds(static_cast<int64_t>(stretched)) + aJob.policy_.latencyTarget_;
-  return aNow + durations_.RemainingCriticalPath(aJob) > aJob.accepted_ + objective;
+    std::chrono::milliseconds(static_cast<int64_t>(stretched)) + job.policy_.latencyTarget_;
+  known.progress_ = job.progress_;
+  known.madeAt_ = aNow;
+  known.lateFrom_ = job.accepted_ + objective - durations_.RemainingCriticalPath(job);
+  known.remainingWork_ = durations_.RemainingWork(job);
+  return known;
+}
+
+bool
+WaitOrder::IsLate(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const
+{
+  return aNow > EstimateOf(aJobs, aJob, aNow).lateFrom_;
 }
 
 void
@@ -51,8 +72,9 @@
     const Job& job = aJobs.At(index);
     Rank rank{ index, job.policy_.priority_, 0, 0.0 };
     if (!job.HasContinuousSteps()) {
-      rank.tier_ = IsLate(job, aNow) ? 2 : 1;
-      rank.remainingWork_ = durations_.RemainingWork(job);
+      const Estimate& estimate = EstimateOf(aJobs, index, aNow);
+      rank.tier_ = aNow > estimate.lateFrom_ ? 2 : 1;
+      rank.remainingWork_ = estimate.remainingWork_;
     }
     ranks.push_back(rank);
   }
--- a/tests/wait_order_test.cpp
+++ b/tests/wait_order_test.cpp
@@ -60,7 +60,7 @@
   const uint32_t old = Add("old", 1, seconds(1), 0);
   clock_.Advance(seconds(3)); // The objective is 1.6 x 1 s + 0.6 s.
   const uint32_t fresh = Add("fresh", 8, seconds(1), 0);
-  EXPECT_TRUE(order_.IsLate(jobs_.At(old), clock_.Now()));
+  EXPECT_TRUE(order_.IsLate(jobs_, old, clock_.Now()));
   EXPECT_EQ(Sorted({ old, fresh }), (std::vector<uint32_t>{ fresh, old }));
 }
 
@@ -161,5 +161,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Errors, DurationErrorTest, testing::Values(0.05, 0.3, 0.5, 0.9, 1.5));
 
+// The order must follow the progress of a job at once, although estimates are kept for a while.
+TEST_F(WaitOrderTest, FinishedTasksCountAtOnce)
+{
+  const uint32_t large = Add("large", 4, seconds(1), 0);
+  const uint32_t small = Add("small", 2, seconds(1), 0);
+  clock_.Advance(milliseconds(1));
+  EXPECT_EQ(Sorted({ large, small }), (std::vector<uint32_t>{ small, large }));
+  for (uint32_t index = 0; index < 3; ++index) {
+    jobs_.Finish(TaskRef{ large, 0, 0, index }, clock_.Now());
+  }
+  EXPECT_EQ(Sorted({ large, small }), (std::vector<uint32_t>{ large, small }));
+}
+
 }
 }
