Do not count the loss of a backend server whose address another host has

Cause: 37 backend servers that fell silent and whose addresses went to other hosts were taken for crashes, as 'a newer backend server has its host or address'. A task that had been on two of them, alone at the second, was given up and its job shown as failed (LOST).

Change: an address that another host has taken means that the backend server was replaced, which counts no crash; a newer one on the same host still does.

--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -17,6 +17,16 @@
 // A start without a response may be carried out this long after it was sent. The platform names no
 // bound but seconds.
 constexpr milliseconds kLateStartLimit{ 15000 };
+constexpr char kHostTaken[] = "a newer backend server has its host";
+constexpr char kAddressTaken[] = "a newer backend server has its address";
+
+/// A backend server that crashes comes back on its host. One whose address belongs to another host
+/// has been replaced, which tells nothing about its tasks.
+IncarnationEnd
+EndOfTakenAddress(bool aIsHostKnown)
+{
+  return aIsHostKnown ? IncarnationEnd::Planned : IncarnationEnd::Unplanned;
+}
 
 }
 
@@ -46,10 +56,14 @@
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
     const BackendEntry& entry = backends_.At(handle).entry_;
-    const bool samePlace =
-      entry.address_ == newer.address_ || (!entry.host_.empty() && entry.host_ == newer.host_);
-    if (samePlace && entry.startTimeMs_ != 0 && entry.startTimeMs_ < newer.startTimeMs_) {
-      EndIncarnation(handle, "a newer backend server has its host or address");
+    if (entry.startTimeMs_ == 0 || entry.startTimeMs_ >= newer.startTimeMs_) {
+      continue;
+    }
+    const bool isHostKnown = !entry.host_.empty() && !newer.host_.empty();
+    if (isHostKnown && entry.host_ == newer.host_) {
+      EndIncarnation(handle, kHostTaken);
+    } else if (entry.address_ == newer.address_) {
+      EndIncarnation(handle, kAddressTaken, EndOfTakenAddress(isHostKnown));
     }
   }
 }
@@ -77,10 +91,14 @@
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
     const BackendEntry& entry = backends_.At(handle).entry_;
-    const bool replaced = newest[entry.address_] > entry.startTimeMs_ ||
-                          (!entry.host_.empty() && newest[entry.host_] > entry.startTimeMs_);
-    if (entry.startTimeMs_ != 0 && replaced) {
-      EndIncarnation(handle, "a newer backend server has its host or address");
+    if (entry.startTimeMs_ == 0) {
+      continue;
+    }
+    const bool isHostKnown = !entry.host_.empty();
+    if (isHostKnown && newest[entry.host_] > entry.startTimeMs_) {
+      EndIncarnation(handle, kHostTaken);
+    } else if (newest[entry.address_] > entry.startTimeMs_) {
+      EndIncarnation(handle, kAddressTaken, EndOfTakenAddress(isHostKnown));
     }
   }
 }
--- a/tests/run_lapse_test.cpp
+++ b/tests/run_lapse_test.cpp
@@ -226,5 +226,59 @@
   EXPECT_LE(timeUntilPoll(), milliseconds(100));
 }
 
+/// Replaces a backend server under a run that has just begun.
+class RunReplacementTest : public RunLapseTest
+{
+protected:
+  /// @returns Crashes that the task of the run then counts.
+  uint32_t CrashesAfterReplacement(const std::string& aNewHost)
+  {
+    BackendEntry entry;
+    entry.id_ = "backend-1";
+    entry.address_ = "10.0.0.2:1";
+    entry.host_ = "host-1";
+    entry.startTimeMs_ = 1000;
+    runs_.ApplyRegistry({ entry });
+    const BackendHandle old = backends_.Find(entry.id_);
+    AnswerNewestPoll(entry.startTimeMs_);
+    backends_.At(old).recorded_ = true;
+    commands_.startClock_ = clockMs_;
+    runs_.Start(task_, old, runs_.NextRun());
+    entry.id_ = "backend-2";
+    entry.host_ = aNewHost;
+    entry.startTimeMs_ = 5000;
+    runs_.ApplyRegistry({ entry });
+    AnswerNewestPoll(entry.startTimeMs_);
+    EXPECT_TRUE(backends_.At(old).hasEnded_);
+    EXPECT_EQ(jobs_.At(task_).phase_, TaskPhase::Waiting);
+    return jobs_.CrashesOf(task_);
+  }
+
+  void AnswerNewestPoll(int64_t aStartTimeMs)
+  {
+    Advance(milliseconds(10));
+    runs_.Tick();
+    ASSERT_FALSE(commands_.held_.empty());
+    const auto done = std::move(commands_.held_.back());
+    commands_.held_.pop_back();
+    PollResult list = ListAt(clockMs_);
+    list.startTimeMs_ = aStartTimeMs;
+    done(list);
+  }
+};
+
+// A backend server whose address another host has was replaced. LOST: a release with reused
+// addresses failed two jobs, whose tasks had been on two such backend servers.
+TEST_F(RunReplacementTest, AnAddressTakenByAnotherHostIsNoCrash)
+{
+  EXPECT_EQ(CrashesAfterReplacement("host-2"), 0U);
+}
+
+// One that comes back on its host may have crashed.
+TEST_F(RunReplacementTest, ANewerBackendServerOnTheSameHostIsACrash)
+{
+  EXPECT_EQ(CrashesAfterReplacement("host-1"), 1U);
+}
+
 }
 }
