Take an answer of another backend server for weak evidence of a crash

Cause: the refusal for another id at an address tells neither a crash from a replacement nor whose host it is.

Change: it counts, but the job fails at the fourth crash only, as after the end of a lease. Crashes in place are seen by host control's list within 0.3 s, which stays strong evidence.

--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -126,7 +126,7 @@
     return;
   }
   if (aResult.outcome_ == CommandOutcome::OtherIncarnation) {
-    EndIncarnation(aBackend, "another incarnation answers");
+    EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Uncertain);
     return;
   }
   if (backend.failedPolls_ == 0) {
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -256,7 +256,7 @@
       return;
     case CommandOutcome::OtherIncarnation:
       if (latest == aBackend) {
-        EndIncarnation(aBackend, "another incarnation answers");
+        EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Uncertain);
       } else {
         DropRun(latest, aRun, "");
       }
@@ -356,7 +356,7 @@
     fenced_ = true;
   }
   if (aResult.outcome_ == CommandOutcome::OtherIncarnation) {
-    EndIncarnation(aBackend, "another incarnation answers");
+    EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Uncertain);
     return;
   }
   if (aResult.outcome_ != CommandOutcome::Done) {
--- a/tests/run_lapse_test.cpp
+++ b/tests/run_lapse_test.cpp
@@ -280,5 +280,21 @@
   EXPECT_EQ(CrashesAfterReplacement("host-1"), 1U);
 }
 
+// If another backend server answers at its address, the earlier one may have crashed or been
+// replaced. LOST: a task that two such answers found alone failed its job.
+TEST_F(RunReplacementTest, AnotherBackendServerThatAnswersGivesNoTaskUp)
+{
+  jobs_.SetCrashes(task_, 1);
+  commands_.startClock_ = clockMs_;
+  runs_.Start(task_, backend_, runs_.NextRun());
+  Advance(milliseconds(60));
+  runs_.Tick();
+  PollResult other;
+  other.outcome_ = CommandOutcome::OtherIncarnation;
+  Answer(other);
+  EXPECT_EQ(jobs_.CrashesOf(task_), 2U);
+  EXPECT_FALSE(jobs_.At(task_.job_).HasEnded());
+}
+
 }
 }
