--- a/include/sardinespoke/host_allocator.h
+++ b/include/sardinespoke/host_allocator.h
@@ -30,10 +30,6 @@
   /// Starts the moves that are due. To be called often; decides once per sizing period.
   void Tick(const FleetConfig& aConfig);
 
-  /// @returns Capacity that a pool has, gets by moves in progress or could get from the spare pool,
-  /// in milli-cores; 0 if it is not known yet.
-  int64_t ReachableCpuMilli(const std::string& aService) const;
-
 private:
   /// A host that is moving to another pool.
   struct PendingMove
@@ -50,8 +46,6 @@
   uint32_t MinHosts(const std::string& aService) const;
   void UpdatePendingMoves();
   bool HasLoadHistory();
-  /// Tells the scheduler which pools are short and keeps the capacity that each can reach.
-  void PublishPools(const std::vector<PoolState>& aPools);
   void LogPools(const std::vector<PoolState>& aPools) const;
   void SendMoveCommand(const std::string& aHost);
   void OnMoveResult(const std::string& aHost, const CommandResult& aResult);
@@ -69,7 +63,6 @@
   const HostOperationTimes settings_;
   const PoolSizing sizing_;
   std::map<std::string, PendingMove> pendingMoves_;
-  std::map<std::string, int64_t> reachableCpuMilli_; ///< By pool, as of the last decision.
   std::map<std::string, TimePoint> moveBackoffUntil_;
   TimePoint firstJobAcceptedAt_{}; ///< Of jobs without continuous tasks.
   TimePoint nextDecision_{};
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -2,7 +2,6 @@
 
 #include "sardinespoke/fleet_format.h"
 #include "sardinespoke/host_allocator.h"
-#include "sardinespoke/job_admission.h"
 #include "sardinespoke/job_journal.h"
 #include "sardinespoke/job_request.h"
 #include "sardinespoke/metrics.h"
@@ -65,8 +64,6 @@
               const JobResponseCallback& aRespond);
   /// Responds to a repeated submission of a job that is being stored.
   void AwaitSubmission(const std::string& aId, const JobResponseCallback& aRespond);
-  /// @param aJob Not stored yet.
-  AdmissionVerdict JudgeAdmission(const Job& aJob);
   void CountArrival(const Job& aJob);
   void Cancel(uint32_t aJob, const JobResponseCallback& aRespond);
   JobResponse StateResponse(const Job& aJob) const;
--- a/include/sardinespoke/pool_sizing.h
+++ b/include/sardinespoke/pool_sizing.h
@@ -30,7 +30,6 @@
   int64_t inboundCpuMilli_ = 0;  ///< Of hosts that are moving to this pool.
   uint32_t hostsInUse_ = 0;      ///< Hosts that accept work or are moving to this pool.
   uint32_t minHosts_ = 0;        ///< Needed to spread the tasks of its jobs over hosts.
-  bool isShort_ = false; ///< Set by Decide(): queued work in time lacks hosts, and none could come.
   std::vector<PoolHost> hosts_;
 };
 
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -7,7 +7,6 @@
 #include "sardinespoke/wait_order.h"
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -33,13 +32,6 @@
   /// still meet their objective, in core-milliseconds.
   int64_t WaitingCoreMs(const std::string& aService) const;
 
-  /// Sets the pools that lack hosts for work that can still be in time. Hopeless jobs of the other
-  /// pools then start only where continuous tasks run, so that their other hosts become free.
-  ///
-  /// Load pattern: the queues have bursts in turn. What one has left behind, too late to be of use,
-  /// would keep its hosts busy while the next one's jobs become late in turn.
-  void SetShortPools(std::set<std::string> aPools) { shortPools_ = std::move(aPools); }
-
   /// @returns Number of continuous tasks of a pool that the last Run() could not place.
   uint32_t UnplacedContinuousTasks(const std::string& aService) const;
 
@@ -48,12 +40,6 @@
   using Pool = std::vector<BackendHandle>;
 
   size_t PlaceJob(uint32_t aJob, const Pool& aPool);
-  /// @returns True if hopeless jobs of a pool must leave hosts free for other pools.
-  bool MustYield(const std::string& aService) const;
-  /// @returns True if a job is hopeless, so that it may wait until no pool is short.
-  bool MayYield(uint32_t aJob) const;
-  /// @returns The backend servers of a pool whose hosts cannot run empty.
-  Pool WithContinuousTasks(const Pool& aPool) const;
   size_t PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
   Pool AllowedBackends(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
   void StartTask(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun);
@@ -76,7 +62,6 @@
   SuspectPlacement suspects_;
   RefusedNeeds refused_; ///< Of the pool whose jobs are being placed.
   size_t poolSize_ = 0;  ///< Of that pool.
-  std::set<std::string> shortPools_;
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
 };
--- a/include/sardinespoke/wait_order.h
+++ b/include/sardinespoke/wait_order.h
@@ -23,20 +23,6 @@
   /// @returns True if the job can no longer finish within its latency objective.
   bool IsLate(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
 
-  /// @returns True if the job can no longer finish in a time in which it is of use to its caller.
-  bool IsHopeless(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
-
-  /// @returns Time in which the caller of a job wants it done.
-  std::chrono::milliseconds Objective(const Job& aJob) const;
-
-  /// @returns Work of the jobs of a pool that wait, can be in time and come before a job, in
-  /// core-milliseconds.
-  /// @param aOpen Indices of the jobs that have not ended.
-  int64_t WorkAhead(const JobTable& aJobs,
-                    const std::vector<uint32_t>& aOpen,
-                    const Job& aJob,
-                    TimePoint aNow) const;
-
 private:
   /// What the order of a job depends on, besides the time.
   struct Estimate
@@ -44,7 +30,6 @@
     uint32_t progress_ = 0; ///< Progress of the job that it was made for.
     TimePoint madeAt_{};
     TimePoint lateFrom_{}; ///< A job that has not gone on by then is late.
-    TimePoint hopelessFrom_{};
     double remainingWork_ = 0.0;
   };
 
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace sardinespoke {
 
@@ -205,9 +204,7 @@
     nextReport_ = now + kReportPeriod;
     LogPools(pools);
   }
-  const std::vector<HostMove> moves = sizing_.Decide(pools, HasLoadHistory());
-  PublishPools(pools);
-  for (const HostMove& move : moves) {
+  for (const HostMove& move : sizing_.Decide(pools, HasLoadHistory())) {
     PendingMove pending;
     pending.to_ = move.to_;
     pending.since_ = now;
@@ -224,34 +221,6 @@
   }
 }
 
-void
-HostAllocator::PublishPools(const std::vector<PoolState>& aPools)
-{
-  int64_t spareCpuMilli = 0;
-  std::set<std::string> shortPools;
-  for (const PoolState& pool : aPools) {
-    for (const PoolHost& host : pool.hosts_) {
-      spareCpuMilli += pool.spare_ && host.movable_ ? host.cpuMilli_ : 0;
-    }
-    if (pool.isShort_) {
-      shortPools.insert(pool.name_);
-    }
-  }
-  reachableCpuMilli_.clear();
-  for (const PoolState& pool : aPools) {
-    reachableCpuMilli_[pool.name_] =
-      pool.capacityCpuMilli_ + pool.inboundCpuMilli_ + spareCpuMilli - pool.continuousCpuMilli_;
-  }
-  scheduler_.SetShortPools(std::move(shortPools));
-}
-
-int64_t
-HostAllocator::ReachableCpuMilli(const std::string& aService) const
-{
-  const auto found = reachableCpuMilli_.find(aService);
-  return found == reachableCpuMilli_.end() ? 0 : found->second;
-}
-
 void
 HostAllocator::LogPools(const std::vector<PoolState>& aPools) const
 {
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -195,19 +195,6 @@
   spec.queue_ = aQueue.name_;
   const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
   jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
-  const AdmissionVerdict verdict = JudgeAdmission(jobs_.At(index));
-  if (!verdict.isAccepted_) {
-    metrics_.Count("job_submissions{outcome=\"refused_overload\"}");
-    Log(LogLevel::Info,
-        "job.refused",
-        { { "job", id }, { "queue", aQueue.name_ }, { "retry_ms", verdict.retryAfter_.count() } });
-    jobs_.Remove(index);
-    JobResponse response =
-      MakeResponse(JobResponseKind::Refused, "the queue cannot do the job in time");
-    response.retryAfter_ = verdict.retryAfter_;
-    aRespond(response);
-    return;
-  }
   journal_.Submit(index, [this, index, id, aRespond](JournalOutcome aOutcome) {
     const char* outcome = OutcomeName(aOutcome);
     metrics_.Count(std::string("job_submissions{outcome=\"") + outcome + "\"}");
@@ -248,20 +235,6 @@
   });
 }
 
-AdmissionVerdict
-JobControl::JudgeAdmission(const Job& aJob)
-{
-  if (aJob.HasContinuousSteps() || aJob.spec_.repeats_ > 0) {
-    return AdmissionVerdict{};
-  }
-  AdmissionInputs inputs;
-  inputs.criticalPath_ = durations_.CriticalPath(aJob);
-  inputs.objective_ = waitOrder_.Objective(aJob);
-  inputs.aheadCoreMs_ = waitOrder_.WorkAhead(jobs_, jobs_.Open(), aJob, clock_.Now());
-  inputs.reachableCpuMilli_ = allocator_.ReachableCpuMilli(aJob.policy_.service_);
-  return JobAdmission::Judge(inputs);
-}
-
 void
 JobControl::CountArrival(const Job& aJob)
 {
--- a/src/pool_sizing.cpp
+++ b/src/pool_sizing.cpp
@@ -139,10 +139,8 @@
       return shortage(aLeft) > shortage(aRight);
     });
   for (PoolState* pool : shortPools) {
-    pool->isShort_ = false;
     while (shortage(pool) > 0 || pool->hostsInUse_ < pool->minHosts_) {
       if (!MoveHostInto(aPools, *pool, moves)) {
-        pool->isShort_ = pool->waitingCoreMs_ > 0;
         break;
       }
     }
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -86,47 +86,13 @@
     const Pool& pool = pools[service];
     refused_ = RefusedNeeds();
     poolSize_ = pool.size();
-    const bool yields = MustYield(service);
-    const Pool kept = yields ? WithContinuousTasks(pool) : Pool();
     for (const uint32_t job : jobs) {
-      started += PlaceJob(job, yields && MayYield(job) ? kept : pool);
+      started += PlaceJob(job, pool);
     }
   }
   return started;
 }
 
-bool
-TaskScheduler::MustYield(const std::string& aService) const
-{
-  return std::any_of(shortPools_.begin(), shortPools_.end(), [&aService](const std::string& aPool) {
-    return aPool != aService;
-  });
-}
-
-bool
-TaskScheduler::MayYield(uint32_t aJob) const
-{
-  const Job& job = jobs_.At(aJob);
-  // The objective of a repeated job counts from the due time of each occurrence.
-  return !job.HasContinuousSteps() && job.spec_.repeats_ == 0 &&
-         order_.IsHopeless(jobs_, aJob, clock_.Now());
-}
-
-TaskScheduler::Pool
-TaskScheduler::WithContinuousTasks(const Pool& aPool) const
-{
-  Pool kept;
-  for (const BackendHandle handle : aPool) {
-    const auto& runs = backends_.At(handle).runs_;
-    const bool isPinned = std::any_of(
-      runs.begin(), runs.end(), [](const BackendRun& aRun) { return aRun.isContinuous_; });
-    if (isPinned) {
-      kept.push_back(handle);
-    }
-  }
-  return kept;
-}
-
 size_t
 TaskScheduler::PlaceJob(uint32_t aJob, const Pool& aPool)
 {
--- a/src/wait_order.cpp
+++ b/src/wait_order.cpp
@@ -1,7 +1,6 @@
 #include "sardinespoke/wait_order.h"
 
 #include "number_range_p.h"
-#include "sardinespoke/job_admission.h"
 
 #include <algorithm>
 #include <tuple>
@@ -34,38 +33,6 @@
 {
 }
 
-std::chrono::milliseconds
-WaitOrder::Objective(const Job& aJob) const
-{
-  const double stretched =
-    std::min(aJob.policy_.stretch_ * static_cast<double>(durations_.CriticalPath(aJob).count()),
-             static_cast<double>(kDurationRange.max_));
-  return std::chrono::milliseconds(static_cast<int64_t>(stretched)) + aJob.policy_.latencyTarget_;
-}
-
-int64_t
-WaitOrder::WorkAhead(const JobTable& aJobs,
-                     const std::vector<uint32_t>& aOpen,
-                     const Job& aJob,
-                     TimePoint aNow) const
-{
-  constexpr double kMilli = 1000.0;
-  const double own = durations_.RemainingWork(aJob);
-  double ahead = 0.0;
-  for (const uint32_t index : aOpen) {
-    const Job& other = aJobs.At(index);
-    if (&other == &aJob || other.started_ || other.policy_.service_ != aJob.policy_.service_ ||
-        other.policy_.priority_ > aJob.policy_.priority_ || other.HasContinuousSteps()) {
-      continue;
-    }
-    const Estimate& estimate = EstimateOf(aJobs, index, aNow);
-    const bool isFirst =
-      other.policy_.priority_ < aJob.policy_.priority_ || estimate.remainingWork_ <= own;
-    ahead += isFirst && aNow <= estimate.lateFrom_ ? estimate.remainingWork_ : 0.0;
-  }
-  return static_cast<int64_t>(ahead * kMilli);
-}
-
 const WaitOrder::Estimate&
 WaitOrder::EstimateOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const
 {
@@ -78,12 +45,14 @@
       aNow - known.madeAt_ < kEstimateAge) {
     return known;
   }
+  const double stretched =
+    std::min(job.policy_.stretch_ * static_cast<double>(durations_.CriticalPath(job).count()),
+             static_cast<double>(kDurationRange.max_));
+  const auto objective =
+    std::chrono::milliseconds(static_cast<int64_t>(stretched)) + job.policy_.latencyTarget_;
   known.progress_ = job.progress_;
   known.madeAt_ = aNow;
-  const auto objective = Objective(job);
-  const TimePoint latestStart = job.accepted_ - durations_.RemainingCriticalPath(job);
-  known.lateFrom_ = latestStart + objective;
-  known.hopelessFrom_ = latestStart + objective * JobAdmission::kUsefulObjectives;
+  known.lateFrom_ = job.accepted_ + objective - durations_.RemainingCriticalPath(job);
   known.remainingWork_ = durations_.RemainingWork(job);
   return known;
 }
@@ -94,12 +63,6 @@
   return aNow > EstimateOf(aJobs, aJob, aNow).lateFrom_;
 }
 
-bool
-WaitOrder::IsHopeless(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const
-{
-  return aNow > EstimateOf(aJobs, aJob, aNow).hopelessFrom_;
-}
-
 void
 WaitOrder::Sort(const JobTable& aJobs, TimePoint aNow, std::vector<uint32_t>& aWaiting) const
 {
