--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -31,6 +31,7 @@
         self.active = {}  # task: [(worker, run)]
         self.done, self.noted_done = {}, set()  # Task: run that ended done.
         self.starts = {}
+        self.ends = {}  # Task: how its runs ended.
         self.late_starts = []  # Starts after an end that counts if it is taken note of by the end.
         self.broken = []
         self.entries = {}
@@ -71,6 +72,7 @@
 
     def on_end(self, worker, run, how):
         self.note(f"end {run.task} run {run.number} on {worker.id} {how}")
+        self.ends.setdefault(run.task, []).append(how)
         self.active[run.task] = [row for row in self.active.get(run.task, [])
                                  if not (row[0] is worker and row[1].number == run.number)]
         if how == "done":
@@ -109,6 +111,27 @@
         self.tasks.append(asyncio.create_task(worker.live()))
         return worker
 
+    def ends_of(self, job):
+        """Returns how often runs of a job ended in which way."""
+        count = {}
+        for task, ends in self.ends.items():
+            if task.startswith(job + "."):
+                for how in ends:
+                    count[how] = count.get(how, 0) + 1
+        return count
+
+    async def crash(self, name):
+        """Ends a worker; its machine is listed as down until boot_after()."""
+        row = self.machines[name]
+        self.note(f"crash of {row['worker'].id} on {name} with {len(row['worker'].runs)} runs")
+        await row["worker"].crash()
+        row["worker"], row["state"] = None, "down"
+
+    async def boot_after(self, name, seconds):
+        await asyncio.sleep(seconds)
+        row = self.machines[name]
+        await self.add_worker(name, row["pool"], row["cpu"], row["rack"])
+
     async def machine_calls(self, request):
         if request.path == "/machines":
             rows = [
--- a/review/common/http_stub.py
+++ b/review/common/http_stub.py
@@ -39,7 +39,10 @@
 async def serve(handler, ip="127.0.0.1", port=0):
     """Starts a server; handler(request) returns a status and a JSON body. Returns it and its port."""
 
+    writers = set()
+
     async def on_connection(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -58,9 +61,15 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
+    def abort_connections():
+        for writer in list(writers):
+            writer.transport.abort()
+
     server = await asyncio.start_server(on_connection, ip, port, limit=1 << 22, backlog=512)
+    server.abort_connections = abort_connections
     return server, server.sockets[0].getsockname()[1]
 
 
--- a/review/common/worker_stub.py
+++ b/review/common/worker_stub.py
@@ -38,6 +38,7 @@
         self.seq = 0
         self.end_listed = asyncio.Event()
         self.address = ""
+        self.servers = []
         self.cut_from = set()  # Ports on which it cannot be reached: one for each entry host.
         self.fault = None  # Called with each request before it is carried out.
 
@@ -148,12 +149,17 @@
         self.world.on_end(self, run, how)
         self.end_listed.set()
 
-    def crash(self):
+    async def crash(self):
+        """Ends all runs, closes the listener and resets its connections."""
         for run in list(self.runs.values()):
             self.world.on_end(self, run, "crashed")
         self.is_alive = False
         self.runs.clear()
         self.end_listed.set()
+        for server in self.servers:
+            server.close()
+            server.abort_connections()
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self.world.store.delete, "servers/" + self.id)
 
     async def live(self):
         """Writes heartbeats and ends runs whose lease is over."""
@@ -178,7 +184,8 @@
             async def handle(request):
                 return await self.handle(request)
 
-            _, port = await serve(handle)
+            server, port = await serve(handle)
+            self.servers.append(server)
             addresses.append(f"127.0.0.1:{port}")
         self.address = addresses[0]
         return addresses
