--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -255,6 +255,10 @@
     deployment = Deployment(pathlib.Path(folder) / "record.txt")
 
     async def main():
+        # Ended from outside, the run still ends what it has started.
+        loop, this = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, this.cancel)
         try:
             return await asyncio.wait_for(case(deployment, trouble), 110)
         finally:
@@ -264,7 +268,7 @@
     try:
         could_run = asyncio.run(main())
         code = 2 if could_run is False else 1 if deployment.broken else 0
-    except Exception as failure:  # The case could not be run.
+    except (Exception, asyncio.CancelledError) as failure:  # The case could not be run.
         deployment.note(f"could not run: {failure!r}")
         print(f"could not run: {failure!r}", file=sys.stderr)
     deployment.note(f"exit {code}; broken: {len(deployment.broken)}")
