review: sound jobs are shown as failed when workers crash one by one

Case 2, rule LOST. A task that was started again after one crash and whose next worker crashes within 0.3 s is taken for the cause; its job is given up, although no run ended `failed`.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -39,6 +39,8 @@
         self.folder = tempfile.TemporaryDirectory()
         self.on_start_hook = None
         self.tasks = []
+        self.output = None  # File descriptor of the entry hosts' output; None: a file for each.
+        self.helpers = []  # Further processes that the case has started.
 
     def note(self, text):
         self.record_file.write(f"{time.monotonic() - self.begin:8.3f} {text}\n")
@@ -177,8 +179,9 @@
     async def start_entry(self, name):
         row = self.entries[name]
         with open(pathlib.Path(self.folder.name) / f"{name}.log", "ab") as log:
+            output = log if self.output is None else self.output
             row["process"] = await asyncio.create_subprocess_exec(
-                *self.command, cwd=ROOT, stdout=log, stderr=log,
+                *self.command, cwd=ROOT, stdout=output, stderr=output,
                 env={"PATH": os.environ.get("PATH", ""), "SARDINESPOKE_CONFIG": str(row["file"])})
         self.note(f"started {name}")
 
@@ -218,8 +221,7 @@
         return status
 
     async def close(self):
-        for row in self.entries.values():
-            process = row["process"]
+        for process in [row["process"] for row in self.entries.values()] + self.helpers:
             if process and process.returncode is None:
                 try:
                     process.send_signal(signal.SIGCONT)
