review: a task whose run failed once is never started again

The worker where a task failed is avoided for good if the pool has another one, also if no other has room; the task waits beside an empty worker.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -38,6 +38,7 @@
         self.routes, self.version = [], 0
         self.folder = tempfile.TemporaryDirectory()
         self.on_start_hook = None
+        self.outcome_of = lambda worker, run: "done"  # How a run ends that works to its end.
         self.tasks = []
         self.output = None  # File descriptor of the entry hosts' output; None: a file for each.
         self.helpers = []  # Further processes that the case has started.
--- a/review/common/worker_stub.py
+++ b/review/common/worker_stub.py
@@ -102,7 +102,8 @@
         self.runs[task] = run = Run(task, number, body.get("checkpoint", ""))
         length = self.world.length_of(task)
         if length is not None:
-            asyncio.get_running_loop().call_later(length, self.finish, run, "done")
+            asyncio.get_running_loop().call_later(
+                length, lambda: self.finish(run, self.world.outcome_of(self, run)))
         return self.answer()
 
     def stop(self, body):
