--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 room for are taken for lost runs."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -55,4 +56,5 @@
     return True
 
 
-run(case, pathlib.Path(__file__).resolve().parent)
+# TROUBLE=0 does the same without the disruption.
+run(case, pathlib.Path(__file__).resolve().parent, os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 failed stands empty and sound."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -66,4 +67,5 @@
     return True
 
 
-run(case, pathlib.Path(__file__).resolve().parent)
+# TROUBLE=0 does the same without the disruption.
+run(case, pathlib.Path(__file__).resolve().parent, os.environ.get("TROUBLE", "1") != "0")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -251,12 +251,13 @@
     return ports
 
 
-def run(case, folder):
+def run(case, folder, trouble):
     """Runs case(deployment, trouble); exits with 1 if a rule was broken, 0 if not, 2 if it could
     not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = Deployment(pathlib.Path(folder) / "record.txt")
 
+    deployment.note("with the disruption" if trouble else "without the disruption")
+
     async def main():
         # Ended from outside, the run still ends what it has started.
         loop, this = asyncio.get_running_loop(), asyncio.current_task()
