Keep runs whose ends are beyond a list that was cut off

Cause: a worker lists at most 500 ends in a response. The leader took each run that was listed before and is now in neither list for lost and started its task again. A new leader in the same way took the first response for the whole truth.

Ruled out: leases that are counted wrongly (no backend.lapsed), ends that are applied twice (run.done_after_release comes after run.gone only).

Change: PollResult says that its list was cut off; only the protocol's client knows the limit. Until a list is whole, no run is given up and a new leader keeps the inherited work of that pool waiting. Pages of the store and of host control were checked: they name the next page and are read to the end. The simulated fleet cuts off its lists as well.

--- a/include/sardinespoke/backend_commands.h
+++ b/include/sardinespoke/backend_commands.h
@@ -114,6 +114,9 @@
 {
   std::vector<RunningTask> running_;
   std::vector<EndedTask> ended_;
+  /// More runs may have ended than ended_ contains, so that a run in neither list may be one of
+  /// them.
+  bool hasMoreEnds_ = false;
 };
 
 /// A command to host control, which checks the fencing token for each host.
--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -65,9 +65,10 @@
   std::optional<BackendEntry> successor_;
   bool registered_ = false; ///< The registry lists it.
   bool verified_ = false;   ///< It has responded to a poll with this leader's fencing token.
-  /// An earlier leader used it and it has not responded to this leader yet.
+  /// An earlier leader used it and this leader does not know yet all that it runs or has ended.
   bool unreconciled_ = false;
-  bool hasEnded_ = false; ///< The incarnation has ended; it runs nothing.
+  bool hasUnlistedEnds_ = false; ///< Its newest list of ends was cut off.
+  bool hasEnded_ = false;        ///< The incarnation has ended; it runs nothing.
   /// The next incarnation under the same id, once known; it may get commands sent to this one.
   BackendHandle next_;
   /// When a response first seemed to be of the next incarnation; only a later poll tells.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -208,6 +208,7 @@
   /// @returns The incarnation that has answered a poll.
   BackendHandle FollowRestart(BackendHandle aBackend, const CommandResult& aResult);
   bool NeedsPoll(const Backend& aBackend) const;
+  void NoteCutOffEnds(Backend& aBackend, const PollResult& aResult);
   /// @returns True if it runs tasks that the poll in flight has not asked a lease for.
   bool LacksLease(const Backend& aBackend) const;
   /// @returns True if all runs of a backend server have lapsed and a poll sent after that got no
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -162,7 +162,7 @@
     backend.restartSuspectedAt_.reset();
     changed_ = true;
   }
-  backend.unreconciled_ = false;
+  NoteCutOffEnds(backend, aResult);
   if (!backend.verified_ || backend.failedPolls_ > 0) {
     backend.verified_ = true;
     backend.failedPolls_ = 0;
@@ -203,13 +203,33 @@
   for (const RunningTask& running : aResult.running_) {
     listed.push_back(running.run_);
     ForgetLateStart(backend.entry_.id_, running.run_);
+void
+RunTracker::NoteCutOffEnds(Backend& aBackend, const PollResult& aResult)
+{
+  if (!aResult.hasMoreEnds_) {
+    aBackend.unreconciled_ = false;
+  }
+  if (aBackend.hasUnlistedEnds_ != aResult.hasMoreEnds_) {
+    Log(LogLevel::Info,
+        aResult.hasMoreEnds_ ? "backend.ends_cut_off" : "backend.ends_complete",
+        { { "backend", aBackend.entry_.id_ },
+          { "ends_listed", aResult.ended_.size() },
+          { "runs_known", aBackend.runs_.size() },
+          { "runs_listed", aResult.running_.size() } });
+  }
+  aBackend.hasUnlistedEnds_ = aResult.hasMoreEnds_;
+}
+
     if (BackendRun* run = backend.FindRun(running.run_)) {
       Confirm(*run, running, aResult.clock_);
       continue;
     }
     Adopt(aBackend, running, aSent, aResult.clock_);
   }
-  RemoveMissing(aBackend, aSent, aResult, listed);
+  // With further ends to come, a run in neither list may be one that has ended.
+  if (!aResult.hasMoreEnds_) {
+    RemoveMissing(aBackend, aSent, aResult, listed);
+  }
 }
 
 void
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -408,7 +408,10 @@
       run.shape_.continuous_ ? 100 : static_cast<int64_t>(std::min(run.progress_, 0.99) * 100.0);
     result.running_.push_back(running);
   }
-  result.ended_ = aServer.ended_;
+  const size_t listed = std::min(aServer.ended_.size(), maxListedEnds_);
+  result.ended_.assign(aServer.ended_.begin(),
+                       aServer.ended_.begin() + static_cast<ptrdiff_t>(listed));
+  result.hasMoreEnds_ = listed == maxListedEnds_;
   return result;
 }
 
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -237,7 +237,8 @@
   size_t nextId_ = 1;
 
 public:
-  uint32_t maxDown_ = 1000; ///< Limit for FleetViolations::tooManyDown_.
+  uint32_t maxDown_ = 1000;    ///< Limit for FleetViolations::tooManyDown_.
+  size_t maxListedEnds_ = 500; ///< Most end reports in a response; the protocol's limit.
   /// Hosts on which steps of advised queues may run; if empty, starts need no ticket.
   std::set<std::string> advisedHosts_;
   size_t adviceQueries_ = 0;
