Let a task return to the backend server where it failed

Cause: a task left out the worker where it had failed or got stuck for as long as the pool had any other worker, also without room there, and for good.

That pools do not grow for late jobs is true but no cause: there is room.

Change: the worker is avoided for 2 s; then it is the last choice. The same for suspects of crashes and for runs that got stuck.

--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -37,6 +37,7 @@
   int64_t run_ = 0;              ///< Number of the active run.
   BackendHandle backend_;        ///< Backend server of the active run.
   BackendHandle avoidedBackend_; ///< Backend server where the last run failed or got stuck.
+  TimePoint avoidedUntil_{};     ///< Until then the task rather waits than runs there.
   TimePoint startedAt_{};        ///< Start of the active run.
   std::string checkpoint_;       ///< A group has one for all tasks, at its first.
   /// Numbers of failed runs; each uses one attempt, also if its end is reported twice.
@@ -153,6 +154,10 @@
   /// Marks a task as done; all tasks of its step if they form a group.
   void Finish(const TaskRef& aRef, TimePoint aNow);
 
+  /// Keeps a task away from a backend server where a run failed or got stuck, for a short time.
+  /// Later it returns there if it finds no room elsewhere.
+  void Avoid(const TaskRef& aRef, BackendHandle aBackend, TimePoint aNow);
+
   /// Uses one attempt for a failed run; a repeated call for the same run has no effect.
   /// @returns True if this was the last attempt and the job has failed.
   bool Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow);
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -45,6 +45,9 @@
   void StartTask(const TaskRef& aTask, BackendHandle aBackend, int64_t aRun);
   size_t PlaceGang(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
   BackendHandle Pick(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool) const;
+  /// @returns True if the task failed there a short time ago and the pool has other backend
+  /// servers.
+  bool MustAvoid(const TaskRef& aTask, BackendHandle aBackend, const Pool& aPool) const;
   BackendHandle PickForSuspect(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool);
   /// Keeps the places of a group in question until no other run there is in question.
   /// @returns True if the group may start.
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -416,7 +416,7 @@
           { { "task", run.id_.task_ },
             { "backend", backend.entry_.id_ },
             { "percent", run.percent_ } });
-      jobs_.At(*run.task_).avoidedBackend_ = handle;
+      jobs_.Avoid(*run.task_, handle, now);
       backend.ejectedUntil_ = now + milliseconds(3000);
       runs_.Stop(handle, run);
     }
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -4,6 +4,14 @@
 
 namespace sardinespoke {
 
+namespace {
+
+// A task waits this long for room elsewhere before it returns to the backend server where it
+// failed. Its own fault may be the cause, and most tasks of a busy pool end sooner.
+constexpr std::chrono::milliseconds kAvoidTime{ 2000 };
+
+}
+
 bool
 Job::HasContinuousSteps() const
 {
@@ -233,6 +241,14 @@
   }
 }
 
+void
+JobTable::Avoid(const TaskRef& aRef, BackendHandle aBackend, TimePoint aNow)
+{
+  Task& task = At(aRef);
+  task.avoidedBackend_ = aBackend;
+  task.avoidedUntil_ = aNow + kAvoidTime;
+}
+
 bool
 JobTable::Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow)
 {
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -495,7 +495,7 @@
     jobs_.Finish(ref, now);
   }
   if (aEnd.kind_ == RunOutcome::Failed) {
-    jobs_.At(ref).avoidedBackend_ = aBackend;
+    jobs_.Avoid(ref, aBackend, now);
     if (jobs_.Fail(ref, aEnd.run_.run_, now)) {
       StopJob(ref.job_);
     }
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -216,7 +216,7 @@
       refused_.Includes(spec.Need()) ? BackendHandle{} : Pick(ref, spec, aPool);
     if (!backend.IsValid()) {
       // The tasks of a step have equal requirements: none of the others fits.
-      isFull = !task.avoidedBackend_.IsValid();
+      isFull = !task.avoidedBackend_.IsValid() || clock_.Now() >= task.avoidedUntil_;
       if (isFull && spec.requiredLabel_.empty() && spec.maxPerServer_ == 0 &&
           aPool.size() == poolSize_) {
         refused_.Add(spec.Need());
@@ -337,33 +337,42 @@
 TaskScheduler::Pick(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool) const
 {
   const Resources need = aSpec.Need();
-  const BackendHandle avoid = jobs_.StepOf(aTask).tasks_[aTask.index_].avoidedBackend_;
+  const BackendHandle avoided = jobs_.At(aTask).avoidedBackend_;
+  BackendHandle lastResort;
   BackendHandle best;
   double bestScore = 0.0;
   for (const BackendHandle handle : aPool) {
     const Backend& backend = backends_.At(handle);
-    const bool avoided = handle == avoid && aPool.size() > 1;
-    if (avoided || !backend.Fits(need) || !MeetsConstraints(backend, aTask, aSpec) ||
+    if (!backend.Fits(need) || !MeetsConstraints(backend, aTask, aSpec) ||
         !suspects_.Admits(backend)) {
       continue;
     }
+    if (handle == avoided) {
+      lastResort = MustAvoid(aTask, handle, aPool) ? lastResort : handle;
+      continue;
+    }
     const double score = Score(backend, aSpec);
     if (!best.IsValid() || score < bestScore) {
       best = handle;
       bestScore = score;
     }
   }
-  return best;
+  return best.IsValid() ? best : lastResort;
+}
+
+bool
+TaskScheduler::MustAvoid(const TaskRef& aTask, BackendHandle aBackend, const Pool& aPool) const
+{
+  const Task& task = jobs_.At(aTask);
+  return task.avoidedBackend_ == aBackend && clock_.Now() < task.avoidedUntil_ && aPool.size() > 1;
 }
 
 BackendHandle
 TaskScheduler::PickForSuspect(const TaskRef& aTask, const StepSpec& aSpec, const Pool& aPool)
 {
-  const BackendHandle avoid = jobs_.At(aTask).avoidedBackend_;
   Pool eligible;
   for (const BackendHandle handle : aPool) {
-    const bool avoided = handle == avoid && aPool.size() > 1;
-    if (!avoided && MeetsConstraints(backends_.At(handle), aTask, aSpec)) {
+    if (!MustAvoid(aTask, handle, aPool) && MeetsConstraints(backends_.At(handle), aTask, aSpec)) {
       eligible.push_back(handle);
     }
   }
