Do not let a leader that is cut off run tasks beside its successor

Cause: a leader without the store kept its fencing token until a worker refused it. Workers that only one side reaches refuse nothing. So the old leader renewed leases that its successor waited for in vain, and started tasks again whose ends its successor had read from workers that the old one took for silent.

Ruled out: mixed-up numbers of ends (two workers at once, and the tasks count as crashed), a leader that was frozen (it works without a gap).

Change: the workers with a record in the store are witnesses. Without a certain lease, a leader goes on only while more than half of them have answered it in the last 1.5 s; a new leader gives up the runs of silent ones only once it has reached half. Runs that the old one loses meanwhile wait. In an outage for all, work goes on as before. Weighed: stopping with the lease (costs the work of each outage), asking the other entry hosts (needs a list that cannot be trusted without the store).

CancelTest.ReplacedLeaderDoesNotDenyJobsOfItsSuccessor assumed that the replaced leader asks no idle worker; it is cut off from them now, so that it is as unaware as before. Its checks are the same.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -83,6 +83,7 @@
   uint32_t failedPolls_ = 0;      ///< Consecutive failures since the last response.
   TimePoint unresponsiveSince_{}; ///< When the first of these failures was seen.
   TimePoint nextPollAt_{};
+  TimePoint lastPollAt_{};         ///< When the newest poll was sent.
   TimePoint nextIdlePollAt_{};     ///< Next poll because of starts without a response only.
   TimePoint answeredPollSentAt_{}; ///< Send time of the newest poll with a response.
   TimePoint failedPollSentAt_{};   ///< Send time of the newest poll without a response.
--- a/include/sardinespoke/leadership.h
+++ b/include/sardinespoke/leadership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinespoke/lease_state.h"
 #include "sardinespoke/prefix_feed.h"
 
 #include <memory>
@@ -54,6 +55,9 @@
   /// the leader unless the platform took the record away.
   bool HoldsValidLease() const;
 
+  /// @returns How certain it is that no other host is the leader.
+  LeaseState Lease() const;
+
   /// @returns True if commands may be sent: the lease is valid, or the store does not respond and
   /// the process was not suspended past the end of the lease.
   bool MaySendCommands() const;
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinespoke/backend_table.h"
+#include "sardinespoke/lease_state.h"
 
 #include <functional>
 #include <set>
@@ -90,6 +91,13 @@
   /// @returns Polls sent since the last call.
   uint64_t TakePolls() { return std::exchange(polls_, 0); }
 
+  /// Call before Tick(). Without a certain lease, the leader goes on only while the backend servers
+  /// show that no other host has taken over; see WitnessQuorum.
+  void SetLeaseState(LeaseState aState);
+
+  /// @returns True if runs may be started and their leases renewed.
+  bool MayExtendRuns() const { return mayExtendRuns_; }
+
   /// Sends polls and repeated stops that are due; drops runs whose lease has expired.
   void Tick();
 
@@ -148,10 +156,41 @@
     BackendHandle stoppedOn_; ///< Last incarnation that has acknowledged its stop.
   };
 
+  enum class PollKind
+  {
+    Regular, ///< May wait for a run to end.
+    Contact, ///< Only shows whether another leader has polled the backend server.
+    Count
+  };
+
+  /// A run that was lost while another leader might have learned its end.
+  struct LostRun
+  {
+    TaskRef task_;
+    BackendHandle backend_;
+    int64_t run_ = 0;
+    std::string checkpoint_;
+  };
+
+  /// @returns Age from which the response of a witness no longer counts.
+  std::chrono::milliseconds WitnessAge() const;
+  /// @returns Backend servers whose latest response shows that no other leader has polled them.
+  size_t FreshWitnesses() const;
+  void UpdateMayExtend();
+  /// Decides whether the runs of silent backend servers may be given up.
+  void CheckTakeover();
+  /// @returns True if a poll is due only to learn whether another leader has polled it.
+  bool LacksContact(const Backend& aBackend) const;
+  void ReleaseDeferredLosses();
+  void ReleaseTask(const TaskRef& aTask,
+                   BackendHandle aBackend,
+                   int64_t aRun,
+                   const std::string& aCheckpoint);
+
   void EndReplacedIncarnations();
   void EndReplacedBy(BackendHandle aBackend);
   void CheckRestart(BackendHandle aBackend, const BackendEntry& aEntry);
-  void SendPoll(BackendHandle aBackend);
+  void SendPoll(BackendHandle aBackend, PollKind aKind = PollKind::Regular);
   void OnStarted(BackendHandle aBackend,
                  const RunId& aRun,
                  TimePoint aSent,
@@ -178,6 +217,7 @@
   void ForgetOldLateStarts();
   void OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult);
   void OnPollFailed(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
+  void NoteCutOffEnds(Backend& aBackend, const PollResult& aResult);
   void ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
   void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent, int64_t aClock);
   /// @param aClock Clock of its backend server in ms.
@@ -208,7 +248,6 @@
   /// @returns The incarnation that has answered a poll.
   BackendHandle FollowRestart(BackendHandle aBackend, const CommandResult& aResult);
   bool NeedsPoll(const Backend& aBackend) const;
-  void NoteCutOffEnds(Backend& aBackend, const PollResult& aResult);
   /// @returns True if it runs tasks that the poll in flight has not asked a lease for.
   bool LacksLease(const Backend& aBackend) const;
   /// @returns True if all runs of a backend server have lapsed and a poll sent after that got no
@@ -223,6 +262,13 @@
   const int64_t fencingToken_;
   int64_t nextRun_;
   const TimePoint leaderSince_;
+  LeaseState lease_ = LeaseState::Valid;
+  TimePoint leaseOverSince_{};
+  size_t witnesses_ = 0; ///< When the lease was over.
+  bool mayExtendRuns_ = true;
+  bool hasTakenOver_ = false;
+  std::vector<BackendHandle> inheritedWitnesses_; ///< Those that an earlier leader recorded.
+  std::vector<LostRun> deferredLosses_;
   bool fenced_ = false;
   bool changed_ = true;
   std::function<void(const RunEvent&)> listener_;
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -556,6 +556,7 @@
   if (!leadership_.MaySendCommands()) {
     return;
   }
+  runs_.SetLeaseState(leadership_.Lease());
   const TimePoint now = clock_.Now();
   if (now >= nextHousekeeping_) {
     nextHousekeeping_ = now + kHousekeepingPeriod;
@@ -564,7 +565,7 @@
   advice_.Tick();
   const bool advised = advice_.TakeChanged();
   const bool changed = runs_.TakeChanged() || advised;
-  if (changed || now >= nextSchedule_) {
+  if (runs_.MayExtendRuns() && (changed || now >= nextSchedule_)) {
     nextSchedule_ = now + kSchedulePeriod;
     phases_.Measure(LoopPhase::Schedule, [this] { scheduler_.Run(); });
   }
--- a/src/leadership.cpp
+++ b/src/leadership.cpp
@@ -196,6 +196,15 @@
   return isLeader_ && clock_.Now() < validUntil_;
 }
 
+LeaseState
+Leadership::Lease() const
+{
+  if (!HoldsValidLease()) {
+    return LeaseState::Over;
+  }
+  return clock_.Now() < validUntil_ - settings_.ttl_ / 2 ? LeaseState::Valid : LeaseState::InDoubt;
+}
+
 bool
 Leadership::MaySendCommands() const
 {
--- a/src/run_crashes.cpp
+++ b/src/run_crashes.cpp
@@ -127,7 +127,13 @@
 {
   const Backend& backend = backends_.At(aBackend);
   while (!backend.runs_.empty()) {
-    const RunId id = backend.runs_.back().id_;
+    const BackendRun& run = backend.runs_.back();
+    const RunId id = run.id_;
+    if (lease_ == LeaseState::Over && run.task_) {
+      deferredLosses_.push_back(LostRun{ *run.task_, aBackend, id.run_, run.checkpoint_ });
+      backends_.RemoveRun(aBackend, id);
+      continue;
+    }
     DropRun(aBackend, id, "");
   }
 }
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -45,18 +45,21 @@
 {
   // A start is a lease of its own, but a short one. The poll in flight may have been sent before.
   return !aBackend.runs_.empty() && aBackend.verified_ && aBackend.failedPolls_ == 0 &&
-         !aBackend.restartSuspectedAt_ && aBackend.pollsInFlight_ == 1 &&
+         !aBackend.restartSuspectedAt_ && aBackend.pollsInFlight_ == 1 && mayExtendRuns_ &&
          aBackend.renewedUntil_ < clock_.Now() + kStartDeadline;
 }
 
 bool
 RunTracker::IsLeaseOver(const Backend& aBackend) const
 {
+  if (lease_ == LeaseState::Over) {
+    return false; // Another leader may renew it.
+  }
   return clock_.Now() > aBackend.leaseEnd_ && aBackend.failedPollSentAt_ > aBackend.leaseEnd_;
 }
 
 void
-RunTracker::SendPoll(BackendHandle aBackend)
+RunTracker::SendPoll(BackendHandle aBackend, PollKind aKind)
 {
   const TimePoint now = clock_.Now();
   Backend& backend = backends_.At(aBackend);
@@ -67,12 +70,13 @@
   command.acknowledgedUpTo_ = backend.verified_ && isKnown ? backend.endsStored_ : 0;
   // The lease of an unresponsive backend server is not renewed, so that it expires and the tasks
   // can start elsewhere.
-  if (backend.clock_ != 0 && backend.verified_ && isKnown && !backend.runs_.empty()) {
+  if (backend.clock_ != 0 && backend.verified_ && isKnown && !backend.runs_.empty() &&
+      mayExtendRuns_) {
     command.deadline_ = backend.ClockNow(now) + limits_.leaseTime_.count();
     backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(limits_.leaseTime_));
     backend.renewedUntil_ = now + limits_.leaseTime_;
   }
-  if (backend.verified_ && isKnown && !backend.runs_.empty()) {
+  if (aKind == PollKind::Regular && backend.verified_ && isKnown && !backend.runs_.empty()) {
     const bool allRunning =
       std::all_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
         return aRun.phase_ == RunPhase::Running;
@@ -83,6 +87,7 @@
       });
     command.wait_ = allRunning ? (hasTrial ? kTrialWait : kPollWait) : kPendingCommandWait;
   }
+  backend.lastPollAt_ = now;
   ++backend.pollsInFlight_;
   ++polls_;
   const std::weak_ptr<bool> alive = alive_;
@@ -164,6 +169,8 @@
   }
   NoteCutOffEnds(backend, aResult);
   if (!backend.verified_ || backend.failedPolls_ > 0) {
+    // From here on it refuses other leaders, whatever lease they have asked for.
+    backend.leaseEnd_ = std::min(backend.leaseEnd_, now + WithClockDrift(limits_.holdMax_));
     backend.verified_ = true;
     backend.failedPolls_ = 0;
     changed_ = true;
@@ -195,14 +202,6 @@
   }
 }
 
-void
-RunTracker::ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
-{
-  Backend& backend = backends_.At(aBackend);
-  std::vector<RunId> listed;
-  for (const RunningTask& running : aResult.running_) {
-    listed.push_back(running.run_);
-    ForgetLateStart(backend.entry_.id_, running.run_);
 void
 RunTracker::NoteCutOffEnds(Backend& aBackend, const PollResult& aResult)
 {
@@ -220,6 +219,14 @@
   aBackend.hasUnlistedEnds_ = aResult.hasMoreEnds_;
 }
 
+void
+RunTracker::ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
+{
+  Backend& backend = backends_.At(aBackend);
+  std::vector<RunId> listed;
+  for (const RunningTask& running : aResult.running_) {
+    listed.push_back(running.run_);
+    ForgetLateStart(backend.entry_.id_, running.run_);
     if (BackendRun* run = backend.FindRun(running.run_)) {
       Confirm(*run, running, aResult.clock_);
       continue;
--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -161,6 +161,7 @@
     endedIncarnations_.erase(aEntry.id_);
   }
   earlier.next_ = next;
+  std::replace(inheritedWitnesses_.begin(), inheritedWitnesses_.end(), aBackend, next);
   for (BackendRun& run : backend.runs_) {
     if (run.phase_ == RunPhase::Uncertain || run.phase_ == RunPhase::Stopping) {
       Stop(next, run);
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -2,6 +2,7 @@
 
 #include "run_limits_p.h"
 #include "sardinespoke/logging.h"
+#include "sardinespoke/witness_quorum.h"
 
 #include <nlohmann/json.hpp>
 
@@ -51,7 +52,10 @@
   Backend& backend = backends_.At(handle);
   backend.recorded_ = true;
   backend.unreconciled_ = true;
-  backend.leaseEnd_ = leaderSince_ + WithClockDrift(limits_.holdMax_);
+  // Until CheckTakeover(), an earlier leader may still renew it.
+  backend.leaseEnd_ =
+    leaderSince_ + WitnessQuorum::kTakeoverLimit + WithClockDrift(limits_.holdMax_);
+  inheritedWitnesses_.push_back(handle);
   return handle;
 }
 
@@ -396,15 +400,25 @@
     return;
   }
   if (run->task_) {
-    const Task& task = jobs_.At(*run->task_);
-    if (task.phase_ == TaskPhase::Active && task.run_ == aRun.run_ && task.backend_ == aBackend) {
-      jobs_.Release(*run->task_, aCheckpoint.empty() ? run->checkpoint_ : aCheckpoint);
-    }
+    ReleaseTask(
+      *run->task_, aBackend, aRun.run_, aCheckpoint.empty() ? run->checkpoint_ : aCheckpoint);
   }
   backends_.RemoveRun(aBackend, aRun);
   changed_ = true;
 }
 
+void
+RunTracker::ReleaseTask(const TaskRef& aTask,
+                        BackendHandle aBackend,
+                        int64_t aRun,
+                        const std::string& aCheckpoint)
+{
+  const Task& task = jobs_.At(aTask);
+  if (task.phase_ == TaskPhase::Active && task.run_ == aRun && task.backend_ == aBackend) {
+    jobs_.Release(aTask, aCheckpoint);
+  }
+}
+
 void
 RunTracker::EndIncarnation(BackendHandle aBackend, const char* aReason, IncarnationEnd aEnd)
 {
@@ -514,6 +528,9 @@
 RunTracker::Tick()
 {
   const TimePoint now = clock_.Now();
+  if (!hasTakenOver_) {
+    CheckTakeover();
+  }
   ForgetOldLateStarts();
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
@@ -549,6 +566,8 @@
       backend.pollsInFlight_ == 0 && now >= backend.nextPollAt_ && NeedsPoll(backend);
     if (isDue || LacksLease(backend)) {
       SendPoll(handle);
+    } else if (LacksContact(backend)) {
+      SendPoll(handle, PollKind::Contact);
     }
   }
 }
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -299,11 +299,25 @@
   return MakeResult(aServer, CommandOutcome::Done);
 }
 
+bool
+SimulatedFleet::Client::IsCut(const BackendAddress& aTo) const
+{
+  const auto found = fleet_.servers_.find(aTo.id_);
+  return disconnected_ || (found != fleet_.servers_.end() &&
+                           unreachableHosts_.count(found->second.entry_.host_) > 0);
+}
+
+SimulatedFleet::Server*
+SimulatedFleet::Client::Reach(const BackendAddress& aTo) const
+{
+  return IsCut(aTo) ? nullptr : fleet_.FindReachable(aTo);
+}
+
 void
 SimulatedFleet::Client::Start(const StartCommand& aOrder, OnResult aDone)
 {
   SimulatedFleet& fleet = fleet_;
-  Server* server = disconnected_ ? nullptr : fleet.FindReachable(aOrder.to_);
+  Server* server = Reach(aOrder.to_);
   if (!server) {
     fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(CommandResult()); });
     return;
@@ -332,9 +346,9 @@
 SimulatedFleet::Client::Stop(const StopCommand& aOrder, OnResult aDone)
 {
   SimulatedFleet& fleet = fleet_;
-  const bool disconnected = disconnected_;
-  fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, disconnected] {
-    Server* server = disconnected ? nullptr : fleet.FindReachable(aOrder.to_);
+  const bool isReached = Reach(aOrder.to_) != nullptr;
+  fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, isReached] {
+    Server* server = isReached ? fleet.FindReachable(aOrder.to_) : nullptr;
     if (!server || server->behaviour_.losesStops_) {
       aDone(CommandResult());
       return;
@@ -437,17 +451,21 @@
 {
   SimulatedFleet& fleet = fleet_;
   ++fleet.looks_;
-  const bool disconnected = disconnected_;
-  fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, disconnected] {
-    Server* server = disconnected ? nullptr : fleet.FindReachable(aOrder.to_);
+  const auto done = [this, aOrder, aDone](const PollResult& aResult) {
+    // The response to a poll that waited is lost as well.
+    aDone(IsCut(aOrder.to_) ? PollResult() : aResult);
+  };
+  const bool isReached = Reach(aOrder.to_) != nullptr;
+  fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, done, isReached] {
+    Server* server = isReached ? fleet.FindReachable(aOrder.to_) : nullptr;
     if (!server || server->behaviour_.losesPolls_ || server->behaviour_.losesAnswers_) {
-      fleet.events_.ScheduleAfter(kCommandTimeout, [aDone] { aDone(PollResult()); });
+      fleet.events_.ScheduleAfter(kCommandTimeout, [done] { done(PollResult()); });
       return;
     }
     if (aOrder.fencingToken_ < server->fencingToken_) {
       PollResult fenced;
       static_cast<CommandResult&>(fenced) = fleet.MakeResult(*server, CommandOutcome::Fenced);
-      aDone(fenced);
+      done(fenced);
       return;
     }
     server->fencingToken_ = aOrder.fencingToken_;
@@ -457,10 +475,10 @@
     fleet.AcknowledgeEnds(*server, aOrder.acknowledgedUpTo_);
     if (aOrder.wait_ > milliseconds(0) && server->ended_.empty()) {
       server->pendingPolls_.push_back(
-        PendingPoll{ aOrder.acknowledgedUpTo_, fleet.clock_.Now() + aOrder.wait_, aDone });
+        PendingPoll{ aOrder.acknowledgedUpTo_, fleet.clock_.Now() + aOrder.wait_, done });
       return;
     }
-    aDone(fleet.MakePollResult(*server));
+    done(fleet.MakePollResult(*server));
   });
 }
 
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -31,6 +31,8 @@
 /// reports and fault injection.
 class SimulatedFleet
 {
+  struct Server;
+
 public:
   /// Injected faults of a backend server.
   struct Behaviour
@@ -129,8 +131,15 @@
     void Advise(const AdviceQuery& aQuery, OnAdvice aDone) override;
 
     bool disconnected_ = false; ///< No command of this entry host reaches the fleet.
+    /// Hosts whose backend servers no command of this entry host reaches.
+    std::set<std::string> unreachableHosts_;
 
   private:
+    /// @returns Whether this entry host is cut off from a backend server.
+    bool IsCut(const BackendAddress& aTo) const;
+    /// @returns The backend server that a command reaches, or nullptr.
+    Server* Reach(const BackendAddress& aTo) const;
+
     SimulatedFleet& fleet_;
   };
 
--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -82,8 +82,10 @@
   const auto first = world_.Leader();
   ASSERT_TRUE(first.has_value());
   const size_t second = 1 - *first;
-  // The store falls silent for the leader and drops its record at once.
+  // The store falls silent for the leader and drops its record at once. The backend servers would
+  // tell it of its successor.
   world_.StoreOf(*first).fault_ = MemoryRecordStore::Fault::Unresponsive;
+  world_.FleetOf(*first).disconnected_ = true;
   world_.Store().Remove(kLeaderKey);
   ASSERT_TRUE(world_.RunUntil([&] { return world_.IsLeader(second); }, seconds(1)));
   ASSERT_TRUE(world_.IsLeader(*first)) << "it has not noticed yet";
