Move tasks that last off workers that leave by themselves

Cause: a worker that announces that it leaves kept its tasks until it was gone.

Change: they are stopped one by one within the budget of their step, as in a roll-out, if another worker of the pool has room.

--- a/include/sardinespoke/rollout_runner.h
+++ b/include/sardinespoke/rollout_runner.h
@@ -98,6 +98,12 @@
   void OnMaintenanceResult(int64_t aRollout,
                            const std::string& aHost,
                            const CommandResult& aResult);
+  /// Moves tasks that last off the backend servers that leave by themselves.
+  void EvacuateLeaving();
+  /// @returns True if another backend server of the pool has room for a run.
+  bool HasRoomElsewhere(BackendHandle aBackend, const BackendRun& aRun) const;
+  /// @returns True if a stop keeps to the availability budget of a continuous task.
+  bool MayStopContinuous(const BackendRun& aRun) const;
   void DrainBackend(BackendHandle aBackend, TimePoint aSince);
   bool MayStillRunTasks(const std::string& aHost) const;
   bool MayInterrupt(const Backend& aBackend) const;
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -112,6 +112,53 @@
   return true;
 }
 
+bool
+RolloutRunner::MayStopContinuous(const BackendRun& aRun) const
+{
+  const uint32_t budget = jobs_.SpecOf(*aRun.task_).maxUnavailable_;
+  return budget == 0 || UnavailableTasks(*aRun.task_) < budget;
+}
+
+bool
+RolloutRunner::HasRoomElsewhere(BackendHandle aBackend, const BackendRun& aRun) const
+{
+  const std::string& service = backends_.At(aBackend).entry_.service_;
+  const StepSpec& spec = jobs_.SpecOf(*aRun.task_);
+  const auto& live = backends_.Live();
+  return std::any_of(live.begin(), live.end(), [&](const BackendHandle& aHandle) {
+    const Backend& backend = backends_.At(aHandle);
+    const auto& labels = backend.entry_.labels_;
+    const bool hasLabel =
+      spec.requiredLabel_.empty() ||
+      std::find(labels.begin(), labels.end(), spec.requiredLabel_) != labels.end();
+    const bool isBelowBound =
+      spec.maxPerServer_ == 0 || TasksOfStep(backend, *aRun.task_) < spec.maxPerServer_;
+    return backend.entry_.service_ == service && runs_.IsUsable(backend) && hasLabel &&
+           isBelowBound && backend.Fits(spec.Need());
+  });
+}
+
+void
+RolloutRunner::EvacuateLeaving()
+{
+  for (const BackendHandle handle : backends_.Live()) {
+    Backend& backend = backends_.At(handle);
+    if (!backend.registered_ || !backend.entry_.draining_ || backend.failedPolls_ > 0) {
+      continue;
+    }
+    for (BackendRun& run : backend.runs_) {
+      const bool isContinuous = run.isContinuous_ && run.task_ && run.phase_ == RunPhase::Running;
+      if (!isContinuous || !MayStopContinuous(run) || !HasRoomElsewhere(handle, run)) {
+        continue;
+      }
+      Log(LogLevel::Info,
+          "run.evacuated",
+          { { "task", run.id_.task_ }, { "backend", backend.entry_.id_ } });
+      runs_.Stop(handle, run);
+    }
+  }
+}
+
 void
 RolloutRunner::DrainBackend(BackendHandle aBackend, TimePoint aSince)
 {
@@ -124,9 +171,7 @@
     }
     const StepSpec& spec = jobs_.SpecOf(*run.task_);
     const bool keepRunning =
-      spec.continuous_
-        ? spec.maxUnavailable_ > 0 && UnavailableTasks(*run.task_) >= spec.maxUnavailable_
-        : mayFinish || !spec.checkpointing_;
+      spec.continuous_ ? !MayStopContinuous(run) : mayFinish || !spec.checkpointing_;
     if (!keepRunning) {
       runs_.Stop(aBackend, run);
     }
@@ -181,6 +226,7 @@
       clock_.Now() < noCommandsBefore_) {
     return;
   }
+  EvacuateLeaving();
   for (auto& [number, rollout] : rollouts_) {
     if (!rollout.reportedDone_) {
       AdvanceRollout(rollout);
