Start a timed job when it is due, also if it is handed in again

Change: requests look up the index only, which changes nothing; tasks start only in occurrences that this leader's clock has found due.

--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -66,7 +66,7 @@
               const QueuePolicy& aQueue,
               const JobResponseCallback& aRespond);
   /// Responds to a repeated submission of a job that is being stored.
-  void AwaitSubmission(const std::string& aId, const JobResponseCallback& aRespond);
+  void AwaitSubmission(uint32_t aJob, const JobResponseCallback& aRespond);
   void CountArrival(const Job& aJob);
   void Cancel(uint32_t aJob, const JobResponseCallback& aRespond);
   JobResponse StateResponse(const Job& aJob) const;
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -71,9 +72,11 @@
   std::string originalService_;              ///< Service of its queue when the job was accepted.
   TimePoint accepted_{};                     ///< On this process's clock.
   std::chrono::milliseconds acceptedWall_{}; ///< Since the Unix epoch.
-  std::vector<Occurrence> occurrences_;      ///< Occurrences that are due or done, from the first.
-  bool stored_ = false;    ///< The store has the job; its tasks may start only then.
-  bool inherited_ = false; ///< Accepted by an earlier leader.
+  /// Occurrences that are due, or of which a run or a record is known, from the first.
+  std::vector<Occurrence> occurrences_;
+  uint32_t dueOccurrences_ = 0; ///< Those whose tasks may start.
+  bool stored_ = false;         ///< The store has the job; its tasks may start only then.
+  bool inherited_ = false;      ///< Accepted by an earlier leader.
   /// Revision of the progress record that an inherited job was restored from; 0: there was none.
   int64_t restoredRevision_ = 0;
   bool resumed_ = false; ///< This leader has started a task of an inherited job.
@@ -123,10 +126,15 @@
   Step& StepOf(const TaskRef& aRef);
   TaskId IdOf(const TaskRef& aRef) const;
 
-  /// @returns False if there is no such task. Creates the occurrence if it does not exist yet.
+  /// @returns The index of a job; empty if there is none.
+  std::optional<uint32_t> IndexOf(const std::string& aId) const;
+
+  /// Locates a task of which a run or a record is known. Creates its occurrence if it does not
+  /// exist yet; its tasks start only when it is due.
+  /// @returns False if there is no such task.
   bool Locate(const TaskId& aId, TaskRef& aRef);
 
-  /// Creates the occurrences that are due.
+  /// Creates the occurrences that are due and lets their tasks start.
   /// @param aWall Time since the Unix epoch.
   void OpenDueOccurrences(Job& aJob, std::chrono::milliseconds aWall);
 
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -150,9 +150,7 @@
     aRespond(StateResponse(*job));
     return;
   }
-  TaskRef ref;
-  jobs_.Locate(TaskId{ id, 0, 0, 0 }, ref);
-  Cancel(ref.job_, aRespond);
+  Cancel(*jobs_.IndexOf(id), aRespond);
 }
 
 void
@@ -183,7 +181,7 @@
     return;
   }
   if (known) {
-    AwaitSubmission(id, aRespond);
+    AwaitSubmission(*jobs_.IndexOf(id), aRespond);
     return;
   }
   if (!leadership_.MaySendCommands() || journal_.IsStalled()) {
@@ -220,11 +218,9 @@
 }
 
 void
-JobControl::AwaitSubmission(const std::string& aId, const JobResponseCallback& aRespond)
+JobControl::AwaitSubmission(uint32_t aJob, const JobResponseCallback& aRespond)
 {
-  TaskRef ref;
-  jobs_.Locate(TaskId{ aId, 0, 0, 0 }, ref);
-  journal_.AwaitSubmission(ref.job_, [aRespond](JournalOutcome aOutcome) {
+  journal_.AwaitSubmission(aJob, [aRespond](JournalOutcome aOutcome) {
     if (aOutcome == JournalOutcome::Stored) {
       aRespond(MakeResponse(JobResponseKind::Accepted));
     } else if (aOutcome == JournalOutcome::NotStored) {
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -51,6 +51,13 @@
   return found == byId_.end() ? nullptr : jobs_[found->second].get();
 }
 
+std::optional<uint32_t>
+JobTable::IndexOf(const std::string& aId) const
+{
+  const auto found = byId_.find(aId);
+  return found == byId_.end() ? std::nullopt : std::optional<uint32_t>(found->second);
+}
+
 Task&
 JobTable::At(const TaskRef& aRef)
 {
@@ -111,6 +118,7 @@
 JobTable::OpenDueOccurrences(Job& aJob, std::chrono::milliseconds aWall)
 {
   const uint32_t due = DueOccurrences(aJob.spec_, aWall);
+  aJob.dueOccurrences_ = std::max(aJob.dueOccurrences_, due);
   while (aJob.occurrences_.size() < due) {
     OpenOccurrence(aJob);
   }
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -99,7 +99,7 @@
   size_t started = 0;
   const Job& job = jobs_.At(aJob);
   const bool first = !job.started_;
-  for (uint32_t occurrence = 0; occurrence < job.occurrences_.size(); ++occurrence) {
+  for (uint32_t occurrence = 0; occurrence < job.dueOccurrences_; ++occurrence) {
     if (job.occurrences_[occurrence].stepsDone_ == job.spec_.steps_.size()) {
       continue;
     }
