Let the scheduler and the evacuation share the constraints of a step

Backend::MeetsConstraints() serves both now.

Measured: no change of behaviour meant; 220 tests of leaders, evacuation, placement and capacity pass.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -123,6 +123,10 @@
 
   /// @returns True if this much is certainly free, within its present capacity.
   bool Fits(const Resources& aNeed) const;
+
+  /// @returns True if it has the label that a step requires and runs fewer of its tasks than it
+  /// may.
+  bool MeetsConstraints(const TaskRef& aTask, const StepSpec& aSpec) const;
 };
 
 /// The backend servers of all pools.
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -53,7 +53,6 @@
   /// @returns True if the group may start.
   bool MayStartGang(const TaskRef& aFirst, const std::vector<BackendHandle>& aPlaces);
   double Score(const Backend& aBackend, const StepSpec& aSpec) const;
-  bool MeetsConstraints(const Backend& aBackend, const TaskRef& aTask, const StepSpec& aSpec) const;
 
   JobTable& jobs_;
   BackendTable& backends_;
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -60,6 +60,25 @@
          used_.accelerators_ + aNeed.accelerators_ <= all.accelerators_;
 }
 
+bool
+Backend::MeetsConstraints(const TaskRef& aTask, const StepSpec& aSpec) const
+{
+  if (!aSpec.requiredLabel_.empty()) {
+    const auto& labels = entry_.labels_;
+    if (std::find(labels.begin(), labels.end(), aSpec.requiredLabel_) == labels.end()) {
+      return false;
+    }
+  }
+  if (aSpec.maxPerServer_ == 0) {
+    return true;
+  }
+  const auto same = std::count_if(runs_.begin(), runs_.end(), [&](const BackendRun& aRun) {
+    return aRun.task_ && aRun.task_->job_ == aTask.job_ &&
+           aRun.task_->occurrence_ == aTask.occurrence_ && aRun.task_->step_ == aTask.step_;
+  });
+  return same < aSpec.maxPerServer_;
+}
+
 BackendHandle
 BackendTable::Add(const BackendEntry& aEntry)
 {
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -127,14 +127,8 @@
   const auto& live = backends_.Live();
   return std::any_of(live.begin(), live.end(), [&](const BackendHandle& aHandle) {
     const Backend& backend = backends_.At(aHandle);
-    const auto& labels = backend.entry_.labels_;
-    const bool hasLabel =
-      spec.requiredLabel_.empty() ||
-      std::find(labels.begin(), labels.end(), spec.requiredLabel_) != labels.end();
-    const bool isBelowBound =
-      spec.maxPerServer_ == 0 || TasksOfStep(backend, *aRun.task_) < spec.maxPerServer_;
-    return backend.entry_.service_ == service && runs_.IsUsable(backend) && hasLabel &&
-           isBelowBound && backend.Fits(spec.Need());
+    return backend.entry_.service_ == service && runs_.IsUsable(backend) &&
+           backend.MeetsConstraints(*aRun.task_, spec) && backend.Fits(spec.Need());
   });
 }
 
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -258,7 +258,7 @@
   std::vector<BackendHandle> places;
   for (const BackendHandle handle : pool) {
     const Backend& backend = backends_.At(handle);
-    if (!MeetsConstraints(backend, first, spec) || (!isSuspect && !suspects_.Admits(backend))) {
+    if (!backend.MeetsConstraints(first, spec) || (!isSuspect && !suspects_.Admits(backend))) {
       continue;
     }
     Resources sum;
@@ -286,28 +286,6 @@
   return spec.taskCount_;
 }
 
-bool
-TaskScheduler::MeetsConstraints(const Backend& aBackend,
-                                const TaskRef& aTask,
-                                const StepSpec& aSpec) const
-{
-  if (!aSpec.requiredLabel_.empty()) {
-    const auto& labels = aBackend.entry_.labels_;
-    if (std::find(labels.begin(), labels.end(), aSpec.requiredLabel_) == labels.end()) {
-      return false;
-    }
-  }
-  if (aSpec.maxPerServer_ == 0) {
-    return true;
-  }
-  const auto same =
-    std::count_if(aBackend.runs_.begin(), aBackend.runs_.end(), [&](const BackendRun& aRun) {
-      return aRun.task_ && aRun.task_->job_ == aTask.job_ &&
-             aRun.task_->occurrence_ == aTask.occurrence_ && aRun.task_->step_ == aTask.step_;
-    });
-  return same < aSpec.maxPerServer_;
-}
-
 double
 TaskScheduler::Score(const Backend& aBackend, const StepSpec& aSpec) const
 {
@@ -343,7 +321,7 @@
   double bestScore = 0.0;
   for (const BackendHandle handle : aPool) {
     const Backend& backend = backends_.At(handle);
-    if (!backend.Fits(need) || !MeetsConstraints(backend, aTask, aSpec) ||
+    if (!backend.Fits(need) || !backend.MeetsConstraints(aTask, aSpec) ||
         !suspects_.Admits(backend)) {
       continue;
     }
@@ -372,7 +350,7 @@
 {
   Pool eligible;
   for (const BackendHandle handle : aPool) {
-    if (!MustAvoid(aTask, handle, aPool) && MeetsConstraints(backends_.At(handle), aTask, aSpec)) {
+    if (!MustAvoid(aTask, handle, aPool) && backends_.At(handle).MeetsConstraints(aTask, aSpec)) {
       eligible.push_back(handle);
     }
   }
