--- a/tests/avoided_backend_test.cpp
+++ b/tests/avoided_backend_test.cpp
@@ -46,7 +46,7 @@
     SetFailing(true);
     ASSERT_EQ(world_.Submit("births", JobId(2), aStep).kind_, JobResponseKind::Accepted);
     ASSERT_TRUE(world_.RunUntil([&] { return world_.Starts() == before + 1; }, seconds(3)));
-    ASSERT_TRUE(world_.RunUntil([&] { return world_.Fleet().RunsOf(kTask) == 0; }, seconds(3)));
+    ASSERT_TRUE(world_.RunUntil([&] { return world_.Fleet().RunsOf(task_) == 0; }, seconds(3)));
     SetFailing(false);
   }
 
@@ -63,7 +63,7 @@
                            aLimit);
   }
 
-  const std::string kTask = TaskId{ JobId(2), 0, 0, 0 }.Text();
+  const std::string task_ = TaskId{ JobId(2), 0, 0, 0 }.Text();
   JobWorld world_;
 };
 
@@ -95,7 +95,7 @@
   world_.Fleet().BehaviourOf("births", kOtherRack).hangs_ = true;
   ASSERT_EQ(world_.Submit("births", JobId(2), step).kind_, JobResponseKind::Accepted);
   ASSERT_TRUE(world_.RunUntil([&] { return world_.Starts() == 1; }, seconds(3)));
-  ASSERT_TRUE(world_.RunUntil([&] { return world_.Fleet().RunsOf(kTask) == 0; }, seconds(5)));
+  ASSERT_TRUE(world_.RunUntil([&] { return world_.Fleet().RunsOf(task_) == 0; }, seconds(5)));
   world_.Fleet().BehaviourOf("births", kOtherRack).hangs_ = false;
   EXPECT_TRUE(IsDoneWithin(seconds(7)));
 }
@@ -105,7 +105,7 @@
 {
   FailOnce(Tasks(1));
   EXPECT_TRUE(IsDoneWithin(milliseconds(1600)));
-  EXPECT_EQ(world_.Fleet().StartsOf(kTask), 2U);
+  EXPECT_EQ(world_.Fleet().StartsOf(task_), 2U);
 }
 
 // Room that is expected soon elsewhere is better than a second attempt at a bad backend server.
@@ -122,7 +122,7 @@
   world_.Run(milliseconds(500));
   ASSERT_EQ(world_.Cancel("births", JobId(1)).kind_, JobResponseKind::Cancelled);
   EXPECT_TRUE(IsDoneWithin(seconds(3)));
-  EXPECT_EQ(world_.Fleet().StartsOf(kTask), 2U);
+  EXPECT_EQ(world_.Fleet().StartsOf(task_), 2U);
 }
 
 }
