Tell what the HTTP client of a leader spends its time on

The logs cannot tell whether a call costs more with more open connections (1), with more calls at once (2), or whether there are too many calls (3).

Change: leader.http has the number of calls and of open connections, and the longest turn of the client. sardinespoke-slopes -m http-calls measures the processor time of a call against the number of servers, three connections each, and of the first calls after half of the servers have closed theirs.

Measured (arm64, alone): a call alone takes 55, 60, 73, 124, 499 us with 17, 50, 167, 540, 1667 servers; of 50 at once 35, 38, 48, 73, 203 us; the first call after half of the connections were closed 1, 3, 19, 235, 3,261 ms. So (1) holds, (2) does not: more at once is cheaper. The last series grows with the square. perf shows the time inside libcurl and in poll() calls from it.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -71,13 +71,18 @@
   /// for the first event. Not to be called from a callback.
   void Run(std::chrono::milliseconds aWait);
 
-  /// Time that Run() has spent since the last call, without the wait for events.
-  struct BusyTime
+  /// What Run() has done since the last call of TakeLoad().
+  struct Load
   {
-    std::chrono::nanoseconds all_{ 0 };
-    std::chrono::nanoseconds callbacks_{ 0 }; ///< Part of it.
+    std::chrono::nanoseconds busy_{ 0 };       ///< Without the wait for events.
+    std::chrono::nanoseconds callbacks_{ 0 };  ///< Part of it.
+    std::chrono::nanoseconds longestRun_{ 0 }; ///< Of one Run(), without the wait for events.
+    uint64_t calls_ = 0;                       ///< Calls that have ended.
   };
-  BusyTime TakeBusyTime() { return std::exchange(busyTime_, BusyTime{}); }
+  Load TakeLoad() { return std::exchange(load_, Load{}); }
+
+  /// @returns Connections in use or kept.
+  size_t Connections() const { return sockets_.size(); }
 
   /// Wakes up Run(). The only thread-safe method.
   void Wake();
@@ -127,7 +132,7 @@
     std::chrono::steady_clock::time_point heardAt_{}; ///< When data last arrived.
   };
   std::unordered_map<int, SocketState> sockets_;
-  BusyTime busyTime_;
+  Load load_;
   bool hasTimer_ = false;
   std::chrono::steady_clock::time_point timer_{}; ///< When libcurl's timeout is due.
   std::map<Transfer*, std::unique_ptr<Transfer>> active_;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -234,7 +234,7 @@
 void
 EntryNode::LogLoad()
 {
-  const HttpMulti::BusyTime busy = http_.TakeBusyTime();
+  const HttpMulti::Load load = http_.TakeLoad();
   if (!control_) {
     return;
   }
@@ -242,8 +242,11 @@
   using std::chrono::microseconds;
   Log(LogLevel::Info,
       "leader.http",
-      { { "busy_us", duration_cast<microseconds>(busy.all_).count() },
-        { "callbacks_us", duration_cast<microseconds>(busy.callbacks_).count() } });
+      { { "busy_us", duration_cast<microseconds>(load.busy_).count() },
+        { "callbacks_us", duration_cast<microseconds>(load.callbacks_).count() },
+        { "longest_run_us", duration_cast<microseconds>(load.longestRun_).count() },
+        { "calls", load.calls_ },
+        { "connections", http_.Connections() } });
 }
 
 void
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -292,7 +292,7 @@
   const auto waitBegin = std::chrono::steady_clock::now();
   const int count = epoll_wait(
     epollFd_, events.data(), static_cast<int>(events.size()), static_cast<int>(wait.count()));
-  busyTime_.all_ -= std::chrono::steady_clock::now() - waitBegin;
+  load_.busy_ -= std::chrono::steady_clock::now() - waitBegin;
   ServeUrgentCalls();
   for (int index = 0; index < count; ++index) {
     const epoll_event& event = events[static_cast<size_t>(index)];
@@ -509,7 +509,8 @@
   StartNextTransfer(authority);
   const auto begin = std::chrono::steady_clock::now();
   transfer->done_(reply);
-  busyTime_.callbacks_ += std::chrono::steady_clock::now() - begin;
+  load_.callbacks_ += std::chrono::steady_clock::now() - begin;
+  ++load_.calls_;
 }
 
 void
@@ -532,13 +533,15 @@
 HttpMulti::Run(std::chrono::milliseconds aWait)
 {
   const auto begin = std::chrono::steady_clock::now();
+  const auto busyBefore = load_.busy_;
   ProcessSockets(aWait);
   // libcurl would end a call at its timeout even if the response has arrived; it is given none.
   const auto now = std::chrono::steady_clock::now();
   ReadDueTransfers(now);
   FinishCompletedTransfers();
   EndDueTransfers(now);
-  busyTime_.all_ += std::chrono::steady_clock::now() - begin;
+  load_.busy_ += std::chrono::steady_clock::now() - begin;
+  load_.longestRun_ = std::max(load_.longestRun_, load_.busy_ - busyBefore);
 }
 
 void
--- a/tools/sardinespoke-slopes/main.cpp
+++ b/tools/sardinespoke-slopes/main.cpp
@@ -21,6 +21,7 @@
     { "exchange", "bytes of demand reports", &MeasureExchange },
     { "request-ids", "processor time and memory of request ids", &MeasureRequestIds },
     { "store-calls", "calls a second at the platform", &MeasureStoreCalls },
+    { "http-calls", "processor time of HTTP calls to many servers", &MeasureHttpCalls },
   };
   return groups;
 }
--- a/tools/sardinespoke-slopes/slope_groups.h
+++ b/tools/sardinespoke-slopes/slope_groups.h
@@ -37,6 +37,10 @@
 void
 MeasureStoreCalls(std::ostream& aOut);
 
+/// Processor time of HTTP calls to many servers.
+void
+MeasureHttpCalls(std::ostream& aOut);
+
 const std::vector<SlopeGroup>&
 SlopeGroups();
 
