Spread the connections of the HTTP client over many libcurl handles

Cause: one libcurl multi handle held the connections to all backend servers, some 1,600. Once a second libcurl looks for closed ones, with a poll() for each, and begins again at the first after each one it has found: the cost grows with the square. Beside that, the cost of each call grows with the connections of its handle.

Ruled out: the store (answers within 4 ms); calls at once (cheaper together); the number of calls alone: the leader carries twice as many now.

Change: authorities are spread over 128 multi handles by a hash, so that each holds a dozen connections. Transfer and Shard have files of their own.

--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -53,7 +54,7 @@
 /// HTTP client for many concurrent calls on one thread, based on libcurl's multi interface and
 /// epoll, with persistent connections. A request of which a byte was sent is not sent again,
 /// neither on a new connection nor on a kept one. The cost of Run() depends on the number of ready
-/// sockets, not of pending calls.
+/// sockets, not of pending calls or open connections.
 class HttpMulti
 {
 public:
@@ -90,6 +91,11 @@
 private:
   struct Transfer;
   struct AuthorityQueue;
+  /// A libcurl multi handle. Its calls cost time in proportion to its connections, and those to
+  /// remove closed ones grow with the square, so that authorities are spread over many.
+  struct Shard;
+
+  Shard& ShardOf(const std::string& aAuthority);
 
   void StartTransfer(std::unique_ptr<Transfer> aTransfer);
   void FinishTransfer(Transfer& aTransfer, int aCode);
@@ -105,26 +111,29 @@
                  std::chrono::steady_clock::time_point aNotHeardSince);
   /// @returns Time until libcurl's timer or the first deadline of a call; at most aWait.
   std::chrono::milliseconds TimeUntilDue(std::chrono::milliseconds aWait) const;
-  std::chrono::milliseconds TimeUntilTimer() const;
+  /// Time until the first timer of libcurl; empty if there is none.
+  std::optional<std::chrono::milliseconds> TimeUntilTimer() const;
   void ProcessSockets(std::chrono::milliseconds aWait);
   void ProcessUrgentSockets();
   /// Reads urgent responses, runs the callbacks of completed calls and sends new calls.
   void ServeUrgentCalls();
   void ProcessSocket(int aSocket, uint32_t aEvents);
+  /// Lets libcurl handle an event of a shard.
+  void RunShard(Shard& aShard, int aSocket, int aEvents);
   /// @returns True if a timeout of libcurl was due.
-  bool ProcessTimer();
-  static int OnSocket(void* aEasy, int aSocket, int aWhat, void* aSelf, void* aKnown);
-  static int OnTimer(void* aMulti, long aMilliseconds, void* aSelf);
+  bool ProcessTimers();
+  static int OnSocket(void* aEasy, int aSocket, int aWhat, void* aShard, void* aKnown);
+  static int OnTimer(void* aMulti, long aMilliseconds, void* aShard);
   static int OnClose(void* aSelf, int aSocket);
   void WatchSocket(int aSocket, uint32_t aEvents, bool aUrgent);
 
-  void* multi_;
   int epollFd_ = -1;
   int urgentEpollFd_ = -1; ///< Sockets of urgent calls; itself a member of epollFd_.
   int wakeFd_ = -1;
   /// A socket in the epoll set. An idle persistent connection stays registered.
   struct SocketState
   {
+    Shard* shard_ = nullptr;
     uint32_t registered_ = 0;                         ///< Events registered with epoll.
     bool inUse_ = false;                              ///< libcurl waits for this socket.
     bool urgent_ = false;                             ///< Registered with urgentEpollFd_.
@@ -133,8 +142,10 @@
   };
   std::unordered_map<int, SocketState> sockets_;
   Load load_;
-  bool hasTimer_ = false;
-  std::chrono::steady_clock::time_point timer_{}; ///< When libcurl's timeout is due.
+  std::vector<std::unique_ptr<Shard>> shards_;
+  /// When timeouts of libcurl are due.
+  std::set<std::pair<std::chrono::steady_clock::time_point, Shard*>> timers_;
+  std::vector<Shard*> ranShards_; ///< Those that may have completed transfers.
   std::map<Transfer*, std::unique_ptr<Transfer>> active_;
   std::set<std::pair<std::chrono::steady_clock::time_point, Transfer*>> deadlines_;
   std::map<std::string, AuthorityQueue> authorityQueues_;
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -1,12 +1,11 @@
 #include "sardinespoke/http_multi.h"
 
+#include "http_shard_p.h"
+#include "http_transfer_p.h"
 #include "sardinespoke/logging.h"
 
-#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -16,7 +15,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <new>
 #include <system_error>
 
@@ -24,14 +22,9 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kConnectTimeout{ 400 };
-// Keep-alive probes close an idle connection that went silent; both in seconds, the shortest that
-// TCP takes.
-constexpr int kKeepAliveIdleSeconds = 1;
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 1;
-constexpr size_t kMaxResponseBytes = 8U << 20U;
 constexpr long kKeptConnections = 4096;
+// Two descriptors each, which libcurl opens to wake it up.
+constexpr size_t kShards = 128;
 constexpr size_t kMaxIdleHandles = 64;
 // Events fetched by one epoll_wait(); the rest is fetched by the next.
 constexpr size_t kMaxEventsPerWait = 128;
@@ -40,92 +33,29 @@
 
 }
 
-struct HttpMulti::Transfer
-{
-  HttpMulti* owner_ = nullptr;
-  HttpCall call_;
-  Done done_;
-  CURL* easy_ = nullptr;
-  int socket_ = -1; ///< Watched for this call; -1 if there is none.
-  std::chrono::steady_clock::time_point deadline_{};
-  std::chrono::steady_clock::time_point sentAt_{};
-  curl_slist* headers_ = nullptr;
-  std::string body_;
-
-  bool WasSent() const
-  {
-    long bytes = 0;
-    curl_easy_getinfo(easy_, CURLINFO_REQUEST_SIZE, &bytes);
-    return bytes > 0;
-  }
-
-  static curl_socket_t OpenSocket(void* aSelf, curlsocktype, curl_sockaddr* aAddress)
-  {
-    auto* self = static_cast<Transfer*>(aSelf);
-    if (self->WasSent()) {
-      return CURL_SOCKET_BAD; // See OnPreRequest().
-    }
-    self->owner_->SetDeadline(*self, kConnectTimeout);
-    const int type = aAddress->socktype | SOCK_CLOEXEC; // NOLINT(hicpp-signed-bitwise)
-    const int opened = socket(aAddress->family, type, aAddress->protocol);
-    if (opened >= 0) {
-      EnableKeepAlive(opened);
-    }
-    // libcurl closes a socket that is still connecting without OnClose(); epoll forgot it then.
-    self->owner_->sockets_.erase(opened);
-    return opened;
-  }
-
-  static void EnableKeepAlive(int aSocket)
-  {
-    const auto set = [aSocket](int aLevel, int aOption, int aValue) {
-      if (setsockopt(aSocket, aLevel, aOption, &aValue, sizeof(aValue)) != 0) {
-        Log(LogLevel::Warn, "http.option_refused", { { "option", aOption }, { "errno", errno } });
-      }
-    };
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-    set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  }
-
-  /// Begins the time limit of the response; refuses a second attempt, also over a kept connection.
-  static int OnPreRequest(void* aSelf, char*, char*, int, int)
-  {
-    // libcurl resends a request over another connection if a persistent one breaks before the
-    // response, but the server may already have processed the first.
-    auto* self = static_cast<Transfer*>(aSelf);
-    if (self->WasSent()) {
-      return CURL_PREREQFUNC_ABORT;
-    }
-    self->sentAt_ = std::chrono::steady_clock::now();
-    self->owner_->SetDeadline(*self, self->call_.timeout_);
-    return CURL_PREREQFUNC_OK;
-  }
-
-  static size_t Receive(char* aData, size_t aSize, size_t aCount, void* aSelf)
-  {
-    auto* self = static_cast<Transfer*>(aSelf);
-    if (self->body_.size() + aSize * aCount > kMaxResponseBytes) {
-      return 0;
-    }
-    self->body_.append(aData, aSize * aCount);
-    return aSize * aCount;
-  }
-};
-
 struct HttpMulti::AuthorityQueue
 {
   uint32_t active_ = 0;
   std::deque<std::unique_ptr<Transfer>> waiting_;
 };
 
-HttpMulti::HttpMulti()
-  : multi_(curl_multi_init())
+HttpMulti::Shard::Shard(HttpMulti& aOwner)
+  : owner_(aOwner)
+  , multi_(curl_multi_init())
 {
   if (!multi_) {
     throw std::bad_alloc();
   }
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kKeptConnections);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &HttpMulti::OnSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &HttpMulti::OnTimer);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+}
+
+HttpMulti::HttpMulti()
+  : shards_(kShards)
+{
   epollFd_ = epoll_create1(EPOLL_CLOEXEC);
   urgentEpollFd_ = epoll_create1(EPOLL_CLOEXEC);
   wakeFd_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK); // NOLINT(hicpp-signed-bitwise)
@@ -140,34 +70,39 @@
       epoll_ctl(epollFd_, EPOLL_CTL_ADD, urgentEpollFd_, &urgent) != 0) {
     throw std::system_error(errno, std::generic_category(), "HTTP client");
   }
-  auto* multi = static_cast<CURLM*>(multi_);
-  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kKeptConnections);
-  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &HttpMulti::OnSocket);
-  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &HttpMulti::OnTimer);
-  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
 }
 
 HttpMulti::~HttpMulti()
 {
   for (auto& [key, transfer] : active_) {
-    curl_multi_remove_handle(static_cast<CURLM*>(multi_), transfer->easy_);
+    curl_multi_remove_handle(transfer->shard_->multi_, transfer->easy_);
     curl_easy_cleanup(transfer->easy_);
     curl_slist_free_all(transfer->headers_);
   }
   for (void* easy : idleHandles_) {
     curl_easy_cleanup(static_cast<CURL*>(easy));
   }
-  curl_multi_cleanup(static_cast<CURLM*>(multi_));
+  shards_.clear();
   close(wakeFd_);
   close(urgentEpollFd_);
   close(epollFd_);
 }
 
+HttpMulti::Shard&
+HttpMulti::ShardOf(const std::string& aAuthority)
+{
+  std::unique_ptr<Shard>& shard = shards_[std::hash<std::string>()(aAuthority) % kShards];
+  if (!shard) {
+    shard = std::make_unique<Shard>(*this);
+  }
+  return *shard;
+}
+
 int
-HttpMulti::OnSocket(void* aEasy, int aSocket, int aWhat, void* aSelf, void*)
+HttpMulti::OnSocket(void* aEasy, int aSocket, int aWhat, void* aShard, void*)
 {
-  auto* self = static_cast<HttpMulti*>(aSelf);
+  auto* shard = static_cast<Shard*>(aShard);
+  HttpMulti* self = &shard->owner_;
   Transfer* transfer = nullptr;
   curl_easy_getinfo(static_cast<CURL*>(aEasy), CURLINFO_PRIVATE, &transfer);
   if (transfer) {
@@ -181,6 +116,7 @@
   const uint32_t in = aWhat != CURL_POLL_OUT ? uint32_t{ EPOLLIN } : 0U;
   const uint32_t out = aWhat != CURL_POLL_IN ? uint32_t{ EPOLLOUT } : 0U;
   self->WatchSocket(aSocket, in | out, transfer && transfer->call_.urgent_);
+  self->sockets_[aSocket].shard_ = shard;
   if (transfer) {
     self->sockets_[aSocket].authority_ = transfer->call_.authority_;
   }
@@ -220,22 +156,43 @@
 }
 
 int
-HttpMulti::OnTimer(void*, long aMilliseconds, void* aSelf)
+HttpMulti::OnTimer(void*, long aMilliseconds, void* aShard)
 {
-  auto* self = static_cast<HttpMulti*>(aSelf);
-  self->hasTimer_ = aMilliseconds >= 0;
-  self->timer_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(aMilliseconds);
+  auto* shard = static_cast<Shard*>(aShard);
+  auto& timers = shard->owner_.timers_;
+  if (shard->timer_) {
+    timers.erase({ *shard->timer_, shard });
+    shard->timer_.reset();
+  }
+  if (aMilliseconds >= 0) {
+    shard->timer_ = std::chrono::steady_clock::now() + std::chrono::milliseconds(aMilliseconds);
+    timers.emplace(*shard->timer_, shard);
+  }
   return 0;
 }
 
-std::chrono::milliseconds
+std::optional<std::chrono::milliseconds>
 HttpMulti::TimeUntilTimer() const
 {
-  const auto left =
-    std::chrono::ceil<std::chrono::milliseconds>(timer_ - std::chrono::steady_clock::now());
+  if (timers_.empty()) {
+    return std::nullopt;
+  }
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(timers_.begin()->first -
+                                                                 std::chrono::steady_clock::now());
   return std::max(left, std::chrono::milliseconds(0));
 }
 
+void
+HttpMulti::RunShard(Shard& aShard, int aSocket, int aEvents)
+{
+  if (!aShard.hasRun_) {
+    aShard.hasRun_ = true;
+    ranShards_.push_back(&aShard);
+  }
+  int running = 0;
+  curl_multi_socket_action(aShard.multi_, aSocket, aEvents, &running);
+}
+
 void
 HttpMulti::ProcessSocket(int aSocket, uint32_t aEvents)
 {
@@ -253,9 +210,7 @@
   }
   const unsigned int writable = (aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
   const unsigned int broken = (aEvents & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0;
-  int running = 0;
-  curl_multi_socket_action(
-    static_cast<CURLM*>(multi_), aSocket, static_cast<int>(readable | writable | broken), &running);
+  RunShard(*watched->second.shard_, aSocket, static_cast<int>(readable | writable | broken));
 }
 
 void
@@ -270,15 +225,18 @@
 }
 
 bool
-HttpMulti::ProcessTimer()
+HttpMulti::ProcessTimers()
 {
-  if (!hasTimer_ || TimeUntilTimer() > std::chrono::milliseconds(0)) {
-    return false;
-  }
-  hasTimer_ = false;
-  int running = 0;
-  curl_multi_socket_action(static_cast<CURLM*>(multi_), CURL_SOCKET_TIMEOUT, 0, &running);
-  return true;
+  const auto now = std::chrono::steady_clock::now();
+  bool wasDue = false;
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    Shard& shard = *timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    shard.timer_.reset();
+    RunShard(shard, CURL_SOCKET_TIMEOUT, 0);
+    wasDue = true;
+  }
+  return wasDue;
 }
 
 void
@@ -286,7 +244,7 @@
 {
   // Sends new calls before the responses that are ready take their time. It may also end calls,
   // whose callbacks must not wait.
-  auto wait = ProcessTimer() ? std::chrono::milliseconds(0) : aWait;
+  auto wait = ProcessTimers() ? std::chrono::milliseconds(0) : aWait;
   wait = TimeUntilDue(wait);
   std::array<epoll_event, kMaxEventsPerWait> events{};
   const auto waitBegin = std::chrono::steady_clock::now();
@@ -318,13 +276,13 @@
   ProcessUrgentSockets();
   // Runs the callbacks, which may send the next urgent call, and sends it.
   FinishCompletedTransfers();
-  ProcessTimer();
+  ProcessTimers();
 }
 
 std::chrono::milliseconds
 HttpMulti::TimeUntilDue(std::chrono::milliseconds aWait) const
 {
-  std::chrono::milliseconds wait = hasTimer_ ? std::min(aWait, TimeUntilTimer()) : aWait;
+  std::chrono::milliseconds wait = std::min(aWait, TimeUntilTimer().value_or(aWait));
   if (!deadlines_.empty()) {
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(
       deadlines_.begin()->first - std::chrono::steady_clock::now());
@@ -369,15 +327,18 @@
 void
 HttpMulti::FinishCompletedTransfers()
 {
-  int left = 0;
   std::vector<std::pair<Transfer*, int>> ended;
-  while (const CURLMsg* message = curl_multi_info_read(static_cast<CURLM*>(multi_), &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
+  for (Shard* shard : std::exchange(ranShards_, {})) {
+    shard->hasRun_ = false;
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(shard->multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      ended.emplace_back(transfer, message->data.result);
     }
-    Transfer* transfer = nullptr;
-    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-    ended.emplace_back(transfer, message->data.result);
   }
   for (const auto& [transfer, code] : ended) {
     FinishTransfer(*transfer, code);
@@ -443,43 +404,11 @@
     idleHandles_.pop_back();
     curl_easy_reset(transfer.easy_);
   }
-  CURL* easy = transfer.easy_;
-  const HttpCall& call = transfer.call_;
-  const auto addHeader = [&transfer](const char* aLine) {
-    transfer.headers_ = curl_slist_append(transfer.headers_, aLine);
-  };
-  for (const std::string& line : call.headers_) {
-    addHeader(line.c_str());
-  }
-  addHeader("Expect:");
-  addHeader("Accept:");
-  const std::string url = "http://" + call.authority_ + call.target_;
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long{ CURL_HTTP_VERSION_1_1 });
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Transfer::OpenSocket);
-  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::OnPreRequest);
-  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpMulti::OnClose);
-  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::Receive);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
-  if (std::strcmp(call.method_, "GET") != 0) {
-    addHeader("Content-Type: application/json");
-    curl_easy_setopt(easy, CURLOPT_POST, 1L);
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method_);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body_.data());
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body_.size()));
-  }
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_);
-  SetDeadline(transfer, kConnectTimeout);
+  transfer.SetOptions();
+  SetDeadline(transfer, Transfer::kConnectTimeout);
+  transfer.shard_ = &ShardOf(transfer.call_.authority_);
   active_.emplace(&transfer, std::move(aTransfer));
-  curl_multi_add_handle(static_cast<CURLM*>(multi_), easy);
+  curl_multi_add_handle(transfer.shard_->multi_, transfer.easy_);
 }
 
 void
@@ -497,7 +426,7 @@
   } else {
     reply.outcome_ = transfer->WasSent() ? HttpOutcome::Unknown : HttpOutcome::NotSent;
   }
-  curl_multi_remove_handle(static_cast<CURLM*>(multi_), transfer->easy_);
+  curl_multi_remove_handle(transfer->shard_->multi_, transfer->easy_);
   curl_slist_free_all(transfer->headers_);
   if (idleHandles_.size() < kMaxIdleHandles) {
     idleHandles_.push_back(transfer->easy_);
