Drain hosts whose backend servers run but are not registered

What callers saw: maintenance ended tasks that last beyond the budget of their step (AVAIL), and cut others off, on hosts whose backend servers had lost the store but not the entry hosts.

Cause: BackendTable::OnHost() knew registered backend servers only, so that a roll-out took such a host for empty, and even chose it first.

Ruled out: silent backend servers, which MayStillRunTasks() waits for; moves, which take hosts with a usable backend server only.

Change: OnHost() returns unregistered incarnations after registered ones.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -142,8 +142,8 @@
   /// @returns The latest known incarnation under the id of this one.
   BackendHandle Latest(BackendHandle aBackend) const;
 
-  /// @returns The registered incarnation on a host, one that has responded before others; or an
-  /// invalid handle.
+  /// @returns The incarnation on a host; a registered one before others, then one that has
+  /// responded; or an invalid handle. One that is not registered may run on without the store.
   BackendHandle OnHost(const std::string& aHost) const;
 
   /// Call after a change of registered_, verified_ or the host of an incarnation.
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -130,13 +130,13 @@
 {
   if (!hostIndexValid_) {
     byHost_.clear();
+    const auto rank = [this](BackendHandle aHandle) {
+      const Backend& backend = At(aHandle);
+      return std::make_pair(backend.registered_, backend.verified_);
+    };
     for (const BackendHandle handle : live_) {
-      const Backend& backend = At(handle);
-      if (!backend.registered_) {
-        continue;
-      }
-      const auto [known, isFirst] = byHost_.emplace(backend.entry_.host_, handle);
-      if (!isFirst && backend.verified_ && !At(known->second).verified_) {
+      const auto [known, isFirst] = byHost_.emplace(At(handle).entry_.host_, handle);
+      if (!isFirst && rank(handle) > rank(known->second)) {
         known->second = handle;
       }
     }
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -98,6 +98,12 @@
   Publish(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_));
 }
 
+void
+SimulatedFleet::RemoveEntry(const std::string& aPool, size_t aIndex)
+{
+  store_.Remove(format_.RegistryPrefix() + hosts_.at(HostOf(aPool, aIndex)).backend_);
+}
+
 void
 SimulatedFleet::SetCapacity(const std::string& aPool,
                             size_t aIndex,
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -95,6 +95,9 @@
   /// Writes the registry entry of a backend server, as its next heartbeat does.
   void PublishEntry(const std::string& aPool, size_t aIndex);
 
+  /// Removes the registry entry of a backend server that runs on but does not reach the store.
+  void RemoveEntry(const std::string& aPool, size_t aIndex);
+
   /// Changes the capacity of a backend server, which ends none of its runs. Host control's list and
   /// the next backend server of the host keep the host's capacity.
   /// @param aPublishes Whether it reaches the registry; if not, PublishEntry() shows it.
