Weigh crashes on trial by how likely they are without the task

What callers saw: sound jobs shown as failed, without a failed run, when backend servers crashed one at a time or were replaced by others with their addresses (LOST).

Cause: a task was given up at the second crash if it was alone in question, however often backend servers crash without it. And a start that another backend server refuses counted as a crash, four times within 0.1 s.

Change: CrashRate estimates the rate of other crashes of a pool. Each crash on trial multiplies the task's doubt by the chance of another cause between its start and the crash; below 1e-5 the job fails. The fourth crash decides as before. Starts that another incarnation refuses, or would refuse, are not in question.

--- a/include/sardinespoke/crash_suspects.h
+++ b/include/sardinespoke/crash_suspects.h
@@ -14,6 +14,8 @@
   bool isWeak_ = false;     ///< Something else may explain it, such as the loss of a rack.
   /// The task is continuous: it is restarted however often it ends, and its job never fails.
   bool isContinuous_ = false;
+  /// Chance that a sound task has crashes on trial like those of this task.
+  double doubt_ = 1.0;
 };
 
 enum class CrashVerdict
@@ -32,6 +34,10 @@
   /// A run that has worked for this long clears its task of earlier crashes.
   static constexpr std::chrono::milliseconds kClearTime{ 3000 };
 
+  /// Highest chance with which a sound task is given up before the last crash that any task may
+  /// have.
+  static constexpr double kMostDoubt = 1e-5;
+
   static CrashVerdict Judge(const CrashEvidence& aEvidence);
 
   /// @param aWorked Time since the start of the run was confirmed.
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -45,6 +45,8 @@
   std::vector<int64_t> failedRuns_;
   /// Backend servers that crashed while it was in question; a group has one count, at its first.
   uint32_t crashes_ = 0;
+  /// Chance that its crashes on trial had other causes; not stored.
+  double doubt_ = 1.0;
   /// It was started although backend servers had crashed, and the outcome is not known yet.
   bool inTrial_ = false;
 };
@@ -173,6 +175,13 @@
   /// @returns Backend servers that crashed while the task, or its group, was in question.
   uint32_t CrashesOf(const TaskRef& aRef) { return At(FirstOfGroup(aRef)).crashes_; }
 
+  /// Multiplies the chance that the crashes of a task or its group on trial had other causes.
+  /// @returns The product.
+  double AddDoubt(const TaskRef& aRef, double aChance)
+  {
+    return At(FirstOfGroup(aRef)).doubt_ *= aChance;
+  }
+
   /// @returns True if a run of it that may crash its backend server has no known outcome yet.
   bool IsInTrial(const TaskRef& aRef) { return At(FirstOfGroup(aRef)).inTrial_; }
   void EndTrial(const TaskRef& aRef) { SetTrial(aRef, false); }
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinespoke/backend_table.h"
+#include "sardinespoke/crash_rate.h"
 #include "sardinespoke/handover.h"
 #include "sardinespoke/lease_state.h"
 
@@ -42,6 +43,7 @@
   Planned,   ///< Its host is moved or maintained.
   Unplanned, ///< It has crashed, or its host has failed.
   Uncertain, ///< It does not respond and the lease of its runs is over; it may return.
+  Replaced,  ///< Another backend server answers for it, and refuses the starts in flight.
   Count
 };
 
@@ -235,8 +237,13 @@
   void NoteLostHosts(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt);
   /// @returns True if all other hosts of its rack with a backend server are lost as well.
   bool IsRackLost(const Backend& aBackend);
+  /// @returns Backend servers of a pool that have answered.
+  size_t PoolSize(const std::string& aPool) const;
   /// @returns Tasks, of a group its first, that may be why the backend server has ended.
-  std::vector<TaskRef> InQuestion(const Backend& aBackend) const;
+  /// @param aMayHaveStarted Whether runs without a confirmed start count.
+  std::vector<TaskRef> InQuestion(const Backend& aBackend, bool aMayHaveStarted) const;
+  /// @returns Time from the start of a task to the first sign of the crash of its backend server.
+  std::chrono::milliseconds TimeInQuestion(const Backend& aBackend, const TaskRef& aTask) const;
   /// @returns True if an earlier leader started a run of the task there; when, is not known.
   bool HasAdoptedRun(const Backend& aBackend, const TaskRef& aTask) const;
   /// Counts the loss of a backend server with its runs for the tasks in question.
@@ -283,6 +290,7 @@
   std::function<void(const std::string&)> onIncarnationEnded_;
   std::function<void(const std::string&, const std::string&)> onInvalidTicket_;
   CrashCounts crashCounts_;
+  CrashRate crashRate_;
   uint64_t polls_ = 0;
   /// When hosts were lost, by rack and host.
   std::map<std::string, std::map<std::string, TimePoint>> lostHosts_;
--- a/src/crash_suspects.cpp
+++ b/src/crash_suspects.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Crashes after which a task that was alone in question is given up.
-constexpr uint32_t kCrashesAlone = 2;
 // Crashes after which a task is given up on any evidence. A task may be started twice after the
 // third crash, and the last of a leader may have gone unseen.
 constexpr uint32_t kMostCrashes = 4;
@@ -22,9 +20,13 @@
   if (aEvidence.isContinuous_) {
     return CrashVerdict::Suspect;
   }
+  if (aEvidence.crashes_ >= kMostCrashes) {
+    return CrashVerdict::GivenUp;
+  }
   const bool isNamed = aEvidence.inQuestion_ == 1 && !aEvidence.isWeak_;
-  const uint32_t most = isNamed ? kCrashesAlone : kMostCrashes;
-  return aEvidence.crashes_ >= most ? CrashVerdict::GivenUp : CrashVerdict::Suspect;
+  const bool wasOnTrial = aEvidence.crashes_ > 1;
+  return isNamed && wasOnTrial && aEvidence.doubt_ <= kMostDoubt ? CrashVerdict::GivenUp
+                                                                 : CrashVerdict::Suspect;
 }
 
 uint32_t
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -280,9 +280,10 @@
 void
 JobTable::SetCrashes(const TaskRef& aRef, uint32_t aCrashes)
 {
-  uint32_t& crashes = At(FirstOfGroup(aRef)).crashes_;
-  if (crashes != aCrashes) {
-    crashes = aCrashes;
+  Task& task = At(FirstOfGroup(aRef));
+  if (task.crashes_ != aCrashes) {
+    task.crashes_ = aCrashes;
+    task.doubt_ = aCrashes == 0 ? 1.0 : task.doubt_;
     Touch(aRef.job_);
   }
 }
--- a/src/run_crashes.cpp
+++ b/src/run_crashes.cpp
@@ -14,6 +14,8 @@
 
 // Losses in one rack within this time have one cause.
 constexpr milliseconds kSameCauseTime{ 3000 };
+// A run on trial is in question for no longer: the trial and the poll that shows its end.
+constexpr milliseconds kExposure = CrashSuspects::kTrialTime + milliseconds(100);
 
 }
 
@@ -58,12 +60,23 @@
   return others > 0;
 }
 
+size_t
+RunTracker::PoolSize(const std::string& aPool) const
+{
+  const auto& live = backends_.Live();
+  return static_cast<size_t>(std::count_if(live.begin(), live.end(), [&](BackendHandle aHandle) {
+    const Backend& backend = backends_.At(aHandle);
+    return backend.verified_ && backend.entry_.service_ == aPool;
+  }));
+}
+
 std::vector<TaskRef>
-RunTracker::InQuestion(const Backend& aBackend) const
+RunTracker::InQuestion(const Backend& aBackend, bool aMayHaveStarted) const
 {
   std::vector<TaskRef> tasks;
   for (const BackendRun& run : aBackend.runs_) {
-    if (run.proven_ || !run.task_ || jobs_.At(run.task_->job_).HasEnded()) {
+    if (run.proven_ || !run.task_ || jobs_.At(run.task_->job_).HasEnded() ||
+        !(run.everConfirmed_ || aMayHaveStarted)) {
       continue;
     }
     const TaskRef first = jobs_.FirstOfGroup(*run.task_);
@@ -74,6 +87,19 @@
   return tasks;
 }
 
+milliseconds
+RunTracker::TimeInQuestion(const Backend& aBackend, const TaskRef& aTask) const
+{
+  const TimePoint end = aBackend.failedPolls_ > 0 ? aBackend.unresponsiveSince_ : clock_.Now();
+  TimePoint since = end;
+  for (const BackendRun& run : aBackend.runs_) {
+    if (!run.proven_ && run.task_ && jobs_.FirstOfGroup(*run.task_) == aTask) {
+      since = std::min(since, run.sentAt_);
+    }
+  }
+  return std::chrono::ceil<milliseconds>(end - since);
+}
+
 bool
 RunTracker::HasAdoptedRun(const Backend& aBackend, const TaskRef& aTask) const
 {
@@ -89,16 +115,27 @@
   if (aEnd == IncarnationEnd::Planned || aBackend.disruptionStarted_ || aBackend.entry_.draining_) {
     return {};
   }
+  const TimePoint now = clock_.Now();
+  const std::string& pool = aBackend.entry_.service_;
   const bool isRackLost = IsRackLost(aBackend);
-  const std::vector<TaskRef> tasks = InQuestion(aBackend);
+  const bool isCertain = aEnd != IncarnationEnd::Uncertain && aEnd != IncarnationEnd::Replaced;
+  const std::vector<TaskRef> tasks = InQuestion(aBackend, aEnd != IncarnationEnd::Replaced);
+  const bool isOnTrial = tasks.size() == 1 && jobs_.CrashesOf(tasks.front()) > 0;
+  if (!isOnTrial) {
+    crashRate_.Add(pool, now);
+  }
   std::vector<uint32_t> failedJobs;
   for (const TaskRef& task : tasks) {
     CrashEvidence evidence;
     evidence.crashes_ = jobs_.CrashesOf(task) + 1;
     evidence.inQuestion_ = static_cast<uint32_t>(tasks.size());
-    evidence.isWeak_ =
-      isRackLost || aEnd == IncarnationEnd::Uncertain || HasAdoptedRun(aBackend, task);
+    evidence.isWeak_ = isRackLost || !isCertain || HasAdoptedRun(aBackend, task);
     evidence.isContinuous_ = jobs_.SpecOf(task).continuous_;
+    if (isOnTrial && !evidence.isWeak_) {
+      const milliseconds exposure = std::min(TimeInQuestion(aBackend, task), kExposure);
+      evidence.doubt_ =
+        jobs_.AddDoubt(task, crashRate_.Chance(pool, PoolSize(pool), exposure, now));
+    }
     jobs_.SetCrashes(task, evidence.crashes_);
     ++crashCounts_.attributed_;
     const bool isGivenUp = CrashSuspects::Judge(evidence) == CrashVerdict::GivenUp;
@@ -113,8 +150,9 @@
           { "runs", aBackend.runs_.size() },
           { "rack_lost", isRackLost },
           { "weak", evidence.isWeak_ },
-          { "certain", aEnd != IncarnationEnd::Uncertain } });
-    if (isGivenUp && jobs_.GiveUp(task, clock_.Now())) {
+          { "doubt", evidence.doubt_ },
+          { "certain", isCertain } });
+    if (isGivenUp && jobs_.GiveUp(task, now)) {
       ++crashCounts_.givenUp_;
       failedJobs.push_back(task.job_);
     }
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -131,7 +131,7 @@
     return;
   }
   if (aResult.outcome_ == CommandOutcome::OtherIncarnation) {
-    EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Uncertain);
+    EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Replaced);
     return;
   }
   if (backend.failedPolls_ == 0) {
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -260,7 +260,7 @@
       return;
     case CommandOutcome::OtherIncarnation:
       if (latest == aBackend) {
-        EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Uncertain);
+        EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Replaced);
       } else {
         DropRun(latest, aRun, "");
       }
@@ -360,7 +360,7 @@
     fenced_ = true;
   }
   if (aResult.outcome_ == CommandOutcome::OtherIncarnation) {
-    EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Uncertain);
+    EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Replaced);
     return;
   }
   if (aResult.outcome_ != CommandOutcome::Done) {
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -86,7 +86,8 @@
 
   /// Ends a backend server immediately; its registry entry expires after three heartbeats.
   void Crash(const std::string& aPool, size_t aIndex);
-  /// Ends a backend server immediately; its host starts another one after some seconds.
+  /// Ends a backend server immediately, if the host has one; the host starts another one after some
+  /// seconds.
   void CrashForSeconds(const std::string& aPool, size_t aIndex);
   /// Restarts a backend server under its id: all it knew and ran is lost and its clock starts anew.
   /// @param aPublishes Whether it reaches the registry; if not, its earlier entry expires.
--- a/standins/simulated_runs.cpp
+++ b/standins/simulated_runs.cpp
@@ -47,7 +47,10 @@
 void
 SimulatedFleet::CrashForSeconds(const std::string& aPool, size_t aIndex)
 {
-  CrashForSeconds(servers_.at(hosts_.at(HostOf(aPool, aIndex)).backend_));
+  const auto server = servers_.find(hosts_.at(HostOf(aPool, aIndex)).backend_);
+  if (server != servers_.end()) {
+    CrashForSeconds(server->second);
+  }
 }
 
 bool
