Remember cancellations that come before their job

What callers saw: a job ran to its end after its cancelling had been acknowledged with 410 (UNASKED): the entry host with its submission had been frozen and passed it on later.

Cause: nothing remembered the 410. The leader also handled requests whose deadline had passed while they waited for it.

Change: a cancellation of an unknown job is stored as a cancelled job without steps before it is acknowledged, 4,096 at most, kept like an ended job. Requests past their deadline have no effect.

--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -71,7 +71,16 @@
   void Cancel(uint32_t aJob, const JobResponseCallback& aRespond);
   JobResponse StateResponse(const Job& aJob) const;
   /// Responds about a job that is not in the table: only the store can deny it.
-  void RespondToUnknownJob(const std::string& aId, const JobResponseCallback& aRespond);
+  /// @param aOnDenied Called once the store has no such job.
+  void RespondToUnknownJob(const std::string& aId,
+                           const JobResponseCallback& aRespond,
+                           const std::function<void()>& aOnDenied);
+  /// Stores a cancellation whose job is not known, so that a submission that arrives later, from a
+  /// paused entry host for example, does not run.
+  void CancelEarly(const std::string& aId,
+                   const QueuePolicy& aQueue,
+                   const JobResponseCallback& aRespond);
+  void EndEarlyCancel(Job& aJob);
   const QueuePolicy* FindQueue(const std::string& aHost, const std::string& aPath) const;
   void StopStuckRuns();
   void EnforceLatencyTargets();
@@ -120,7 +129,8 @@
   std::vector<PrefixFeed::Records> parts_;
   size_t partsLoaded_ = 0;
   bool loaded_ = false;
-  size_t jobLookups_ = 0; ///< Reads about unknown jobs that wait for the store.
+  size_t jobLookups_ = 0;   ///< Reads about unknown jobs that wait for the store.
+  size_t earlyCancels_ = 0; ///< Jobs of the table for which IsEarlyCancel() holds.
   std::chrono::milliseconds wall_{ 0 };
   TimePoint nextHousekeeping_{};
   TimePoint nextMetrics_{};
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -92,6 +92,8 @@
   TimePoint endedAt_{};
 
   bool HasEnded() const { return cancelled_ || failed_ || finished_; }
+  /// @returns True if it only stands for a cancellation that came before its job.
+  bool IsEarlyCancel() const { return spec_.steps_.empty(); }
   bool HasContinuousSteps() const;
   uint32_t OccurrenceCount() const { return spec_.repeats_ == 0 ? 1 : spec_.repeats_; }
 };
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -290,6 +290,11 @@
 {
   const ReplyCallback reply = aRequest.reply_;
   metrics_.Observe("control_queue_wait", clock_.Now() - aRequest.receivedAt_);
+  if (clock_.Now() - aRequest.receivedAt_ >= aRequest.call_.timeout_) {
+    // This host was paused or is behind: the caller has left, and may have cancelled elsewhere.
+    reply(Refusal("the deadline has passed"));
+    return;
+  }
   if (!control_ || !control_->IsReady()) {
     reply(Refusal("this host does not own the pools"));
     return;
@@ -338,7 +343,7 @@
   call.host_ = aMessage.value("host", "");
   call.path_ = aMessage.value("path", "");
   call.body_ = aMessage.value("body", "");
-  call.timeout_ = milliseconds(aMessage.value("patience_ms", int64_t{ 0 }));
+  call.timeout_ = milliseconds(aMessage.value("patience_ms", call.timeout_.count()));
   Enqueue(Request{ std::move(call),
                    [aReply](const CallerReply& aCallerReply) {
                      aReply(json{ { "owner", true },
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -15,6 +15,8 @@
 // Concurrent reads about unknown jobs: fewer than the connections to the store, so that a flood of
 // them delays neither transactions nor lease renewals.
 constexpr size_t kMaxJobLookups = 4;
+// Each is a record of some 400 bytes in the store for as long as ended jobs are kept.
+constexpr size_t kMaxEarlyCancels = 4096;
 
 JobResponse
 MakeResponse(JobResponseKind aKind, const std::string& aMessage = "")
@@ -43,6 +45,22 @@
   return kNames[static_cast<size_t>(aOutcome)];
 }
 
+/// @returns Responds once the record of a cancellation without a job is stored.
+std::function<void(JournalOutcome)>
+EarlyCancelResponder(const JobResponseCallback& aRespond)
+{
+  return [aRespond](JournalOutcome aOutcome) {
+    if (aOutcome == JournalOutcome::Stored) {
+      aRespond(MakeResponse(JobResponseKind::NoJob));
+    } else if (aOutcome == JournalOutcome::NotStored) {
+      aRespond(MakeResponse(JobResponseKind::Refused, "the store does not answer"));
+    } else {
+      aRespond(
+        MakeResponse(JobResponseKind::Unknown, "the store has not confirmed the cancellation"));
+    }
+  };
+}
+
 int64_t
 CountDueTasks(const JobSpec& aSpec, std::chrono::milliseconds aWall)
 {
@@ -71,7 +89,9 @@
 }
 
 void
-JobControl::RespondToUnknownJob(const std::string& aId, const JobResponseCallback& aRespond)
+JobControl::RespondToUnknownJob(const std::string& aId,
+                                const JobResponseCallback& aRespond,
+                                const std::function<void()>& aOnDenied)
 {
   if (!IsJobId(aId)) {
     aRespond(MakeResponse(JobResponseKind::NoJob));
@@ -86,8 +106,9 @@
   const std::string key = JobJournal::JobKey(aId);
   const int64_t fence = leadership_.FencingToken();
   const std::weak_ptr<bool> alive = alive_;
-  store_.Range(key, "", [this, alive, aId, key, fence, aRespond](const RecordReply& aReply) {
-    if (alive.lock()) {
+  store_.Range(key, "", [=, this](const RecordReply& aReply) {
+    const bool isAlive = alive.lock() != nullptr;
+    if (isAlive) {
       --jobLookups_;
     }
     const auto isJob = [&key](const Record& aRecord) { return aRecord.key_ == key; };
@@ -96,8 +117,8 @@
     Log(LogLevel::Info,
         "job.unknown",
         { { "job", aId }, { "fence", fence }, { "store_answered", read }, { "stored", stored } });
-    if (read && !stored) {
-      aRespond(MakeResponse(JobResponseKind::NoJob));
+    if (read && !stored && isAlive) {
+      aOnDenied();
       return;
     }
     aRespond(MakeResponse(JobResponseKind::Refused,
@@ -105,6 +126,39 @@
   });
 }
 
+void
+JobControl::CancelEarly(const std::string& aId,
+                        const QueuePolicy& aQueue,
+                        const JobResponseCallback& aRespond)
+{
+  if (earlyCancels_ >= kMaxEarlyCancels) {
+    aRespond(MakeResponse(JobResponseKind::Refused, "too many unknown jobs were cancelled"));
+    return;
+  }
+  JobSpec spec;
+  spec.id_ = aId;
+  spec.queue_ = aQueue.name_;
+  const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
+  EndEarlyCancel(jobs_.At(index));
+  const auto respond = EarlyCancelResponder(aRespond);
+  journal_.Submit(index, [this, index, respond](JournalOutcome aOutcome) {
+    if (aOutcome == JournalOutcome::NotStored) {
+      jobs_.Remove(index);
+      --earlyCancels_;
+    }
+    respond(aOutcome);
+  });
+}
+
+void
+JobControl::EndEarlyCancel(Job& aJob)
+{
+  aJob.cancelled_ = true;
+  aJob.visibleState_ = JobState::Cancelled;
+  aJob.endedAt_ = clock_.Now();
+  ++earlyCancels_;
+}
+
 JobResponse
 JobControl::StateResponse(const Job& aJob) const
 {
@@ -139,7 +193,24 @@
   }
   Job* job = jobs_.Find(id);
   if (!job) {
-    RespondToUnknownJob(id, aRespond);
+    RespondToUnknownJob(id, aRespond, [this, request = aRequest, id, aRespond] {
+      const QueuePolicy* current = FindQueue(request.host_, request.path_);
+      if (jobs_.Find(id)) {
+        Handle(request, aRespond); // It has arrived meanwhile.
+      } else if (request.kind_ == JobRequestKind::Cancel && current) {
+        CancelEarly(id, *current, aRespond);
+      } else {
+        aRespond(MakeResponse(JobResponseKind::NoJob));
+      }
+    });
+    return;
+  }
+  if (job->IsEarlyCancel()) {
+    if (aRequest.kind_ == JobRequestKind::Cancel && !job->stored_) {
+      journal_.AwaitSubmission(*jobs_.IndexOf(id), EarlyCancelResponder(aRespond));
+    } else {
+      aRespond(MakeResponse(JobResponseKind::NoJob));
+    }
     return;
   }
   if (!job->stored_) {
@@ -172,6 +243,10 @@
     return;
   }
   Job* known = jobs_.Find(id);
+  if (known && known->IsEarlyCancel()) {
+    aRespond(MakeResponse(JobResponseKind::Refused, "the job was cancelled before it arrived"));
+    return;
+  }
   if (known && known->stored_) {
     aRespond(MakeResponse(JobResponseKind::Accepted));
     return;
