Write log lines without waiting for their reader

Cause: the console appender writes each line at once, under a lock. The class of fault: an auxiliary output on the path of requests.

Ruled out: log4cplus's AsyncAppender (its bounded queue waits when full), a non-blocking descriptor (the flag belongs to the open file, which others may share), a thread of its own (a wake-up a line).

Change: StreamAppender writes what the descriptor takes without waiting; the rest waits in LogQueue, 256 KB, 64 KB of them for important lines; lines that do not fit are counted in log.lines_dropped and in a metric.

--- a/include/sardinespoke/logging.h
+++ b/include/sardinespoke/logging.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace sardinespoke {
@@ -32,6 +33,19 @@
             const std::string& aLevel,
             LogTarget aTarget = LogTarget::Error);
 
+/// Starts logging to a descriptor. A reader that stops does not hold up the process: lines wait in
+/// a bounded queue, and those that do not fit are dropped and counted.
+void
+InitLoggingTo(int aDescriptor, const std::string& aProcess, const std::string& aLevel);
+
+/// Writes lines that wait for the reader, as far as it takes them. Log() does so as well.
+void
+FlushLog();
+
+/// @returns Lines dropped since the start because the reader did not keep up.
+uint64_t
+DroppedLogLines();
+
 /// Changes the minimum level of the lines that are written.
 /// @param aLevel "debug", "info", "warn" or "error".
 void
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -234,6 +234,8 @@
 void
 EntryNode::LogLoad()
 {
+  FlushLog();
+  metrics_.Set("log_lines_dropped", static_cast<double>(DroppedLogLines()));
   const HttpMulti::Load load = http_.TakeLoad();
   if (!control_) {
     return;
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -1,17 +1,20 @@
 #include "sardinespoke/logging.h"
 
 #include "json_layout_p.h"
+#include "stream_appender_p.h"
 
 #include <nlohmann/json.hpp>
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/helpers/timehelper.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <unistd.h>
+
 #include <array>
 #include <memory>
+#include <set>
 
 namespace sardinespoke {
 
@@ -31,6 +34,22 @@
   return library;
 }
 
+log4cplus::SharedAppenderPtr&
+Appender()
+{
+  static log4cplus::SharedAppenderPtr appender;
+  return appender;
+}
+
+/// @returns Whether a line tells of the process's own state or of the leader.
+bool
+IsImportant(const std::string& aEvent)
+{
+  static const std::set<std::string> kEvents{ "node.started", "node.stopping", "node.stopped",
+                                              "leader.won",   "leader.seen",   "config.applied" };
+  return kEvents.count(aEvent) > 0;
+}
+
 log4cplus::LogLevel
 ParseLevel(const std::string& aName)
 {
@@ -78,16 +97,39 @@
 void
 InitLogging(const std::string& aProcess, const std::string& aLevel, LogTarget aTarget)
 {
-  LoggingLibrary() = std::make_unique<log4cplus::Initializer>();
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(aTarget == LogTarget::Error, true));
+  InitLoggingTo(aTarget == LogTarget::Error ? STDERR_FILENO : STDOUT_FILENO, aProcess, aLevel);
+}
+
+void
+InitLoggingTo(int aDescriptor, const std::string& aProcess, const std::string& aLevel)
+{
+  if (!LoggingLibrary()) {
+    LoggingLibrary() = std::make_unique<log4cplus::Initializer>(); // The library starts only once.
+  }
+  const log4cplus::SharedAppenderPtr appender(new StreamAppender(aDescriptor));
   appender->setLayout(std::make_unique<JsonLayout>(aProcess));
   auto root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
   root.addAppender(appender);
+  Appender() = appender;
   SetLogLevel(aLevel);
 }
 
+void
+FlushLog()
+{
+  if (auto* appender = dynamic_cast<StreamAppender*>(Appender().get())) {
+    appender->Flush();
+  }
+}
+
+uint64_t
+DroppedLogLines()
+{
+  const auto* appender = dynamic_cast<StreamAppender*>(Appender().get());
+  return appender ? appender->Dropped() : 0;
+}
+
 void
 SetLogLevel(const std::string& aLevel)
 {
@@ -97,6 +139,7 @@
 void
 ShutdownLogging()
 {
+  Appender() = log4cplus::SharedAppenderPtr();
   LoggingLibrary().reset();
 }
 
@@ -106,9 +149,11 @@
   if (!LoggingLibrary()) {
     return;
   }
-  auto root = log4cplus::Logger::getRoot();
+  auto logger = IsImportant(aEvent)
+                  ? log4cplus::Logger::getInstance(StreamAppender::kImportantLogger)
+                  : log4cplus::Logger::getRoot();
   const auto level = kLevels[static_cast<size_t>(aLevel)];
-  if (!root.isEnabledFor(level)) {
+  if (!logger.isEnabledFor(level)) {
     return;
   }
   auto line = aFields.is_object() ? aFields : nlohmann::json::object();
@@ -116,7 +161,7 @@
     line["detail"] = aFields;
   }
   line["event"] = aEvent;
-  root.forcedLog(level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  logger.forcedLog(level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }
