Log calls to the leader that end without a reply

The hypotheses - a call that broke off counts as not sent (1), a leader refuses what it has stored (2), the store takes a write after it was given up (3) - cannot be told apart.

Change: owner.no_answer has the error of each call to the leader without a reply, and whether the leader may have received it; the metric leader_calls_failed counts them by error. The call to the leader is a function of its own.

Measured: none; no decision has changed.

--- a/include/sardinespoke/entry_node.h
+++ b/include/sardinespoke/entry_node.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace sardinespoke {
@@ -63,6 +64,13 @@
     TimePoint receivedAt_{};
   };
 
+  /// Outcome of one call to the leader about a caller's request.
+  struct LeaderAnswer
+  {
+    std::optional<CallerReply> reply_{};
+    bool mayHaveReached_ = false; ///< Without a reply: the leader may have handled the request.
+  };
+
   void RunControlLoop();
   void HandleQueuedRequests();
   void FollowLeadership();
@@ -70,12 +78,14 @@
   void HandleRequest(const Request& aRequest);
   CallerReply HandleLocally(const CallerCall& aCall);
   CallerReply ForwardToLeader(const CallerCall& aCall);
+  LeaderAnswer AskLeader(const std::string& aLeader, const CallerCall& aCall);
   void HandlePeerCall(const nlohmann::json& aMessage, const NngPeerLink::Reply& aReply);
   void Enqueue(Request aRequest);
   void PingLeader();
   AdminResponse HandleCallerRequest(const AdminRequest& aRequest);
   AdminResponse HealthResponse() const;
   std::string LeaderAddress() const;
+  int64_t MillisecondsSince(TimePoint aBegin) const;
 
   const EntryNodeSettings settings_;
   HttpMulti& http_;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -354,6 +354,37 @@
                    clock_.Now() });
 }
 
+EntryNode::LeaderAnswer
+EntryNode::AskLeader(const std::string& aLeader, const CallerCall& aCall)
+{
+  LeaderAnswer answer;
+  const TimePoint begin = clock_.Now();
+  const auto reply = leaf::try_handle_all(
+    [&]() -> leaf::result<json> { return peers_.Call(aLeader, Encode(aCall), aCall.timeout_); },
+    [&](const PeerError& aError) {
+      answer.mayHaveReached_ = aError.code_ != PeerError::Code::Unreachable;
+      metrics_.Count(std::string("leader_calls_failed{error=\"") + CodeName(aError.code_) + "\"}");
+      Log(LogLevel::Info,
+          "owner.no_answer",
+          { { "method", aCall.method_ },
+            { "path", aCall.path_ },
+            { "owner", aLeader },
+            { "may_have_reached", answer.mayHaveReached_ },
+            { "error", CodeName(aError.code_) },
+            { "detail", aError.message_ },
+            { "took_ms", MillisecondsSince(begin) } });
+      return json{ { "owner", false } };
+    },
+    [] {
+      return json{ { "owner", false } };
+    });
+  if (IsTrue(reply, "owner")) {
+    answer.reply_ = DecodeReply(reply);
+    answer.mayHaveReached_ = !answer.reply_;
+  }
+  return answer;
+}
+
 CallerReply
 EntryNode::ForwardToLeader(const CallerCall& aCall)
 {
@@ -366,32 +397,18 @@
       return mayHaveRun && reply.status_ == 503 ? OutcomeUnknownReply("the owner changed") : reply;
     }
     const std::string leader = LeaderAddress();
-    bool mayHaveReached = false;
     if (!leader.empty() && !leaderUnresponsive_ && leader != settings_.leadership_.address_) {
       CallerCall attempt = aCall;
       const auto left = std::chrono::duration_cast<milliseconds>(deadline - clock_.Now());
       attempt.timeout_ = std::min(left, kAttemptTimeout);
-      const auto reply = leaf::try_handle_all(
-        [&]() -> leaf::result<json> {
-          return peers_.Call(leader, Encode(attempt), attempt.timeout_);
-        },
-        [&](const PeerError& aError) {
-          mayHaveReached = aError.code_ != PeerError::Code::Unreachable;
-          return json{ { "owner", false } };
-        },
-        [&] {
-          return json{ { "owner", false } };
-        });
-      if (IsTrue(reply, "owner")) {
-        const std::optional<CallerReply> answer = DecodeReply(reply);
-        if (answer) {
-          return mayHaveRun && answer->status_ == 503 ? OutcomeUnknownReply("the owner changed")
-                                                      : *answer;
-        }
-        mayHaveReached = true;
+      const LeaderAnswer answer = AskLeader(leader, attempt);
+      if (answer.reply_) {
+        return mayHaveRun && answer.reply_->status_ == 503
+                 ? OutcomeUnknownReply("the owner changed")
+                 : *answer.reply_;
       }
+      mayHaveRun = mayHaveRun || answer.mayHaveReached_;
     }
-    mayHaveRun = mayHaveRun || mayHaveReached;
     if (clock_.Now() - begin > (mayHaveRun ? kSuccessorRetryTime : kElectionTimeout)) {
       break;
     }
@@ -401,6 +418,12 @@
                     : Refusal("no entry host owns the pools now");
 }
 
+int64_t
+EntryNode::MillisecondsSince(TimePoint aBegin) const
+{
+  return std::chrono::duration_cast<milliseconds>(clock_.Now() - aBegin).count();
+}
+
 AdminResponse
 EntryNode::HandleCallerRequest(const AdminRequest& aRequest)
 {
@@ -431,7 +454,7 @@
           { "status", reply.status_ },
           { "reason", reply.body_ },
           { "owner", LeaderAddress() },
-          { "took_ms", std::chrono::duration_cast<milliseconds>(clock_.Now() - begin).count() } });
+          { "took_ms", MillisecondsSince(begin) } });
   }
   AdminResponse response;
   response.status_ = reply.status_;
