Do not take the answer of a restarted leader for that of the first

Cause: nng sends a request again when its connection ends before the reply. A leader stored a job and was killed; 0.3 to 0.6 s later its next process listened at the same address, got the request again and answered that it was not the leader. The forwarding host took that for the answer of the process that had the request and concluded that it had not run.

In the users' record the leader edge-rw-central-a-3 reads its own old record at 58.558 s, as a restarted process does, and refusals follow at 58.76 s.

Change: a request is sent over one connection only. If that ends, the call fails with PeerError::Timeout at once, which callers of the link already treat as "may have been processed"; the forwarding host asks the leader then in force again, by the id of the job.

Elsewhere: other users of the link (configuration, witnesses, demand, request claims) repeat by themselves, claims with a nonce of their own.

--- a/include/sardinespoke/errors.h
+++ b/include/sardinespoke/errors.h
@@ -32,8 +32,8 @@
 {
   enum class Code
   {
-    Unreachable,
-    Timeout, ///< No reply in time; the peer may have processed the message.
+    Unreachable, ///< The message was not sent.
+    Timeout,     ///< Sent, but no reply came; the peer may have processed the message.
     Malformed,
     Refused, ///< The peer replied that it does not accept the message.
     Count
--- a/include/sardinespoke/nng_peer_link.h
+++ b/include/sardinespoke/nng_peer_link.h
@@ -32,15 +32,16 @@
 
 /// Peer link over the nng request/reply protocol, with one socket per peer.
 ///
-/// nng resends a request if the connection is lost before the reply. Each request carries a nonce;
-/// a duplicate gets the cached first reply, without running the handler again.
+/// A request is sent over one connection only; if that is lost before the reply, the call fails
+/// with PeerError::Code::Timeout. Each request carries a nonce; a duplicate gets the cached first
+/// reply, without running the handler again.
 ///
 /// A connection may go silent without an error. If a call times out and nothing was heard over its
 /// connection meanwhile, later calls use a new one.
 class NngPeerLink final : public PeerLinkI
 {
 public:
-  /// Longest timeout of a call; must be below the resend time of nng.
+  /// Longest timeout of a call.
   static constexpr std::chrono::milliseconds kMaxTimeout{ 10000 };
 
   explicit NngPeerLink(PeerLinkSettings aSettings);
--- a/src/nng_peer_link.cpp
+++ b/src/nng_peer_link.cpp
@@ -17,9 +17,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// Far above the timeout of a call, so that its context is closed before nng resends the request.
-constexpr nng_duration kResendMilliseconds = 60000;
-static_assert(NngPeerLink::kMaxTimeout.count() < kResendMilliseconds);
+// A request resent to the next process at the address would get the reply of a process that does
+// not know what the first has done.
+constexpr nng_duration kNoResend = NNG_DURATION_INFINITE;
 // Backoff of reconnects, short enough to reach a restarted peer within one Confirm interval. The
 // default of nng is a constant 100 ms.
 constexpr nng_duration kReconnectMinMilliseconds = 20;
@@ -596,7 +596,7 @@
   if (nng_req0_open(&socket) != 0) {
     return Fail(PeerError::Code::Unreachable, "nng socket could not be opened");
   }
-  nng_socket_set_ms(socket, NNG_OPT_REQ_RESENDTIME, kResendMilliseconds);
+  nng_socket_set_ms(socket, NNG_OPT_REQ_RESENDTIME, kNoResend);
   nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kReconnectMinMilliseconds);
   nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kReconnectMaxMilliseconds);
   nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, settings_.maxBytes_);
--- a/tests/nng_peer_link_test.cpp
+++ b/tests/nng_peer_link_test.cpp
@@ -4,6 +4,8 @@
 #include "silencing_proxy.h"
 
 #include <gtest/gtest.h>
+
+#include <future>
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/req.h>
 #include <thread>
@@ -202,6 +204,29 @@
   EXPECT_TRUE(client_.Call(address, { { "type", "Echo" } }, kTimeout));
 }
 
+// REFUSED: nng sent a request again to the next process at the address, and its reply counted as
+// that of the process that had handled the request.
+TEST_F(NngPeerLinkTest, ReplyOfARestartedPeerIsNotThatOfTheFirst)
+{
+  const std::string address = server_.Address();
+  const auto isPending = [this] {
+    const std::lock_guard lock(mutex_);
+    return !pendingReplies_.empty();
+  };
+  auto code = std::async(std::launch::async, [&] {
+    return CodeOf([&] { return Call({ { "type", "Later" } }); });
+  });
+  for (int turn = 0; turn < 200 && !isPending(); ++turn) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  ASSERT_TRUE(isPending());
+  server_.Shutdown();
+  NngPeerLink next(PeerLinkSettings{ .listen_ = address });
+  next.Handle("Later", [](const json&) -> leaf::result<json> { return json::object(); });
+  ASSERT_TRUE(next.Init());
+  EXPECT_EQ(code.get(), PeerError::Code::Timeout);
+}
+
 // An entry host must reach its leader again by a new connection if the open one goes silent without
 // an end. LOST: two of six hosts refused all requests for the rest of the day, since nng noticed
 // nothing.
