Keep a maintenance command of unknown outcome open when its repeat is refused

What would be seen: more hosts down than a roll-out allows (LIMIT). Host control takes a host down and its response is lost; the repeat is refused with 429, and the host counts as up while the next one is taken down.

Change: after an unknown outcome the host counts as down until a 200 or a host list requested 1.6 s after the last command tells, as it already was for the commands of an earlier leader. The stand-in of host control loses commands and responses, and refuses.

Open: the same for moves of hosts (HostAllocator::OnMoveResult), where no rule is known to break.

--- a/include/sardinespoke/rollout_runner.h
+++ b/include/sardinespoke/rollout_runner.h
@@ -70,9 +70,10 @@
   {
     Stage stage_ = Stage::Planned;
     TimePoint since_{};
-    std::string oldBackend_;      ///< Backend server before the maintenance.
-    int64_t oldStartTimeMs_ = 0;  ///< Start time of that backend server.
-    bool mayBeCommanded_ = false; ///< An earlier leader may have sent the command; counts as down.
+    std::string oldBackend_;     ///< Backend server before the maintenance.
+    int64_t oldStartTimeMs_ = 0; ///< Start time of that backend server.
+    /// A command of this or an earlier leader may have taken effect; counts as down.
+    bool mayBeCommanded_ = false;
     bool returnShownOnlyByList_ = false; ///< No earlier backend server is known: only the host list
                                          ///< shows that the host is back.
     uint64_t storedByWrite_ = 0;         ///< Journal write that records it for later leaders.
@@ -93,6 +94,8 @@
   void CheckReturned(Rollout& aRollout, const std::string& aHost, HostProgress& aProgress);
   uint64_t StoreRecord(const Rollout& aRollout);
   void ResolveUnknownCommands(Rollout& aRollout);
+  /// Takes back a command that had no effect; it is sent again after a delay.
+  void ReturnToDraining(HostProgress& aProgress);
   void StartDraining(Rollout& aRollout, uint32_t aDown, uint32_t aDraining);
   void SendMaintenanceCommand(Rollout& aRollout, const std::string& aHost, HostProgress& aProgress);
   void OnMaintenanceResult(int64_t aRollout,
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -307,13 +307,22 @@
 }
 
 void
-RolloutRunner::ResolveUnknownCommands(Rollout& aRollout)
+RolloutRunner::ReturnToDraining(HostProgress& aProgress)
 {
-  if (directory_.RequestedAt() < leaderSince_ + kCommandSettleTime) {
-    return;
+  const BackendHandle kept = backends_.Find(aProgress.oldBackend_);
+  if (kept.IsValid()) {
+    backends_.At(kept).disruptionStarted_ = false;
   }
+  aProgress.stage_ = Stage::Draining;
+  aProgress.since_ = clock_.Now() + kCommandRetryDelay;
+}
+
+void
+RolloutRunner::ResolveUnknownCommands(Rollout& aRollout)
+{
   for (auto& [host, progress] : aRollout.hosts_) {
-    if (!progress.mayBeCommanded_) {
+    const TimePoint lastSent = std::max(leaderSince_, progress.since_);
+    if (!progress.mayBeCommanded_ || directory_.RequestedAt() < lastSent + kCommandSettleTime) {
       continue;
     }
     progress.mayBeCommanded_ = false;
@@ -322,6 +331,9 @@
     progress.returnShownOnlyByList_ = isDown;
     progress.since_ = clock_.Now();
     progress.stage_ = isDown ? Stage::Down : Stage::Planned;
+    if (!isDown && !progress.oldBackend_.empty()) {
+      ReturnToDraining(progress);
+    }
   }
 }
 
@@ -444,6 +456,7 @@
   const TimePoint now = clock_.Now();
   switch (aResult.outcome_) {
     case CommandOutcome::Done: {
+      progress.mayBeCommanded_ = false;
       progress.stage_ = Stage::Down;
       progress.since_ = now;
       const BackendHandle old = backends_.Find(progress.oldBackend_);
@@ -464,17 +477,15 @@
       return;
     case CommandOutcome::Unknown:
       // Counts as down until the outcome is known; the command is idempotent.
+      progress.mayBeCommanded_ = true;
       SendMaintenanceCommand(rollout, aHost, progress);
       return;
-    default: {
-      const BackendHandle kept = backends_.Find(progress.oldBackend_);
-      if (kept.IsValid()) {
-        backends_.At(kept).disruptionStarted_ = false;
+    default:
+      if (progress.mayBeCommanded_) {
+        return; // An earlier command may have taken effect; the host list will show it.
       }
-      progress.stage_ = Stage::Draining;
-      progress.since_ = now + kCommandRetryDelay;
+      ReturnToDraining(progress);
       return;
-    }
   }
 }
 
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kCommandTimeout{ 400 };
+constexpr milliseconds kHostCommandTimeout{ 1500 };
 constexpr milliseconds kStopTime{ 200 };
 constexpr milliseconds kMaintenanceTime{ 2000 };
 constexpr milliseconds kAdviceLatency{ 100 };
@@ -538,8 +539,31 @@
 SimulatedFleet::Client::ChangeHost(const HostCommand& aOrder, OnResult aDone)
 {
   SimulatedFleet& fleet = fleet_;
-  fleet.events_.ScheduleAfter(kLatency,
-                              [&fleet, aOrder, aDone] { aDone(fleet.ApplyHostCommand(aOrder)); });
+  HostCommandFault fault = HostCommandFault::None;
+  if (!fleet.hostCommandFaults_.empty()) {
+    fault = fleet.hostCommandFaults_.front();
+    fleet.hostCommandFaults_.pop_front();
+  }
+  if (fault == HostCommandFault::Refused) {
+    fleet.events_.ScheduleAfter(kLatency, [aDone] {
+      CommandResult refused;
+      refused.outcome_ = CommandOutcome::Refused;
+      aDone(refused);
+    });
+    return;
+  }
+  fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, aDone, fault] {
+    if (fault == HostCommandFault::Lost) {
+      return;
+    }
+    const CommandResult result = fleet.ApplyHostCommand(aOrder);
+    if (fault == HostCommandFault::None) {
+      aDone(result);
+    }
+  });
+  if (fault != HostCommandFault::None) {
+    fleet.events_.ScheduleAfter(kHostCommandTimeout, [aDone] { aDone(CommandResult()); });
+  }
 }
 
 void
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -6,6 +6,7 @@
 #include "sardinespoke/backend_commands.h"
 #include "sardinespoke/fleet_format.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -112,6 +113,23 @@
 
   /// Removes a host permanently, even while it is down for maintenance.
   void RemoveHost(const std::string& aPool, size_t aIndex);
+
+  /// Fault of one command to host control.
+  enum class HostCommandFault
+  {
+    None,
+    Lost,         ///< Has no effect and no response.
+    ResponseLost, ///< Takes effect; the response is lost.
+    Refused,      ///< Has no effect: host control is over its rate.
+    Count
+  };
+
+  /// Injects faults into the next commands to host control, in order.
+  void FailHostCommands(std::deque<HostCommandFault> aFaults)
+  {
+    hostCommandFaults_ = std::move(aFaults);
+  }
+
   void SetDraining(const std::string& aPool, size_t aIndex);
 
   /// Advances tasks and leases to the present time.
@@ -239,6 +257,7 @@
   std::map<std::string, HostEntry> hosts_;
   std::map<std::string, std::vector<std::string>> pools_; ///< Hosts in the order of AddHosts().
   std::map<std::string, int64_t> hostFences_;
+  std::deque<HostCommandFault> hostCommandFaults_;
   std::set<std::pair<int64_t, std::string>> maintained_;
   std::map<int64_t, size_t> down_;
   std::set<std::string> acknowledgedDone_;
