--- a/include/sardinespoke/http_multi.h
+++ b/include/sardinespoke/http_multi.h
@@ -30,6 +30,7 @@
   uint32_t maxConnections_ = 3; ///< To this authority; further calls are queued.
   /// Its response is read before those of other calls, however many are ready.
   bool urgent_ = false;
+  bool first_ = false; ///< Goes ahead of the calls that are queued for its authority.
   /// If it times out, the idle connections on which no data was waited for and came since it was
   /// sent are closed: they may have gone silent with the one that it used.
   bool closeIdleOnTimeout_ = false;
--- a/src/http_multi.cpp
+++ b/src/http_multi.cpp
@@ -386,7 +386,8 @@
   transfer->owner_ = this;
   AuthorityQueue& lane = authorityQueues_[transfer->call_.authority_];
   if (lane.active_ >= transfer->call_.maxConnections_) {
-    lane.waiting_.push_back(std::move(transfer));
+    const auto place = transfer->call_.first_ ? lane.waiting_.begin() : lane.waiting_.end();
+    lane.waiting_.insert(place, std::move(transfer));
     return;
   }
   StartTransfer(std::move(transfer));
