Do not count a host down for one roll-out as maintained for another

Cause: a new leader does not know whether its predecessor had sent the hosts that it had selected to maintenance. From 1.6 s on it takes those that are listed in maintenance as down for that roll-out. If it has itself sent the host there for another roll-out meanwhile, the list shows that one.

Change: while such a host is selected by another roll-out too, it counts as down until the list shows it up, and is then sent again; host control answers 200 if it had been done.

--- a/include/sardinespoke/rollout_runner.h
+++ b/include/sardinespoke/rollout_runner.h
@@ -92,6 +92,8 @@
   void AdvanceRollout(Rollout& aRollout);
   void CheckReturned(Rollout& aRollout, const std::string& aHost, HostProgress& aProgress);
   uint64_t StoreRecord(const Rollout& aRollout);
+  /// Whether another roll-out has sent this host to maintenance or was about to.
+  bool IsSelectedByAnother(const Rollout& aRollout, const std::string& aHost) const;
   void ResolveUnknownCommands(Rollout& aRollout);
   void StartDraining(Rollout& aRollout, uint32_t aDown, uint32_t aDraining);
   void SendMaintenanceCommand(Rollout& aRollout, const std::string& aHost, HostProgress& aProgress);
--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -306,6 +306,14 @@
         { "before", alreadyMaintained } });
 }
 
+bool
+RolloutRunner::IsSelectedByAnother(const Rollout& aRollout, const std::string& aHost) const
+{
+  return std::any_of(rollouts_.begin(), rollouts_.end(), [&](const auto& aOther) {
+    return &aOther.second != &aRollout && aOther.second.selected_.count(aHost) > 0;
+  });
+}
+
 void
 RolloutRunner::ResolveUnknownCommands(Rollout& aRollout)
 {
@@ -316,9 +324,13 @@
     if (!progress.mayBeCommanded_) {
       continue;
     }
-    progress.mayBeCommanded_ = false;
     const HostEntry* listed = directory_.Find(host);
     const bool isDown = listed && listed->state_ == HostState::Maintenance;
+    // The list does not tell for which roll-out; the command, repeated later, does.
+    if (isDown && IsSelectedByAnother(aRollout, host)) {
+      continue;
+    }
+    progress.mayBeCommanded_ = false;
     progress.returnShownOnlyByList_ = isDown;
     progress.since_ = clock_.Now();
     progress.stage_ = isDown ? Stage::Down : Stage::Planned;
