--- a/include/sardinespoke/rollout_runner.h
+++ b/include/sardinespoke/rollout_runner.h
@@ -93,6 +93,8 @@
   void AdvanceRollout(Rollout& aRollout);
   void CheckReturned(Rollout& aRollout, const std::string& aHost, HostProgress& aProgress);
   uint64_t StoreRecord(const Rollout& aRollout);
+  /// Whether another roll-out has sent this host to maintenance or was about to.
+  bool IsSelectedByAnother(const Rollout& aRollout, const std::string& aHost) const;
   void ResolveUnknownCommands(Rollout& aRollout);
   /// Takes back a command that had no effect; it is sent again after a delay.
   void ReturnToDraining(HostProgress& aProgress);
