Send an overdue transaction again beside the first

One without an answer was noticed after the call's time limit of 700 ms; from 500 ms on every hand-in was refused, although the store answered nine calls of ten. It was then sent again, got a conflict with the revision of its own first copy, and was written a second time.

Ruled out: several transactions over disjoint keys (docs/decisions.md; weighed, not built).

Change: once the answer is overdue (twice the usual time plus four deviations, 50 ms at least, 1.5 times longer for each further copy, four open at most), identical copies with the same condition are sent. The first Ok, or a conflict that shows the change's own name, settles it; later replies are ignored. A refusal means "not stored" only if all copies were refused.

A second fault, found by the tests: after the store had refused the only change, an idle leader refused hand-ins for good, as it had nothing left to send. It now sends an empty change until one is accepted.

JobJournalTest.CancelsDoNotWaitForTheProgressOfOtherJobs and .RecordsAreWrittenBesideABacklogOfProgress failed with the change: their stand-in holds a transaction for 130 to 200 ms, now gets a copy, and answered only the first, so that the test took the copy for the next transaction. The stand-in now answers copies as a store does (conflict, or the same refusal).

--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -4,6 +4,7 @@
 #include "sardinespoke/metrics.h"
 #include "sardinespoke/progress_queue.h"
 #include "sardinespoke/run_tracker.h"
+#include "sardinespoke/store_answers.h"
 
 #include <functional>
 #include <map>
@@ -28,7 +29,8 @@
 ///
 /// Each transaction requires the leader's record and the journal's own record at their last known
 /// revisions and rewrites the latter. A transaction without a response can therefore not take
-/// effect after a later one, and can be repeated until its outcome is known.
+/// effect after a later one. Once its answer is overdue, identical copies are sent beside it: at
+/// most one of them can take effect, and the first that is answered tells whether one has.
 class JobJournal
 {
 public:
@@ -67,8 +69,8 @@
 
   void Tick();
 
-  /// @returns True while transactions get no response, so that no new job can be accepted.
-  bool IsStalled() const;
+  /// @returns True while no transaction gets a response, so that no new job can be accepted.
+  bool IsStalled() const { return answers_.IsStalled(clock_.Now()); }
 
   /// @returns True if no submission, progress or record waits for the store.
   bool IsIdle() const;
@@ -128,9 +130,15 @@
   void FillBatch(Batch& aBatch, std::vector<BackendHandle>& aUnrecorded, Shares aShares);
   void AddProgress(Batch& aBatch, const ProgressQueue::Entry& aEntry);
   void TakeEnds(Batch& aBatch);
-  void OnChanged(const RecordReply& aReply);
+  RecordTransaction EncodeBatch();
+  std::vector<RecordPrecondition> Preconditions() const;
   void SendBatch();
-  void Retry(bool aMayHaveChanged);
+  void SendCopy();
+  void OnReply(uint64_t aNumber, TimePoint aSent, const RecordReply& aReply);
+  void OnConflict(const RecordReply& aReply);
+  void OnFailed(RecordOutcome aOutcome);
+  void OnStored(int64_t aRevision, bool aReadBack);
+  void MeasureOutcome(bool aReadBack);
   void RequeueBatch();
   void ExpireWaiters();
   bool IsUrgent() const;
@@ -155,16 +163,20 @@
   uint64_t endsNumber_ = 0;
   uint64_t writesAdded_ = 0;
   uint64_t writesStored_ = 0;
-  Batch batch_; ///< The batch that is in flight or will be repeated.
+  Batch batch_; ///< The batch whose outcome is not yet known.
   bool hasBatch_ = false;
-  bool uncertain_ = false; ///< An attempt of the batch got no response.
-  bool inFlight_ = false;
+  RecordTransaction transaction_; ///< Content of all copies of the batch.
+  std::string mark_;              ///< Value that the batch writes to the journal's record.
+  uint64_t number_ = 0;           ///< Of the batch or its last change; replies to others are late.
+  size_t copies_ = 0;             ///< Copies of the batch that were sent.
+  size_t open_ = 0;               ///< Of them, those without a reply.
+  bool uncertain_ = false;        ///< A copy ended without a response.
+  TimePoint firstSentAt_{};
+  TimePoint nextSendAt_{};
+  StoreAnswers answers_;
+  bool stallLogged_ = false;
   TimePoint dirtySince_{};
   bool dirty_ = false;
-  TimePoint failingSince_{};
-  bool failing_ = false;
-  TimePoint nextRetryAt_{};
-  TimePoint sentAt_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -23,8 +23,8 @@
 // Progress that no caller waits for is written this long after its first change.
 constexpr milliseconds kProgressDelay{ 120 };
 constexpr milliseconds kRetryDelay{ 60 };
-// The store counts as unavailable after this long without a response to a transaction.
-constexpr milliseconds kStallLimit{ 500 };
+// Copies of a transaction that wait for a response at a time.
+constexpr size_t kOpenCopies = 4;
 // A caller that has waited this long for the store gets the outcome Unknown.
 constexpr milliseconds kCallerWaitLimit{ 1500 };
 
@@ -115,14 +115,6 @@
   deletes_.push_back(aKey);
 }
 
-bool
-JobJournal::IsStalled() const
-{
-  const TimePoint now = clock_.Now();
-  return (inFlight_ && now - sentAt_ > kStallLimit) ||
-         (failing_ && now - failingSince_ > kStallLimit);
-}
-
 bool
 JobJournal::IsIdle() const
 {
@@ -132,7 +124,8 @@
 bool
 JobJournal::IsUrgent() const
 {
-  if (!submitted_.empty() || !writes_.empty() || !waiters_.empty() ||
+  // After a refused transaction, a further one tells when the store accepts them again.
+  if (!submitted_.empty() || !writes_.empty() || !waiters_.empty() || answers_.IsWaiting() ||
       progress_.Size() >= kEntriesPerTransaction) {
     return true;
   }
@@ -254,13 +247,18 @@
   SendBatch();
 }
 
-void
-JobJournal::SendBatch()
+std::vector<RecordPrecondition>
+JobJournal::Preconditions() const
+{
+  return { leadership_.LeaderRecordPrecondition(), RecordPrecondition{ JournalKey(), revision_ } };
+}
+
+RecordTransaction
+JobJournal::EncodeBatch()
 {
   RecordTransaction change;
-  change.preconditions_.push_back(leadership_.LeaderRecordPrecondition());
-  change.preconditions_.push_back(RecordPrecondition{ JournalKey(), revision_ });
-  change.writes_.push_back(RecordWrite{ JournalKey(), "" });
+  change.preconditions_ = Preconditions();
+  change.writes_.push_back(RecordWrite{ JournalKey(), mark_ });
   for (const uint32_t job : batch_.jobs_) {
     change.writes_.push_back(
       RecordWrite{ JobKey(jobs_.At(job).spec_.id_), EncodeJob(jobs_.At(job)) });
@@ -276,51 +274,135 @@
   }
   change.writes_.insert(change.writes_.end(), batch_.writes_.begin(), batch_.writes_.end());
   change.deletes_ = batch_.deletes_;
+  return change;
+}
+
+void
+JobJournal::SendBatch()
+{
+  ++number_;
+  mark_ = std::to_string(leadership_.FencingToken()) + "/" + std::to_string(number_);
+  transaction_ = EncodeBatch();
   for (Waiter& waiter : waiters_) {
     const auto& carried = waiter.isSubmission_ ? batch_.jobs_ : batch_.progress_;
     waiter.sent_ =
       waiter.sent_ || std::find(carried.begin(), carried.end(), waiter.job_) != carried.end();
   }
-  inFlight_ = true;
-  sentAt_ = clock_.Now();
+  copies_ = 0;
+  open_ = 0;
+  uncertain_ = false;
+  firstSentAt_ = clock_.Now();
+  SendCopy();
+}
+
+void
+JobJournal::SendCopy()
+{
+  const TimePoint now = clock_.Now();
+  ++copies_;
+  ++open_;
+  if (copies_ > 1) {
+    metrics_.Count("journal_copies");
+  }
+  answers_.Sent(now);
+  nextSendAt_ = now + std::chrono::ceil<milliseconds>(answers_.RepeatDelay(copies_));
   const std::weak_ptr<bool> alive = alive_;
-  store_.Commit(change, [this, alive](const RecordReply& aReply) {
+  store_.Commit(transaction_, [this, alive, number = number_, now](const RecordReply& aReply) {
     if (alive.lock()) {
-      OnChanged(aReply);
+      OnReply(number, now, aReply);
     }
   });
 }
 
 void
-JobJournal::OnChanged(const RecordReply& aReply)
-{
-  inFlight_ = false;
-  metrics_.Observe("journal_commit", clock_.Now() - sentAt_);
-  if (aReply.outcome_ == RecordOutcome::Conflict) {
-    for (const Record& record : aReply.records_) {
-      const bool isJournal = record.key_ == JournalKey();
-      if (!isJournal && record.revision_ != leadership_.FencingToken()) {
-        leadership_.StepDown("a transaction failed: the leader's record has changed");
-        return;
-      }
-      if (isJournal) {
-        revision_ = record.revision_;
-      }
-    }
-    Retry(false);
+JobJournal::OnReply(uint64_t aNumber, TimePoint aSent, const RecordReply& aReply)
+{
+  const TimePoint now = clock_.Now();
+  metrics_.Observe("journal_commit", now - aSent);
+  const bool stored = aReply.outcome_ == RecordOutcome::Ok;
+  const bool conflict = aReply.outcome_ == RecordOutcome::Conflict;
+  if (stored || conflict) {
+    answers_.Answered(now, now - aSent);
+  }
+  if (aReply.outcome_ == RecordOutcome::Unknown) {
+    metrics_.Count("journal_unanswered");
+  }
+  // The outcome of that transaction is known.
+  if (!hasBatch_ || aNumber != number_) {
     return;
   }
-  if (aReply.outcome_ != RecordOutcome::Ok) {
-    uncertain_ = uncertain_ || aReply.outcome_ != RecordOutcome::Refused;
-    if (!uncertain_) {
-      RequeueBatch();
+  --open_;
+  if (stored) {
+    OnStored(aReply.revision_, false);
+  } else if (conflict) {
+    OnConflict(aReply);
+  } else {
+    OnFailed(aReply.outcome_);
+  }
+}
+
+void
+JobJournal::OnConflict(const RecordReply& aReply)
+{
+  const auto isJournal = [](const Record& aRecord) { return aRecord.key_ == JournalKey(); };
+  for (const Record& record : aReply.records_) {
+    if (!isJournal(record) && record.revision_ != leadership_.FencingToken()) {
+      leadership_.StepDown("a transaction failed: the leader's record has changed");
+      return;
     }
-    Retry(true);
+  }
+  const auto& records = aReply.records_;
+  const auto journal = std::find_if(records.begin(), records.end(), isJournal);
+  if (journal != records.end() && journal->revision_ > revision_ && journal->value_ == mark_) {
+    OnStored(journal->revision_, true);
+    return;
+  }
+  // Copies that expect another revision can no longer take effect, but one may have.
+  Log(LogLevel::Warn, "journal.conflict", { { "copies", copies_ }, { "expected", revision_ } });
+  uncertain_ = uncertain_ || open_ > 0;
+  revision_ = journal == records.end() ? revision_ : journal->revision_;
+  transaction_.preconditions_ = Preconditions();
+  ++number_;
+  open_ = 0;
+  nextSendAt_ = clock_.Now();
+}
+
+void
+JobJournal::OnFailed(RecordOutcome aOutcome)
+{
+  // Other copies may have taken effect, or may still do so.
+  uncertain_ = uncertain_ || aOutcome != RecordOutcome::Refused;
+  if (uncertain_ || open_ > 0) {
+    return;
+  }
+  RequeueBatch();
+  nextSendAt_ = clock_.Now() + kRetryDelay;
+}
+
+void
+JobJournal::MeasureOutcome(bool aReadBack)
+{
+  const auto took = clock_.Now() - firstSentAt_;
+  metrics_.Observe("journal_outcome", took);
+  if (copies_ < 2) {
     return;
   }
-  failing_ = false;
+  Log(LogLevel::Info,
+      "journal.repeated",
+      { { "copies", copies_ },
+        { "read_back", aReadBack },
+        { "took_ms", std::chrono::duration_cast<milliseconds>(took).count() },
+        { "waiters", waiters_.size() } });
+}
+
+void
+JobJournal::OnStored(int64_t aRevision, bool aReadBack)
+{
+  MeasureOutcome(aReadBack);
+  answers_.Settled();
+  stallLogged_ = false;
   uncertain_ = false;
-  revision_ = aReply.revision_;
+  revision_ = aRevision;
   hasBatch_ = false;
   for (const uint32_t job : batch_.jobs_) {
     jobs_.At(job).stored_ = true;
@@ -357,24 +439,11 @@
 void
 JobJournal::StartBatchIfUrgent()
 {
-  if (!inFlight_ && !hasBatch_ && IsUrgent()) {
+  if (!hasBatch_ && IsUrgent()) {
     StartBatch();
   }
 }
 
-void
-JobJournal::Retry(bool aMayHaveChanged)
-{
-  if (aMayHaveChanged) {
-    if (!failing_) {
-      failingSince_ = sentAt_;
-      Log(LogLevel::Warn, "journal.unanswered", { { "waiters", waiters_.size() } });
-    }
-    failing_ = true;
-  }
-  nextRetryAt_ = clock_.Now() + (aMayHaveChanged ? kRetryDelay : milliseconds(0));
-}
-
 void
 JobJournal::RequeueBatch()
 {
@@ -450,25 +519,29 @@
   if (!waiters_.empty()) {
     ExpireWaiters();
   }
-  if (inFlight_ || clock_.Now() < nextRetryAt_) {
-    return;
+  if (IsStalled() && !stallLogged_) {
+    stallLogged_ = true;
+    Log(LogLevel::Warn, "journal.unanswered", { { "waiters", waiters_.size() } });
   }
-  if (hasBatch_) {
-    SendBatch();
+  if (clock_.Now() < nextSendAt_ && (hasBatch_ || answers_.IsWaiting())) {
     return;
   }
-  StartBatchIfUrgent();
+  if (!hasBatch_) {
+    StartBatchIfUrgent();
+  } else if (open_ < kOpenCopies) {
+    SendCopy();
+  }
 }
 
 TimePoint
 JobJournal::NextDue() const
 {
-  if (inFlight_) {
-    return waiters_.empty() ? TimePoint::max() : sentAt_ + kStallLimit;
+  TimePoint due = dirty_ && !hasBatch_ ? dirtySince_ + kProgressDelay : TimePoint::max();
+  if (hasBatch_ ? open_ < kOpenCopies : answers_.IsWaiting()) {
+    due = std::min(due, nextSendAt_);
   }
-  TimePoint due = dirty_ ? dirtySince_ + kProgressDelay : TimePoint::max();
-  if (hasBatch_) {
-    due = std::min(due, nextRetryAt_);
+  if (hasBatch_ && !waiters_.empty()) {
+    due = std::min(due, std::max(answers_.StallsAt(), clock_.Now() + kRetryDelay));
   }
   return due;
 }
--- a/tests/job_journal_test.cpp
+++ b/tests/job_journal_test.cpp
@@ -101,6 +101,21 @@
     RecordReply reply = store_.Ok();
     reply.outcome_ = aOutcome;
     done(reply);
+    // As a store does: a copy conflicts with the one that took effect.
+    reply.outcome_ = aOutcome == RecordOutcome::Ok ? RecordOutcome::Conflict : aOutcome;
+    while (!store_.held_.empty() && IsCopy(store_.held_.front().first, change)) {
+      const RecordStoreI::Done answerCopy = std::move(store_.held_.front().second);
+      store_.held_.pop_front();
+      answerCopy(reply);
+    }
+  }
+
+  /// @returns True if both name the same change of the journal's record.
+  static bool IsCopy(const RecordTransaction& aLeft, const RecordTransaction& aRight)
+  {
+    const RecordWrite& left = aLeft.writes_.front();
+    const RecordWrite& right = aRight.writes_.front();
+    return left.key_ == right.key_ && !left.value_.empty() && left.value_ == right.value_;
   }
 
   void TouchAll()
