Count a lease as granted only when a response confirms it

Cause: a lease counted as granted once a poll had asked for it. The next poll waited up to 2 s, and its loss showed only at its time limit, 400 ms after its wait, so that one lost call was enough: the 1.5 s lease of a start hung on the one poll after it, and a later lease had about 0.1 s left when the loss of a poll showed. Polls after that asked for no lease. A new leader asked each recorded server once per time limit, and tasks wait for the last of them.

Change: polls wait only as long as a reserve of the confirmed lease is left; a second poll goes out beside one that is overdue, with the same deadline, so that a dead server's lease ends as before; failures overtaken by a later response do not count; a new leader polls again after 150 ms. leader.load has polls_repeated, backend.silent has lease_left_ms.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -89,7 +89,12 @@
   TimePoint failedPollSentAt_{};   ///< Send time of the newest poll without a response.
   TimePoint leaseEnd_{};           ///< No run outlives this unless the lease is renewed.
   bool hasInheritedLease_ = false; ///< leaseEnd_ is of the leader that resigned.
-  TimePoint renewedUntil_{};       ///< End of the lease that the newest poll has asked for.
+  TimePoint renewedUntil_{};       ///< End of the newest lease that a poll has asked for.
+  int64_t renewedDeadline_ = 0;    ///< The same on its clock in ms.
+  uint64_t lastPoll_ = 0;          ///< Number of the newest poll.
+  uint64_t answeredPoll_ = 0;      ///< Number of the newest poll that got a response.
+  TimePoint grantedUntil_{};       ///< End of the newest lease that a response has confirmed.
+  TimePoint answerDueAt_{};        ///< The response to the newest poll is overdue from then on.
   int64_t clock_ = 0;              ///< Its clock in ms as read at clockAt_.
   TimePoint clockAt_{};
   int64_t endsApplied_ = 0; ///< End reports up to this number are applied to the job table.
@@ -111,6 +116,9 @@
 
   BackendAddress Address() const { return BackendAddress{ entry_.id_, entry_.address_ }; }
 
+  /// @returns True while a poll is open and the newest one has no response.
+  bool HasOpenPoll() const { return pollsInFlight_ > 0 && answeredPoll_ < lastPoll_; }
+
   /// @returns A lower bound of its clock in ms.
   int64_t ClockNow(TimePoint aNow) const;
 
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -101,6 +101,9 @@
   /// @returns Polls sent since the last call.
   uint64_t TakePolls() { return std::exchange(polls_, 0); }
 
+  /// @returns Those of them that repeated one without a response, since the last call.
+  uint64_t TakeRepeatedPolls() { return std::exchange(repeatedPolls_, 0); }
+
   /// Call before Tick(). Without a certain lease, the leader goes on only while the backend servers
   /// show that no other host has taken over; see WitnessQuorum.
   void SetLeaseState(LeaseState aState);
@@ -170,6 +173,7 @@
   {
     Regular, ///< May wait for a run to end.
     Contact, ///< Only shows whether another leader has polled the backend server.
+    Repeat,  ///< Sent beside one without a response; asks for the same lease and does not wait.
     Count
   };
 
@@ -265,6 +269,24 @@
   bool NeedsPoll(const Backend& aBackend) const;
   /// @returns True if it runs tasks that the poll in flight has not asked a lease for.
   bool LacksLease(const Backend& aBackend) const;
+  /// @returns True if the response to the newest poll is late and a lease depends on it.
+  bool IsAnswerOverdue(const Backend& aBackend) const;
+  /// @returns The deadline of the lease that a poll asks for, on its backend server's clock in ms;
+  /// 0 if it asks for none.
+  int64_t AskForLease(Backend& aBackend, PollKind aKind);
+  std::chrono::milliseconds WaitOfPoll(const Backend& aBackend, PollKind aKind) const;
+  void ObserveAnswer(TimePoint aSent, std::chrono::milliseconds aWait);
+  /// Notes that a backend server has granted a lease.
+  /// @param aDeadline Its end on the backend server's clock in ms.
+  /// @param aClock That clock in ms when it responded.
+  void ConfirmLease(Backend& aBackend, int64_t aDeadline, int64_t aClock);
+  /// @returns Time that is left of a confirmed lease when the response to a poll is due, so that a
+  /// lost one can be repeated.
+  std::chrono::milliseconds LeaseReserve() const;
+  /// @returns Time until the response to a poll that does not wait is overdue.
+  std::chrono::milliseconds AnswerSlack(const Backend& aBackend) const;
+  /// @returns True if responses get lost, also of backend servers that can be reached.
+  bool AreAnswersLost() const;
   /// @returns True if all runs of a backend server have lapsed and a poll sent after that got no
   /// response. The responses to earlier ones may not have been read yet.
   bool IsLeaseOver(const Backend& aBackend) const;
@@ -292,6 +314,10 @@
   CrashCounts crashCounts_;
   CrashRate crashRate_;
   uint64_t polls_ = 0;
+  uint64_t repeatedPolls_ = 0;
+  std::chrono::microseconds answerDelay_{ 0 }; ///< Of polls that were answered, smoothed.
+  /// Share of the polls without a response though a later one got one, smoothed.
+  double lostAnswers_ = 0;
   /// When hosts were lost, by rack and host.
   std::map<std::string, std::map<std::string, TimePoint>> lostHosts_;
   std::map<std::string, std::vector<LateStart>> lateStarts_; ///< By id of the backend server.
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -189,6 +189,7 @@
         { "journal_us", phases_.At(LoopPhase::Journal).count() },
         { "open_jobs", jobs_.Open().size() },
         { "polls", runs_.TakePolls() },
+        { "polls_repeated", runs_.TakeRepeatedPolls() },
         { "ends_unstored", unstored },
         { "progress_queued", journal_.QueuedProgress() },
         { "callers_waiting", journal_.Waiters() } });
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -20,6 +20,18 @@
 // Wait of a poll while a suspect is in question there: it shows that it works on.
 constexpr milliseconds kTrialWait{ 350 };
 constexpr milliseconds kPollRetry{ 150 };
+// A poll is repeated beside one whose response is this late, and later by some times the usual
+// delay, so that a slow leader does not repeat what it has not read yet.
+constexpr milliseconds kRepeatDelay{ 150 };
+constexpr int kDelayFactor = 4;
+constexpr uint32_t kMaxOpenPolls = 4; // To one backend server.
+// The same while a new leader asks all backend servers at once.
+constexpr uint32_t kMaxFirstPolls = 2;
+constexpr milliseconds kLeaseReserve{ 1000 };
+// The same while more than this share of the responses gets lost.
+constexpr milliseconds kLossyLeaseReserve{ 2500 };
+constexpr double kLostAnswersLimit = 0.05;
+constexpr int kLossSmoothing = 16; // Polls.
 // Time between polls that list the same ends again because the store has not taken them yet, so
 // that a backlog does not make a busy leader busier. Far below the lease.
 constexpr milliseconds kUnstoredEndsPollInterval{ 300 };
@@ -58,6 +70,98 @@
   return clock_.Now() > aBackend.leaseEnd_ && aBackend.failedPollSentAt_ > aBackend.leaseEnd_;
 }
 
+bool
+RunTracker::IsAnswerOverdue(const Backend& aBackend) const
+{
+  const TimePoint now = clock_.Now();
+  if (aBackend.restartSuspectedAt_ || !aBackend.HasOpenPoll()) {
+    return false;
+  }
+  if (!aBackend.verified_) {
+    // Tasks wait for it; see UnreconciledServices().
+    return aBackend.unreconciled_ && aBackend.pollsInFlight_ < kMaxFirstPolls &&
+           now >= aBackend.answerDueAt_ && !IsLeaseOver(aBackend);
+  }
+  const milliseconds slack = AnswerSlack(aBackend);
+  const TimePoint reserveEnd = aBackend.grantedUntil_ - LeaseReserve() + slack;
+  const TimePoint due =
+    std::min(aBackend.answerDueAt_,
+             std::max(reserveEnd, aBackend.lastPollAt_ + kPendingCommandWait + slack));
+  return !aBackend.runs_.empty() && mayExtendRuns_ && aBackend.pollsInFlight_ < kMaxOpenPolls &&
+         now >= due && now < aBackend.renewedUntil_;
+}
+
+int64_t
+RunTracker::AskForLease(Backend& aBackend, PollKind aKind)
+{
+  const TimePoint now = clock_.Now();
+  if (aBackend.clock_ == 0 || !aBackend.verified_ || aBackend.restartSuspectedAt_ ||
+      aBackend.runs_.empty() || !mayExtendRuns_) {
+    return 0;
+  }
+  if (aKind == PollKind::Repeat || aBackend.failedPolls_ > 0) {
+    // The same lease again: one that does not answer must lapse in time for its tasks to start
+    // elsewhere.
+    return now < aBackend.renewedUntil_ ? aBackend.renewedDeadline_ : 0;
+  }
+  aBackend.renewedDeadline_ = aBackend.ClockNow(now) + limits_.leaseTime_.count();
+  aBackend.leaseEnd_ = std::max(aBackend.leaseEnd_, now + WithClockDrift(limits_.leaseTime_));
+  aBackend.renewedUntil_ = now + limits_.leaseTime_;
+  return aBackend.renewedDeadline_;
+}
+
+milliseconds
+RunTracker::WaitOfPoll(const Backend& aBackend, PollKind aKind) const
+{
+  const bool isKnown = aBackend.failedPolls_ == 0 && !aBackend.restartSuspectedAt_;
+  if (aKind != PollKind::Regular || !aBackend.verified_ || !isKnown || aBackend.runs_.empty()) {
+    return milliseconds(0);
+  }
+  const auto& runs = aBackend.runs_;
+  const bool allRunning = std::all_of(runs.begin(), runs.end(), [](const BackendRun& aRun) {
+    return aRun.phase_ == RunPhase::Running;
+  });
+  const bool hasTrial = std::any_of(runs.begin(), runs.end(), [](const BackendRun& aRun) {
+    return aRun.isSuspect_ && !aRun.proven_;
+  });
+  if (!allRunning) {
+    return kPendingCommandWait;
+  }
+  const auto left = std::chrono::duration_cast<milliseconds>(aBackend.grantedUntil_ - clock_.Now());
+  const milliseconds longest = hasTrial ? kTrialWait : kPollWait;
+  return std::clamp(left - LeaseReserve(), std::min(kPendingCommandWait, longest), longest);
+}
+
+void
+RunTracker::ConfirmLease(Backend& aBackend, int64_t aDeadline, int64_t aClock)
+{
+  if (aDeadline > 0 && aClock > 0) {
+    aBackend.grantedUntil_ =
+      std::max(aBackend.grantedUntil_,
+               clock_.Now() + std::min(milliseconds(aDeadline - aClock), limits_.holdMax_));
+  }
+}
+
+milliseconds
+RunTracker::LeaseReserve() const
+{
+  return AreAnswersLost() ? kLossyLeaseReserve : kLeaseReserve;
+}
+
+milliseconds
+RunTracker::AnswerSlack(const Backend& aBackend) const
+{
+  const uint32_t failures = AreAnswersLost() ? 0 : aBackend.failedPolls_;
+  return kRepeatDelay * std::max(failures, 1U) +
+         std::chrono::ceil<milliseconds>(answerDelay_ * kDelayFactor);
+}
+
+bool
+RunTracker::AreAnswersLost() const
+{
+  return lostAnswers_ > kLostAnswersLimit;
+}
+
 void
 RunTracker::SendPoll(BackendHandle aBackend, PollKind aKind)
 {
@@ -68,42 +172,43 @@
   command.fencingToken_ = fencingToken_;
   const bool isKnown = backend.failedPolls_ == 0 && !backend.restartSuspectedAt_;
   command.acknowledgedUpTo_ = backend.verified_ && isKnown ? backend.endsStored_ : 0;
-  // The lease of an unresponsive backend server is not renewed, so that it expires and the tasks
-  // can start elsewhere.
-  if (backend.clock_ != 0 && backend.verified_ && isKnown && !backend.runs_.empty() &&
-      mayExtendRuns_) {
-    command.deadline_ = backend.ClockNow(now) + limits_.leaseTime_.count();
-    backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(limits_.leaseTime_));
-    backend.renewedUntil_ = now + limits_.leaseTime_;
-  }
-  if (aKind == PollKind::Regular && backend.verified_ && isKnown && !backend.runs_.empty()) {
-    const bool allRunning =
-      std::all_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
-        return aRun.phase_ == RunPhase::Running;
-      });
-    const bool hasTrial =
-      std::any_of(backend.runs_.begin(), backend.runs_.end(), [](const BackendRun& aRun) {
-        return aRun.isSuspect_ && !aRun.proven_;
-      });
-    command.wait_ = allRunning ? (hasTrial ? kTrialWait : kPollWait) : kPendingCommandWait;
-  }
+  command.deadline_ = AskForLease(backend, aKind);
+  command.wait_ = WaitOfPoll(backend, aKind);
   backend.lastPollAt_ = now;
+  backend.answerDueAt_ = now + command.wait_ + AnswerSlack(backend);
   ++backend.pollsInFlight_;
+  const uint64_t number = ++backend.lastPoll_;
   ++polls_;
+  repeatedPolls_ += aKind == PollKind::Repeat ? 1 : 0;
   const std::weak_ptr<bool> alive = alive_;
-  commands_.Poll(command, [this, alive, aBackend, now, command](const PollResult& aResult) {
+  commands_.Poll(command, [this, alive, aBackend, now, number, command](const PollResult& aResult) {
     if (!alive.lock()) {
       return;
     }
     Backend& answered = backends_.At(aBackend);
     --answered.pollsInFlight_;
     if (aResult.outcome_ == CommandOutcome::Done) {
+      answered.answeredPoll_ = std::max(answered.answeredPoll_, number);
       answered.endsAcknowledged_ = std::max(answered.endsAcknowledged_, command.acknowledgedUpTo_);
+      ObserveAnswer(now, command.wait_);
+      ConfirmLease(answered, command.deadline_, aResult.clock_);
     }
     OnPollResult(aBackend, now, aResult);
   });
 }
 
+void
+RunTracker::ObserveAnswer(TimePoint aSent, milliseconds aWait)
+{
+  constexpr int kSmoothing = 8;
+  lostAnswers_ -= lostAnswers_ / kLossSmoothing;
+  const auto delay =
+    std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - aSent - aWait);
+  if (delay >= std::chrono::microseconds(0)) { // Else a run has ended during the wait.
+    answerDelay_ += (delay - answerDelay_) / kSmoothing;
+  }
+}
+
 BackendHandle
 RunTracker::FollowRestart(BackendHandle aBackend, const CommandResult& aResult)
 {
@@ -125,7 +230,6 @@
 RunTracker::OnPollFailed(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
-  backend.failedPollSentAt_ = std::max(backend.failedPollSentAt_, aSent);
   if (aResult.outcome_ == CommandOutcome::Fenced) {
     fenced_ = true;
     return;
@@ -134,19 +238,26 @@
     EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Replaced);
     return;
   }
+  if (aSent < backend.answeredPollSentAt_) {
+    lostAnswers_ += (1 - lostAnswers_) / kLossSmoothing;
+    return; // It has answered a later poll.
+  }
+  backend.failedPollSentAt_ = std::max(backend.failedPollSentAt_, aSent);
+  const TimePoint now = clock_.Now();
   if (backend.failedPolls_ == 0) {
     Log(LogLevel::Info,
         "backend.silent",
         { { "backend", backend.entry_.id_ },
           { "runs", backend.runs_.size() },
+          { "lease_left_ms", MillisecondsBetween(now, std::max(now, backend.grantedUntil_)) },
           { "outcome", static_cast<int>(aResult.outcome_) } });
   }
   if (backend.failedPolls_ == 0) {
-    backend.unresponsiveSince_ = clock_.Now();
+    backend.unresponsiveSince_ = now;
   }
   ++backend.failedPolls_;
   const auto pause = std::min(kPollRetry * backend.failedPolls_, kPollRetryMax);
-  backend.nextPollAt_ = clock_.Now() + pause;
+  backend.nextPollAt_ = now + pause;
 }
 
 void
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -242,6 +242,9 @@
   switch (aResult.outcome_) {
     case CommandOutcome::Done:
       backend.startsWithoutResponse_ = 0;
+      if (run && latest == aBackend && !fromNext) {
+        ConfirmLease(backend, run->deadline_, aResult.clock_);
+      }
       if (run) {
         run->everConfirmed_ = true;
         run->confirmedByNext_ = fromNext;
@@ -562,10 +565,11 @@
         Stop(handle, run);
       }
     }
-    const bool isDue =
-      backend.pollsInFlight_ == 0 && now >= backend.nextPollAt_ && NeedsPoll(backend);
+    const bool isDue = !backend.HasOpenPoll() && now >= backend.nextPollAt_ && NeedsPoll(backend);
     if (isDue || LacksLease(backend)) {
       SendPoll(handle);
+    } else if (IsAnswerOverdue(backend)) {
+      SendPoll(handle, PollKind::Repeat);
     } else if (LacksContact(backend)) {
       SendPoll(handle, PollKind::Contact);
     }
@@ -578,7 +582,7 @@
   TimePoint due = clock_.Now() + kPollRetryMax;
   for (const BackendHandle handle : backends_.Live()) {
     const Backend& backend = backends_.At(handle);
-    if (backend.pollsInFlight_ == 0 && NeedsPoll(backend)) {
+    if (!backend.HasOpenPoll() && NeedsPoll(backend)) {
       due = std::min(due, backend.nextPollAt_);
     }
   }
