Let the simulated backend server take a repeated start for what it is

Cause: three old tests failed with starts that are sent again (UnansweredStartTest.StartedTasksAreNotStopped, CapacityChangeTest.StartsWithoutAnAnswerCount, JobControlTest.LateStartsDoNotRunTwice): SimulatedFleet::StartOn counted a start of the run that is there as a second run of its task.

The same task with the same number on the same backend server is the same run.

Change: such a start extends the lease and has no other effect. Another number, another backend server, and a start after an acknowledged end are violations as before. No test and no expectation changed.

--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -267,6 +267,14 @@
   if (stopped != aServer.stopped_.end() && aOrder.run_.run_ <= stopped->second) {
     return MakeResult(aServer, CommandOutcome::Superseded);
   }
+  const bool isThere =
+    std::any_of(aServer.runs_.begin(), aServer.runs_.end(), [&aOrder](const Run& aRun) {
+      return aRun.task_ == aOrder.run_.task_ && aRun.run_ == aOrder.run_.run_;
+    });
+  if (isThere) {
+    ExtendLease(aServer, aOrder.deadline_);
+    return MakeResult(aServer, CommandOutcome::Done);
+  }
   if (RunsOf(aOrder.run_.task_) > 0) {
     RecordViolation(violations_.duplicateRuns_, aOrder.run_.task_ + " has two concurrent runs");
   }
