Log by which configuration a queue is unknown

A refusal with 404 left no log line, so that nobody could tell by which version, by which leader and after how long without the store it was given. queue.unknown tells; caller.refused covers 404 at the host that the caller asked. Ruled out by reading: one leader that goes back (it applies greater versions only; its first read is linearizable and follows its election).

Not measured: the cost of a line for each 404.

--- a/include/sardinespoke/prefix_feed.h
+++ b/include/sardinespoke/prefix_feed.h
@@ -35,6 +35,10 @@
   /// @returns True once after each change.
   bool TakeChanged();
 
+  /// @returns When the latest call that succeeded was sent. The copy has every change that the store
+  /// acknowledged before.
+  TimePoint ConfirmedAt() const { return confirmedAt_; }
+
   /// @returns When Tick() has something to do next.
   TimePoint NextDue() const;
 
@@ -56,6 +60,8 @@
   bool inFlight_ = false;
   bool changed_ = false;
   TimePoint next_{};
+  TimePoint sentAt_{}; ///< Of the watch call, or of the first page of the range.
+  TimePoint confirmedAt_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -459,7 +459,8 @@
   --inFlight_;
   metrics_.Count("caller_requests{status=\"" + std::to_string(reply.status_) + "\"}");
   metrics_.Observe("caller_latency", clock_.Now() - begin);
-  if (reply.status_ >= 500) {
+  constexpr unsigned int kNotFound = 404;
+  if (reply.status_ >= 500 || reply.status_ == kNotFound) {
     Log(LogLevel::Info,
         "caller.refused",
         { { "method", call.method_ },
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -1,3 +1,4 @@
+#include "run_limits_p.h"
 #include "sardinespoke/job_control.h"
 
 #include "sardinespoke/logging.h"
@@ -177,6 +178,12 @@
 {
   const QueuePolicy* queue = FindQueue(aRequest.host_, aRequest.path_);
   if (!queue) {
+    Log(LogLevel::Info,
+        "queue.unknown",
+        { { "path", aRequest.path_ },
+          { "config_version", config_.version_ },
+          { "confirmed_ms_ago", MillisecondsBetween(operator_.ConfirmedAt(), clock_.Now()) },
+          { "fence", leadership_.FencingToken() } });
     aRespond(MakeResponse(JobResponseKind::NoQueue));
     return;
   }
--- a/src/prefix_feed.cpp
+++ b/src/prefix_feed.cpp
@@ -23,6 +23,7 @@
   if (inFlight_ || clock_.Now() < next_) {
     return;
   }
+  sentAt_ = clock_.Now();
   if (needsRange_) {
     incoming_.clear();
     incomingRevision_ = 0;
@@ -69,6 +70,7 @@
     ReadRange(aReply.records_.back().key_);
     return;
   }
+  confirmedAt_ = sentAt_;
   records_ = std::move(incoming_);
   incoming_.clear();
   revision_ = incomingRevision_;
@@ -90,6 +92,7 @@
     Retry();
     return;
   }
+  confirmedAt_ = sentAt_;
   next_ = clock_.Now() + settings_.gap_;
   for (const Record& record : aReply.records_) {
     const auto known = records_.find(record.key_);
