Ask for a state again after an attempt without an answer

A GET without an answer no longer counts as one that may have run, so that it was given up after the election timeout of 400 ms. An attempt takes 600 ms, hence a silent connection to the leader was never followed by a second attempt, although the link replaces the connection after the first.

Change: a request without effect that got no answer is tried for 1 s, time for a second attempt over a new connection. It is refused with 503 after that, never 504.

Test: RestartedLeaderTest.StateIsAskedForAgainAfterAnAttemptWithoutAnAnswer, 503 before, 200 with the change. StateIsRefusedAfterTheElectionTimeout holds as it was.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -33,6 +33,9 @@
 // How long a request that a leader may have accepted is retried at its successor. Retries, also by
 // the caller, are safe: they refer to the same job by its id.
 constexpr milliseconds kSuccessorRetryTime{ 1500 };
+// The same for a request without effect that got no answer: time for a second attempt over a new
+// connection, as the first may have gone silent.
+constexpr milliseconds kUnansweredRetryTime{ 1000 };
 constexpr milliseconds kMaxCallerTimeout{ 30000 };
 constexpr milliseconds kRetryAfter{ 1000 };
 constexpr milliseconds kMaxLoopWait{ 100 };
@@ -403,6 +406,7 @@
   const TimePoint deadline = begin + aCall.timeout_;
   const bool hasEffect = aCall.method_ != "GET";
   bool mayHaveRun = false;
+  milliseconds retryTime = kElectionTimeout;
   const auto settle = [&mayHaveRun](const CallerReply& aReply) {
     return mayHaveRun && !CoversEarlierAttempt(aReply) ? OutcomeUnknownReply("the owner changed")
                                                        : aReply;
@@ -421,8 +425,11 @@
         return settle(*answer.reply_);
       }
       mayHaveRun = mayHaveRun || (hasEffect && answer.mayHaveReached_);
+      if (answer.mayHaveReached_) {
+        retryTime = hasEffect ? kSuccessorRetryTime : kUnansweredRetryTime;
+      }
     }
-    if (clock_.Now() - begin > (mayHaveRun ? kSuccessorRetryTime : kElectionTimeout)) {
+    if (clock_.Now() - begin > retryTime) {
       break;
     }
     std::this_thread::sleep_for(kLeaderPollPeriod);
--- a/tests/restarted_leader_test.cpp
+++ b/tests/restarted_leader_test.cpp
@@ -168,6 +168,20 @@
   EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(1500));
 }
 
+// A state was refused after one attempt over a connection that had gone silent, so that callers
+// learned late of jobs that were done.
+TEST_F(RestartedLeaderTest, StateIsAskedForAgainAfterAnAttemptWithoutAnAnswer)
+{
+  std::atomic<int> calls{ 0 };
+  StartLeader([&calls](const json&, const NngPeerLink::Reply& aReply) {
+    if (++calls > 1) {
+      aReply(OwnerReply(200));
+    }
+  });
+  StartNode();
+  EXPECT_EQ(Send("GET").rfind("HTTP/1.1 200", 0), 0U);
+}
+
 // A leader that refuses has not run the request, and the caller must hear so.
 TEST_F(RestartedLeaderTest, RefusalOfTheLeaderIsPassedOn)
 {
