Let a leader without the store not deny queues by an old configuration

Cause: requests were routed by the last configuration that was read, however long ago. The class: an answer by state whose age is not known.

Evidence: with the check taken out ALeaderWithoutTheStoreDoesNotDenyANewQueue gets "no such queue", .StopsAnsweringForADroppedQueue a count, UnknownQueuesAreDeniedAgainAfterAnOutage "no such queue" after 10 s without the store; all pass with it.

A configuration that was confirmed longer ago than the time in which one must be in force denies no queue (503 with Retry-After). After the stretch for refused hosts a leader that has lost the majority of the witnesses refuses every request. Both limits come from the settings.

Tried and dropped: refusing every request after the stretch, whatever the witnesses say.

--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -16,6 +16,12 @@
   HostOperationTimes hosts_;
   /// How long the state of an ended job can be queried.
   std::chrono::milliseconds keepEnded_{ 120000 };
+  /// Age of the configuration up to which it denies queues that it does not name. It counts from
+  /// the read that last confirmed it.
+  std::chrono::milliseconds denyLimit_{ 2000 };
+  /// Age up to which requests for the queues that it names are handled, also by a leader that has
+  /// lost most backend servers to a possible successor.
+  std::chrono::milliseconds admitLimit_{ 7000 };
 };
 
 /// The control loop of the leader: accepts and stores jobs, places their tasks, tracks backend
@@ -57,7 +63,16 @@
   void Load(const std::string& aPrefix, const std::string& aAfter, size_t aPart);
   void OnLoaded(size_t aPart, const RecordReply& aReply);
   void RestoreState();
+  /// Applies what the operator has written, unless another leader may have been elected.
+  /// @returns Whether it has been read.
+  bool FollowOperator();
   void ReadOperator();
+  /// @returns Time since the store last confirmed the configuration in force.
+  std::chrono::milliseconds ConfigAge() const;
+  /// @returns Whether requests for queues of the configuration are handled.
+  bool MayAdmit() const;
+  /// Logs when the configuration gets too old to deny queues, and when it is confirmed again.
+  void LogConfigAge();
   void ReadRegistry();
 
   /// @returns Services of the configuration and of open jobs; entries of others are not used.
@@ -124,6 +139,9 @@
   std::map<std::string, ReadEntry> readEntries_; ///< By key.
   PrefixFeed operator_;
   FleetConfig config_;
+  bool operatorChanged_ = false;  ///< There are records that have not been applied.
+  TimePoint configConfirmedAt_{}; ///< See PrefixFeed::ConfirmedAt().
+  bool configOutdated_ = false;   ///< As last logged.
   std::map<int64_t, RolloutRequest> rollouts_;
 
   std::vector<PrefixFeed::Records> parts_;
--- a/include/sardinespoke/node_settings.h
+++ b/include/sardinespoke/node_settings.h
@@ -24,6 +24,10 @@
   std::chrono::milliseconds moveTime_{ 1500 };      ///< Duration of a host's move to another pool.
   std::chrono::milliseconds maintenanceTime_{ 2000 };
   std::chrono::milliseconds keepEnded_{ 120000 }; ///< How long the state of ended jobs is kept.
+  /// A configuration is in force everywhere this long after it was written.
+  std::chrono::milliseconds configApply_{ 2000 };
+  /// Added to configApply_ while the store refuses some entry hosts.
+  std::chrono::milliseconds configStretch_{ 5000 };
   std::string logLevel_ = "info";
 
   /// Parses and checks a settings file.
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -304,6 +304,52 @@
   return loaded_ && config_.version_ != 0 && registry_.IsLoaded();
 }
 
+bool
+JobControl::FollowOperator()
+{
+  operatorChanged_ = operator_.TakeChanged() || operatorChanged_;
+  const bool reads = operatorChanged_;
+  if (reads) {
+    operatorChanged_ = false;
+    ReadOperator();
+  }
+  if (!operatorChanged_) {
+    configConfirmedAt_ = operator_.ConfirmedAt();
+  }
+  LogConfigAge();
+  return reads;
+}
+
+milliseconds
+JobControl::ConfigAge() const
+{
+  return std::chrono::ceil<milliseconds>(clock_.Now() - configConfirmedAt_);
+}
+
+bool
+JobControl::MayAdmit() const
+{
+  // With a majority of the witnesses no other leader is known, as in an outage of the store for
+  // all, in which the operator cannot change the configuration either.
+  return ConfigAge() <= settings_.admitLimit_ ||
+         (leadership_.MaySendCommands() && runs_.MayExtendRuns());
+}
+
+void
+JobControl::LogConfigAge()
+{
+  const bool outdated = config_.version_ != 0 && ConfigAge() > settings_.denyLimit_;
+  if (outdated == configOutdated_) {
+    return;
+  }
+  configOutdated_ = outdated;
+  Log(outdated ? LogLevel::Warn : LogLevel::Info,
+      outdated ? "config.unconfirmed" : "config.confirmed",
+      { { "version", config_.version_ },
+        { "age_ms", ConfigAge().count() },
+        { "fence", leadership_.FencingToken() } });
+}
+
 void
 JobControl::ReadOperator()
 {
@@ -467,11 +513,8 @@
 void
 JobControl::TickLoaded()
 {
-  const bool operatorChanged = operator_.TakeChanged();
-  if (operatorChanged) {
-    ReadOperator();
-  }
-  if (registry_.TakeChanged() || operatorChanged) {
+  const bool operatorRead = FollowOperator();
+  if (registry_.TakeChanged() || operatorRead) {
     ReadRegistry();
   }
   if (!leadership_.MaySendCommands()) {
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -1,4 +1,3 @@
-#include "run_limits_p.h"
 #include "sardinespoke/job_control.h"
 
 #include "sardinespoke/logging.h"
@@ -177,12 +176,16 @@
 JobControl::Handle(const JobRequest& aRequest, const JobResponseCallback& aRespond)
 {
   const QueuePolicy* queue = FindQueue(aRequest.host_, aRequest.path_);
+  if (!(queue ? MayAdmit() : ConfigAge() <= settings_.denyLimit_)) {
+    aRespond(MakeResponse(JobResponseKind::Refused, "the configuration may have changed"));
+    return;
+  }
   if (!queue) {
     Log(LogLevel::Info,
         "queue.unknown",
         { { "path", aRequest.path_ },
           { "config_version", config_.version_ },
-          { "confirmed_ms_ago", MillisecondsBetween(operator_.ConfirmedAt(), clock_.Now()) },
+          { "confirmed_ms_ago", ConfigAge().count() },
           { "fence", leadership_.FencingToken() } });
     aRespond(MakeResponse(JobResponseKind::NoQueue));
     return;
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -53,6 +53,8 @@
       { "move_s", NumberSchema(kMaxSeconds, "seconds") },
       { "maintenance_s", NumberSchema(kMaxSeconds, "seconds") },
       { "keep_ended_s", NumberSchema(kMaxSeconds, "seconds") },
+      { "config_apply_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "config_stretch_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
       { "log", JsonSchema::OneOf({ "debug", "info", "warn", "error" }) } },
     { "id", "zone", "caller", "health", "peer", "store", "host_control" }));
   return kSchema;
@@ -115,6 +117,8 @@
   ReadSeconds(document, "move_s", settings.moveTime_);
   ReadSeconds(document, "maintenance_s", settings.maintenanceTime_);
   ReadSeconds(document, "keep_ended_s", settings.keepEnded_);
+  ReadMilliseconds(document, "config_apply_ms", settings.configApply_);
+  ReadMilliseconds(document, "config_stretch_ms", settings.configStretch_);
   settings.logLevel_ = document.value("log", settings.logLevel_);
   return settings;
 }
