Apply no newer configuration once the lease may be over

A leader whose renewals get no answer, but whose watch of the configuration still works, applies a version that its successor does not have yet: the successor read the configuration at its election, and its own watch may be on a connection that went silent. A host that goes over from the first to the second shows its callers the older version again.

Cause: the order of versions was kept within one leader, not across leaders.

Change: changes of the operator's records are applied only while the lease is certainly valid. The successor's first read comes after the lease has ended, so that it has every version that the last leader applied.

Test: StaleConfigurationTest.ALeaderWithoutALeaseAppliesNoNewerConfiguration, which failed before ("pending" for a queue of the newer version). The store of the tests can now lose the answers to renewals.

--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -308,7 +308,9 @@
 JobControl::FollowOperator()
 {
   operatorChanged_ = operator_.TakeChanged() || operatorChanged_;
-  const bool reads = operatorChanged_;
+  // A successor may have read the configuration before this version, so that callers would see it
+  // go back.
+  const bool reads = operatorChanged_ && leadership_.HoldsValidLease();
   if (reads) {
     operatorChanged_ = false;
     ReadOperator();
--- a/standins/memory_record_store.cpp
+++ b/standins/memory_record_store.cpp
@@ -19,7 +19,7 @@
 
 void
 MemoryRecordStore::Client::Call(const std::function<RecordReply()>& aEffect,
-                                bool aIsChange,
+                                bool aIsLost,
                                 const Done& aDone)
 {
   ++calls_;
@@ -36,11 +36,10 @@
     events.ScheduleAfter(kCallTimeout, [aDone] { aDone(RecordReply()); });
     return;
   }
-  const bool lost = aIsChange && fault_ == Fault::ResponsesLost;
-  events.ScheduleAfter(kCallLatency / 2, [&events, aEffect, aDone, lost] {
+  events.ScheduleAfter(kCallLatency / 2, [&events, aEffect, aDone, aIsLost] {
     const RecordReply reply = aEffect();
-    events.ScheduleAfter(lost ? kCallTimeout : kCallLatency / 2,
-                         [aDone, reply, lost] { aDone(lost ? RecordReply() : reply); });
+    events.ScheduleAfter(aIsLost ? kCallTimeout : kCallLatency / 2,
+                         [aDone, reply, aIsLost] { aDone(aIsLost ? RecordReply() : reply); });
   });
 }
 
@@ -68,7 +67,7 @@
 void
 MemoryRecordStore::Client::Commit(const RecordTransaction& aChange, Done aDone)
 {
-  Call([this, aChange] { return store_.Apply(aChange); }, true, aDone);
+  Call([this, aChange] { return store_.Apply(aChange); }, fault_ == Fault::ResponsesLost, aDone);
 }
 
 void
@@ -100,7 +99,7 @@
       }
       return reply;
     },
-    false,
+    fault_ == Fault::RenewalsLost,
     aDone);
 }
 
--- a/standins/memory_record_store.h
+++ b/standins/memory_record_store.h
@@ -19,6 +19,7 @@
     Unresponsive,  ///< Calls have no effect and get no response.
     Refusing,      ///< Calls are refused.
     ResponsesLost, ///< Transactions take effect; their responses are lost.
+    RenewalsLost,  ///< The same for renewals of leases.
     Count
   };
 
@@ -46,7 +47,7 @@
     size_t calls_ = 0;
 
   private:
-    void Call(const std::function<RecordReply()>& aEffect, bool aIsChange, const Done& aDone);
+    void Call(const std::function<RecordReply()>& aEffect, bool aIsLost, const Done& aDone);
 
     MemoryRecordStore& store_;
   };
--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -78,6 +78,21 @@
   EXPECT_EQ(AskPending("market"), JobResponseKind::Refused);
 }
 
+// CONFIG: a configuration that came back older. A leader whose lease may be over must not apply a
+// version that its successor, which has read the configuration earlier, may not have.
+TEST_F(StaleConfigurationTest, ALeaderWithoutALeaseAppliesNoNewerConfiguration)
+{
+  world_.StoreOf(0).fault_ = MemoryRecordStore::Fault::RenewalsLost;
+  world_.Run(seconds(3));
+  AddQueue("added");
+  world_.Run(seconds(1));
+  ASSERT_TRUE(world_.IsLeader(0));
+  EXPECT_NE(AskPending("added"), JobResponseKind::Pending);
+  world_.StoreOf(0).fault_ = MemoryRecordStore::Fault::None;
+  world_.Run(seconds(1));
+  EXPECT_EQ(AskPending("added"), JobResponseKind::Pending);
+}
+
 // The answer that a queue is unknown must come back once the store answers again.
 TEST_F(StaleConfigurationTest, UnknownQueuesAreDeniedAgainAfterAnOutage)
 {
