--- a/include/sardinespoke/prefix_feed.h
+++ b/include/sardinespoke/prefix_feed.h
@@ -35,8 +35,8 @@
   /// @returns True once after each change.
   bool TakeChanged();
 
-  /// @returns When the latest call that succeeded was sent. The copy has every change that the store
-  /// acknowledged before.
+  /// @returns When the latest call that succeeded was sent. The copy has every change that the
+  /// store acknowledged before.
   TimePoint ConfirmedAt() const { return confirmedAt_; }
 
   /// @returns When Tick() has something to do next.
