Log which commands are open when an incarnation ends

Change: backend.open_calls names the starts and the age and deadline of the newest lease without an answer; backend.unlisted the state of the host and the id that host control lists. No decision is changed.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -92,6 +92,7 @@
   bool hasInheritedLease_ = false; ///< leaseEnd_ is of the leader that resigned.
   TimePoint renewedUntil_{};       ///< End of the newest lease that a poll has asked for.
   int64_t renewedDeadline_ = 0;    ///< The same on its clock in ms.
+  TimePoint leasePollSentAt_{};    ///< Send time of the newest poll that asked for a lease.
   uint64_t lastPoll_ = 0;          ///< Number of the newest poll.
   uint64_t answeredPoll_ = 0;      ///< Number of the newest poll that got a response.
   TimePoint grantedUntil_{};       ///< End of the newest lease that a response has confirmed.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -265,6 +265,8 @@
                                       const char* aReason,
                                       IncarnationEnd aEnd);
   void DropAllRuns(BackendHandle aBackend);
+  /// Logs which starts and leases of an incarnation that ends got no response.
+  void LogOpenCalls(const Backend& aBackend) const;
   void ApplyEnd(BackendHandle aBackend, const EndedTask& aEnd);
   void UpdateFailureStreak(Backend& aBackend, const BackendRun* aRun, const EndedTask& aEnd);
   void RemoveMissing(BackendHandle aBackend,
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -175,6 +175,7 @@
   command.deadline_ = AskForLease(backend, aKind);
   command.wait_ = WaitOfPoll(backend, aKind);
   backend.lastPollAt_ = now;
+  backend.leasePollSentAt_ = command.deadline_ != 0 ? now : backend.leasePollSentAt_;
   backend.answerDueAt_ = now + command.wait_ + AnswerSlack(backend);
   ++backend.pollsInFlight_;
   const uint64_t number = ++backend.lastPoll_;
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 // A stop is repeated if its run still exists after this.
@@ -143,6 +144,11 @@
     }
     const HostEntry& host = found->second;
     if (host.state_ != HostState::Up || host.backend_ != backend.entry_.id_) {
+      Log(LogLevel::Info,
+          "backend.unlisted",
+          { { "backend", backend.entry_.id_ },
+            { "host_state", static_cast<int>(host.state_) },
+            { "listed", host.backend_ } });
       EndIncarnation(handle, "host control lists its host without it");
     }
   }
@@ -250,6 +256,7 @@
         { "host", backend.entry_.host_ },
         { "reason", aReason },
         { "runs", backend.runs_.size() } });
+  LogOpenCalls(backend);
   const std::vector<uint32_t> failedJobs = AttributeLoss(backend, aReason, aEnd);
   DropAllRuns(aBackend);
   endedIncarnations_[backend.entry_.id_] = backend.entry_.startTimeMs_;
@@ -263,6 +270,31 @@
   }
 }
 
+void
+RunTracker::LogOpenCalls(const Backend& aBackend) const
+{
+  const TimePoint now = clock_.Now();
+  json starts = json::array();
+  for (const BackendRun& run : aBackend.runs_) {
+    if (!run.everConfirmed_) {
+      starts.push_back({ { "task", run.id_.task_ },
+                         { "run", run.id_.run_ },
+                         { "age_ms", MillisecondsBetween(run.sentAt_, now) } });
+    }
+  }
+  const bool hasOpenLease = aBackend.leasePollSentAt_ > aBackend.answeredPollSentAt_;
+  if (starts.empty() && !hasOpenLease) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "backend.open_calls",
+      { { "backend", aBackend.entry_.id_ },
+        { "starts", std::move(starts) },
+        { "polls", aBackend.pollsInFlight_ },
+        { "lease_age_ms", hasOpenLease ? MillisecondsBetween(aBackend.leasePollSentAt_, now) : -1 },
+        { "lease_clock_ms", hasOpenLease ? aBackend.renewedDeadline_ : 0 } });
+}
+
 void
 RunTracker::UpdateFailureStreak(Backend& aBackend, const BackendRun* aRun, const EndedTask& aEnd)
 {
