Reproduce TWICE by commands that reach the next incarnation

Cause: not mended yet. The simulated backend server can execute a poll with a lease late, as it could a start before.

--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -459,6 +459,20 @@
               ended.end());
 }
 
+bool
+SimulatedFleet::AcceptPoll(Server& aServer, const PollCommand& aOrder)
+{
+  if (aOrder.fencingToken_ < aServer.fencingToken_) {
+    return false;
+  }
+  aServer.fencingToken_ = aOrder.fencingToken_;
+  if (aOrder.deadline_ != 0) {
+    ExtendLease(aServer, aOrder.deadline_);
+  }
+  AcknowledgeEnds(aServer, aOrder.acknowledgedUpTo_);
+  return true;
+}
+
 void
 SimulatedFleet::Client::Poll(const PollCommand& aOrder, OnPollResult aDone)
 {
@@ -468,24 +482,31 @@
     // The response to a poll that waited is lost as well.
     aDone(IsCut(aOrder.to_) ? PollResult() : aResult);
   };
-  const bool isReached = Reach(aOrder.to_) != nullptr;
+  Server* target = Reach(aOrder.to_);
+  if (target && target->behaviour_.pollsToDelay_ > 0 && aOrder.deadline_ != 0) {
+    --target->behaviour_.pollsToDelay_;
+    fleet.events_.ScheduleAfter(target->behaviour_.pollDelay_, [&fleet, aOrder] {
+      if (Server* server = fleet.FindReachable(aOrder.to_)) {
+        fleet.AcceptPoll(*server, aOrder);
+        ++fleet.latePolls_;
+      }
+    });
+    fleet.events_.ScheduleAfter(kCommandTimeout + aOrder.wait_, [done] { done(PollResult()); });
+    return;
+  }
+  const bool isReached = target != nullptr;
   fleet.events_.ScheduleAfter(kLatency, [&fleet, aOrder, done, isReached] {
     Server* server = isReached ? fleet.FindReachable(aOrder.to_) : nullptr;
     if (!server || server->behaviour_.losesPolls_ || server->behaviour_.losesAnswers_) {
       fleet.events_.ScheduleAfter(kCommandTimeout, [done] { done(PollResult()); });
       return;
     }
-    if (aOrder.fencingToken_ < server->fencingToken_) {
+    if (!fleet.AcceptPoll(*server, aOrder)) {
       PollResult fenced;
       static_cast<CommandResult&>(fenced) = fleet.MakeResult(*server, CommandOutcome::Fenced);
       done(fenced);
       return;
     }
-    server->fencingToken_ = aOrder.fencingToken_;
-    if (aOrder.deadline_ != 0) {
-      fleet.ExtendLease(*server, aOrder.deadline_);
-    }
-    fleet.AcknowledgeEnds(*server, aOrder.acknowledgedUpTo_);
     if (aOrder.wait_ > milliseconds(0) && server->ended_.empty()) {
       server->pendingPolls_.push_back(
         PendingPoll{ aOrder.acknowledgedUpTo_, fleet.clock_.Now() + aOrder.wait_, done });
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -41,6 +41,9 @@
     bool unresponsive_ = false; ///< Neither receives nor answers commands.
     bool delaysStarts_ = false; ///< Executes start commands late without answering them.
     std::chrono::milliseconds startDelay_{ 1000 }; ///< Delay of such a start.
+    /// Polls with a lease that it executes late without answering them, from the next one on.
+    size_t pollsToDelay_ = 0;
+    std::chrono::milliseconds pollDelay_{ 1000 }; ///< Delay of such a poll.
     bool losesStops_ = false; ///< Stop commands have no effect and get no answer.
     bool losesPolls_ = false; ///< Polls have no effect and get no answer.
     /// Additional time until the answer to a poll that waited for an end arrives.
@@ -171,6 +174,8 @@
   const FleetViolations& Violations() const { return violations_; }
   size_t Starts() const { return starts_; }
   size_t Polls() const { return looks_; }
+  /// @returns Delayed polls that have arrived.
+  size_t LatePolls() const { return latePolls_; }
   size_t Maintained() const { return maintained_.size(); }
   size_t RunsOf(const std::string& aTask) const;
   size_t StartsOf(const std::string& aTask) const;
@@ -237,6 +242,9 @@
   void SaveCheckpoint(Run& aRun);
   void AdvanceRuns(Server& aServer);
   void AcknowledgeEnds(Server& aServer, int64_t aAcknowledgedUpTo);
+  /// Executes a poll.
+  /// @returns False if the server has seen a higher fencing token.
+  bool AcceptPoll(Server& aServer, const PollCommand& aOrder);
   CommandResult ApplyHostCommand(const HostCommand& aOrder);
   void RecordViolation(size_t& aCounter, const std::string& aWhat);
   void ScheduleEntryRemoval(const std::string& aId);
@@ -266,6 +274,7 @@
   size_t starts_ = 0;
   std::map<std::string, size_t> startsOf_;
   size_t looks_ = 0;
+  size_t latePolls_ = 0;
   size_t nextId_ = 1;
 
 public:
