Give each incarnation of a backend server a fencing token of its own

Cause: a poll with a lease to the earlier incarnation reached the next one. The id in the call is the same, the fencing token too, and the deadline is on the earlier clock, far ahead of the new one, so that it was shortened to the longest lease from its arrival. The leader counted only its own leases. Ruled out: a clock that the leader mixed up itself (backend.open_calls shows the poll without an answer at backend.restarted), two leaders (one token). Change: commands to an incarnation carry one token more than those to the earlier one, so that it refuses these from its first answer on; only then it gets work, and until then its lease counts as the longest. The tokens stay at or below the revision of the last change that this leader knows to have taken effect; the record of any later leader has a higher one, also of an earlier release.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -39,6 +39,7 @@
   bool isAdopted_ = false;     ///< An earlier leader started it.
   bool isSuspect_ = false;     ///< Backend servers have crashed under its task.
   int64_t deadline_ = 0; ///< On the backend server's clock, in ms; it refuses a start after this.
+  int64_t fencingToken_ = 0; ///< Of the start command, or of its incarnation if adopted.
   TimePoint stopSentAt_{};
   TimePoint stopDoneAt_{}; ///< When the stop was acknowledged; unset until then.
   bool stopDone_ = false;
@@ -72,6 +73,12 @@
   bool hasEnded_ = false;        ///< The incarnation has ended; it runs nothing.
   /// The next incarnation under the same id, once known; it may get commands sent to this one.
   BackendHandle next_;
+  /// Of the commands to this incarnation; higher than that of earlier ones under the same id.
+  int64_t fencingToken_ = 0;
+  int64_t number_ = 0; ///< Of the earlier incarnations under its id that this leader has known.
+  /// It has answered a poll with its own fencing token: commands to earlier incarnations that reach
+  /// it from then on have no effect.
+  bool refusesEarlier_ = false;
   /// When a response first seemed to be of the next incarnation; only a later poll tells.
   std::optional<TimePoint> restartSuspectedAt_;
   /// The store has a record of it, so that a later leader waits for its response.
@@ -116,6 +123,9 @@
   uint32_t bestEffortCpuPercent_ = 100; ///< Limit of the processor time of best-effort tasks.
   TimePoint belowTargetSince_{}; ///< Since then every task was well below its latency target.
 
+  /// @param aLeadersToken Fencing token of the leader.
+  bool HasOwnToken(int64_t aLeadersToken) const { return fencingToken_ == aLeadersToken + number_; }
+
   BackendAddress Address() const { return BackendAddress{ entry_.id_, entry_.address_ }; }
 
   /// @returns True while a poll is open and the newest one has no response.
--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -52,6 +52,10 @@
   /// @returns Revision of the last transaction that is known to have taken effect.
   int64_t Revision() const { return revision_; }
 
+  /// @returns Revision of the last transaction of this leader that is known to have taken effect; 0
+  /// if there is none. The record of any later leader has a higher one.
+  int64_t OwnRevision() const { return ownRevision_; }
+
   /// Stores a job that was just added.
   void Submit(uint32_t aJob, Done aDone);
 
@@ -152,6 +156,7 @@
   Leadership& leadership_;
   Metrics& metrics_;
   int64_t revision_ = 0;
+  int64_t ownRevision_ = 0;
   std::vector<Waiter> waiters_;
   std::vector<uint32_t> submitted_; ///< Submitted jobs that are not yet in a batch.
   ProgressQueue progress_;          ///< Jobs with changed progress that are not yet in a batch.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -108,6 +108,10 @@
   /// show that no other host has taken over; see WitnessQuorum.
   void SetLeaseState(LeaseState aState);
 
+  /// Call before Tick().
+  /// @param aToken Fencing tokens up to this one are lower than those of all later leaders.
+  void SetHighestToken(int64_t aToken) { highestToken_ = aToken; }
+
   /// @returns True if runs may be started and their leases renewed.
   bool MayExtendRuns() const { return mayExtendRuns_; }
 
@@ -203,6 +207,10 @@
                    int64_t aRun,
                    const std::string& aCheckpoint);
 
+  /// Adds an incarnation with a fencing token of its own.
+  BackendHandle AddIncarnation(const BackendEntry& aEntry);
+  /// Gives an incarnation its own fencing token, unless a later leader could have that one.
+  void RaiseToken(Backend& aBackend) const;
   void EndReplacedIncarnations();
   void EndReplacedBy(BackendHandle aBackend);
   void CheckRestart(BackendHandle aBackend, const BackendEntry& aEntry);
@@ -221,9 +229,14 @@
   void OnStartRefused(BackendHandle aBackend, const RunId& aRun, const CommandResult& aResult);
   void OnStopped(BackendHandle aBackend,
                  const RunId& aRun,
+                 int64_t aToken,
                  TimePoint aSent,
                  const CommandResult& aResult);
 
+  /// Notes whether a backend server has refused a command for the token of another leader.
+  /// @param aToken Fencing token of the command.
+  void NoteFenced(const Backend& aBackend, int64_t aToken, const CommandResult& aResult);
+
   /// Polls a backend server if a response seems to be of its next incarnation.
   /// @returns True if it does; its clock must not be read then.
   bool SuspectRestart(BackendHandle aBackend, TimePoint aSent, const CommandResult& aResult);
@@ -232,16 +245,25 @@
   BackendHandle BeginNext(BackendHandle aBackend, const BackendEntry& aEntry, const char* aReason);
   void CarryOver(BackendRun aRun, BackendHandle aFrom, BackendHandle aTo);
   /// Stops late starts that this incarnation would still carry out.
-  /// @param aClock Its clock in ms.
-  void StopLateStarts(BackendHandle aBackend, int64_t aClock);
+  /// @param aToken Fencing token of the poll that it has answered.
+  void StopLateStarts(BackendHandle aBackend, int64_t aToken, const PollResult& aResult);
   LateStart* FindLateStart(const std::string& aBackend, const RunId& aRun);
   /// Notes that the start, or a copy of it, has reached a backend server.
   void SettleLateStart(BackendHandle aBackend, const RunId& aRun);
   void ForgetOldLateStarts();
-  void OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult);
-  void OnPollFailed(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
+  void OnPollResult(BackendHandle aPolled,
+                    TimePoint aSent,
+                    int64_t aToken,
+                    const PollResult& aResult);
+  void OnPollFailed(BackendHandle aBackend,
+                    TimePoint aSent,
+                    int64_t aToken,
+                    const PollResult& aResult);
   void NoteCutOffEnds(Backend& aBackend, const PollResult& aResult);
-  void ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult);
+  void ApplyRunning(BackendHandle aBackend,
+                    TimePoint aSent,
+                    int64_t aToken,
+                    const PollResult& aResult);
   void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent, int64_t aClock);
   /// @param aClock Clock of its backend server in ms.
   void Confirm(BackendRun& aRun, const RunningTask& aRunning, int64_t aClock);
@@ -271,6 +293,7 @@
   void UpdateFailureStreak(Backend& aBackend, const BackendRun* aRun, const EndedTask& aEnd);
   void RemoveMissing(BackendHandle aBackend,
                      TimePoint aSent,
+                     int64_t aToken,
                      const PollResult& aResult,
                      const std::vector<RunId>& aListed);
   void DropRun(BackendHandle aBackend, const RunId& aRun, const std::string& aCheckpoint);
@@ -308,6 +331,7 @@
   const ClockI& clock_;
   const RunLimits limits_;
   const int64_t fencingToken_;
+  int64_t highestToken_ = 0;
   int64_t nextRun_;
   const TimePoint leaderSince_;
   LeaseState lease_ = LeaseState::Valid;
@@ -332,6 +356,7 @@
   /// When hosts were lost, by rack and host.
   std::map<std::string, std::map<std::string, TimePoint>> lostHosts_;
   std::map<std::string, std::vector<LateStart>> lateStarts_; ///< By id of the backend server.
+  std::map<std::string, int64_t> incarnations_; ///< Number of them that were known, by id.
   /// Start time of the latest ended incarnation by id.
   std::map<std::string, int64_t> endedIncarnations_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/best_effort.cpp
+++ b/src/best_effort.cpp
@@ -39,7 +39,7 @@
     const RunId id = run.id_;
     const std::weak_ptr<bool> alive = alive_;
     commands_.Throttle(
-      ThrottleCommand{ backend.Address(), id, percent, leadership_.FencingToken() },
+      ThrottleCommand{ backend.Address(), id, percent, backend.fencingToken_ },
       [this, alive, aBackend, id, percent](const CommandResult& aResult) {
         BackendRun* throttled = alive.lock() ? backends_.At(aBackend).FindRun(id) : nullptr;
         if (!throttled) {
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -523,6 +523,7 @@
     return;
   }
   runs_.SetLeaseState(leadership_.Lease());
+  runs_.SetHighestToken(journal_.OwnRevision());
   const TimePoint now = clock_.Now();
   if (now >= nextHousekeeping_) {
     nextHousekeeping_ = now + kHousekeepingPeriod;
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -403,6 +403,7 @@
   stallLogged_ = false;
   uncertain_ = false;
   revision_ = aRevision;
+  ownRevision_ = aRevision;
   hasBatch_ = false;
   for (const uint32_t job : batch_.jobs_) {
     jobs_.At(job).stored_ = true;
--- a/src/run_limits_p.h
+++ b/src/run_limits_p.h
@@ -22,6 +22,10 @@
 /// Longest delay before a poll without a response is repeated.
 constexpr std::chrono::milliseconds kPollRetryMax{ 500 };
 
+/// A command without a response may be carried out this long after it was sent. The platform names
+/// no bound but seconds.
+constexpr std::chrono::milliseconds kLateCommandLimit{ 15000 };
+
 /// @returns Time between two points in ms, for the log.
 inline int64_t
 MillisecondsBetween(std::chrono::steady_clock::time_point aFrom,
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -44,7 +44,8 @@
 RunTracker::NeedsPoll(const Backend& aBackend) const
 {
   const bool mayStartLate = lateStarts_.count(aBackend.entry_.id_) > 0;
-  if (!aBackend.verified_) {
+  const bool awaitsOwnToken = !aBackend.refusesEarlier_ && aBackend.HasOwnToken(fencingToken_);
+  if (!aBackend.verified_ || awaitsOwnToken) {
     return aBackend.registered_ || mayStartLate || !IsLeaseOver(aBackend);
   }
   return (mayStartLate && clock_.Now() >= aBackend.nextIdlePollAt_) || !aBackend.runs_.empty() ||
@@ -169,7 +170,7 @@
   Backend& backend = backends_.At(aBackend);
   PollCommand command;
   command.to_ = backend.Address();
-  command.fencingToken_ = fencingToken_;
+  command.fencingToken_ = backend.fencingToken_;
   const bool isKnown = backend.failedPolls_ == 0 && !backend.restartSuspectedAt_;
   command.acknowledgedUpTo_ = backend.verified_ && isKnown ? backend.endsStored_ : 0;
   command.deadline_ = AskForLease(backend, aKind);
@@ -194,7 +195,7 @@
       ObserveAnswer(now, command.wait_);
       ConfirmLease(answered, command.deadline_, aResult.clock_);
     }
-    OnPollResult(aBackend, now, aResult);
+    OnPollResult(aBackend, now, command.fencingToken_, aResult);
   });
 }
 
@@ -228,11 +229,14 @@
 }
 
 void
-RunTracker::OnPollFailed(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
+RunTracker::OnPollFailed(BackendHandle aBackend,
+                         TimePoint aSent,
+                         int64_t aToken,
+                         const PollResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
   if (aResult.outcome_ == CommandOutcome::Fenced) {
-    fenced_ = true;
+    NoteFenced(backend, aToken, aResult);
     return;
   }
   if (aResult.outcome_ == CommandOutcome::OtherIncarnation) {
@@ -262,13 +266,16 @@
 }
 
 void
-RunTracker::OnPollResult(BackendHandle aPolled, TimePoint aSent, const PollResult& aResult)
+RunTracker::OnPollResult(BackendHandle aPolled,
+                         TimePoint aSent,
+                         int64_t aToken,
+                         const PollResult& aResult)
 {
   if (backends_.At(aPolled).hasEnded_) {
     return;
   }
   if (aResult.outcome_ != CommandOutcome::Done) {
-    OnPollFailed(aPolled, aSent, aResult);
+    OnPollFailed(aPolled, aSent, aToken, aResult);
     return;
   }
   const BackendHandle current = FollowRestart(aPolled, aResult);
@@ -280,9 +287,15 @@
     changed_ = true;
   }
   NoteCutOffEnds(backend, aResult);
+  const TimePoint longestLeaseEnd = now + WithClockDrift(limits_.holdMax_);
+  if (current == aPolled && !backend.refusesEarlier_ && aToken == fencingToken_ + backend.number_) {
+    // From here on it refuses commands of other leaders and to earlier incarnations.
+    backend.refusesEarlier_ = true;
+    backend.leaseEnd_ = std::min(backend.leaseEnd_, longestLeaseEnd);
+  }
   if (!backend.verified_ || backend.failedPolls_ > 0) {
-    // From here on it refuses other leaders, whatever lease they have asked for.
-    backend.leaseEnd_ = std::min(backend.leaseEnd_, now + WithClockDrift(limits_.holdMax_));
+    backend.leaseEnd_ =
+      backend.refusesEarlier_ ? std::min(backend.leaseEnd_, longestLeaseEnd) : backend.leaseEnd_;
     backend.verified_ = true;
     backend.failedPolls_ = 0;
     changed_ = true;
@@ -302,8 +315,8 @@
   }
   if (aSent >= backend.answeredPollSentAt_) {
     backend.answeredPollSentAt_ = aSent;
-    ApplyRunning(current, aSent, aResult);
-    StopLateStarts(current, aResult.clock_);
+    ApplyRunning(current, aSent, aToken, aResult);
+    StopLateStarts(current, aToken, aResult);
   }
   backend.nextIdlePollAt_ = now + kIdlePollPeriod;
   const bool waitedForEnd = aResult.ended_.empty() && !backend.runs_.empty();
@@ -332,7 +345,10 @@
 }
 
 void
-RunTracker::ApplyRunning(BackendHandle aBackend, TimePoint aSent, const PollResult& aResult)
+RunTracker::ApplyRunning(BackendHandle aBackend,
+                         TimePoint aSent,
+                         int64_t aToken,
+                         const PollResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
   std::vector<RunId> listed;
@@ -347,7 +363,7 @@
   }
   // With further ends to come, a run in neither list may be one that has ended.
   if (!aResult.hasMoreEnds_) {
-    RemoveMissing(aBackend, aSent, aResult, listed);
+    RemoveMissing(aBackend, aSent, aToken, aResult, listed);
   }
 }
 
@@ -382,6 +398,7 @@
   BackendRun run;
   run.id_ = aRunning.run_;
   run.isAdopted_ = true;
+  run.fencingToken_ = backend.fencingToken_;
   run.everConfirmed_ = true;
   run.confirmedAt_ = aSent;
   run.sentAt_ = aSent;
@@ -425,6 +442,7 @@
 void
 RunTracker::RemoveMissing(BackendHandle aBackend,
                           TimePoint aSent,
+                          int64_t aToken,
                           const PollResult& aResult,
                           const std::vector<RunId>& aListed)
 {
@@ -441,9 +459,11 @@
       run.phase_ == RunPhase::Stopping && run.stopDone_ && run.stopDoneAt_ < aSent;
     const bool expired = run.deadline_ != 0 && aResult.clock_ > run.deadline_ &&
                          run.phase_ != RunPhase::Starting && !run.everConfirmed_;
-    if (seenBefore || stopped || expired) {
+    const bool refused = run.fencingToken_ < aToken;
+    if (seenBefore || stopped || expired || refused) {
       gone.push_back(run.id_);
-      const char* unlisted = stopped ? "stopped" : "deadline over";
+      const char* notBegun = refused ? "sent to an earlier incarnation" : "deadline over";
+      const char* unlisted = stopped ? "stopped" : notBegun;
       Log(LogLevel::Info,
           "run.gone",
           { { "task", run.id_.task_ },
--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -14,9 +14,6 @@
 
 using std::chrono::milliseconds;
 
-// A start without a response may be carried out this long after it was sent. The platform names no
-// bound but seconds.
-constexpr milliseconds kLateStartLimit{ 15000 };
 constexpr char kHostTaken[] = "a newer backend server has its host";
 constexpr char kAddressTaken[] = "a newer backend server has its address";
 
@@ -125,18 +122,13 @@
 BackendHandle
 RunTracker::BeginNext(BackendHandle aBackend, const BackendEntry& aEntry, const char* aReason)
 {
-  const TimePoint now = clock_.Now();
-  const BackendHandle next = backends_.Add(aEntry);
+  const BackendHandle next = AddIncarnation(aEntry);
   Backend& earlier = backends_.At(aBackend);
   Backend& backend = backends_.At(next);
   // It may be of another kind, so that it gets no work before the registry lists it.
   backend.registered_ = earlier.registered_ && earlier.successor_ &&
                         earlier.successor_->startTimeMs_ == aEntry.startTimeMs_;
   backend.unreconciled_ = earlier.unreconciled_;
-  backend.leaseEnd_ = now + WithClockDrift(kStartDeadline);
-  if (earlier.unreconciled_) {
-    backend.leaseEnd_ = std::max(backend.leaseEnd_, earlier.leaseEnd_);
-  }
   size_t carried = 0;
   for (const BackendRun& run : earlier.runs_) {
     // The others have ended with the incarnation that ran them.
@@ -146,10 +138,6 @@
       ++carried;
     }
   }
-  if (carried > 0) {
-    // The deadline of a start is on the earlier clock, so its lease may be the longest.
-    backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(limits_.holdMax_));
-  }
   Log(LogLevel::Info,
       "backend.restarted",
       { { "backend", backend.entry_.id_ }, { "carried", carried } });
@@ -168,6 +156,7 @@
       Stop(next, run);
     }
   }
+  SendPoll(next);
   return next;
 }
 
@@ -231,14 +220,14 @@
   const TimePoint now = clock_.Now();
   for (auto& [id, starts] : lateStarts_) {
     std::erase_if(starts, [now](const LateStart& aStart) {
-      return now - aStart.run_.sentAt_ > kLateStartLimit;
+      return now - aStart.run_.sentAt_ > kLateCommandLimit;
     });
   }
   std::erase_if(lateStarts_, [](const auto& aStarts) { return aStarts.second.empty(); });
 }
 
 void
-RunTracker::StopLateStarts(BackendHandle aBackend, int64_t aClock)
+RunTracker::StopLateStarts(BackendHandle aBackend, int64_t aToken, const PollResult& aResult)
 {
   Backend& backend = backends_.At(aBackend);
   const auto starts = lateStarts_.find(backend.entry_.id_);
@@ -246,7 +235,8 @@
     return;
   }
   for (const LateStart& start : starts->second) {
-    const bool isRefused = start.stoppedOn_ == aBackend || aClock > start.run_.deadline_;
+    const bool isRefused = start.stoppedOn_ == aBackend || start.run_.fencingToken_ < aToken ||
+                           aResult.clock_ > start.run_.deadline_;
     if (isRefused || backend.FindRun(start.run_.id_)) {
       continue;
     }
--- a/src/run_starts.cpp
+++ b/src/run_starts.cpp
@@ -34,6 +34,7 @@
   run.sentAt_ = now;
   run.progressAt_ = now;
   run.deadline_ = backend.ClockNow(now) + kStartDeadline.count();
+  run.fencingToken_ = backend.fencingToken_;
   run.resources_ = spec.Need();
   run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
   run.isBestEffort_ = spec.bestEffort_;
@@ -56,7 +57,7 @@
   command.checkpoint_ = jobs_.CheckpointOf(aTask);
   command.ticket_ = aTicket;
   command.deadline_ = run.deadline_;
-  command.fencingToken_ = fencingToken_;
+  command.fencingToken_ = backend.fencingToken_;
   backend.leaseEnd_ = std::max(backend.leaseEnd_, now + WithClockDrift(kStartDeadline));
   jobs_.Activate(aTask, aRun, aBackend, now);
   backends_.AddRun(aBackend, std::move(run));
@@ -135,7 +136,10 @@
       }
       return;
     case CommandOutcome::Fenced:
-      fenced_ = true;
+      // The next incarnation refuses commands to this one; its lists of runs tell what it runs.
+      if (latest == aBackend) {
+        NoteFenced(backend, aCommand.fencingToken_, aResult);
+      }
       return;
     case CommandOutcome::OtherIncarnation:
       if (latest == aBackend) {
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -42,10 +42,36 @@
 }
 
 BackendHandle
-RunTracker::AddRecorded(const BackendEntry& aEntry)
+RunTracker::AddIncarnation(const BackendEntry& aEntry)
 {
   const BackendHandle handle = backends_.Add(aEntry);
   Backend& backend = backends_.At(handle);
+  backend.number_ = incarnations_[aEntry.id_]++;
+  backend.fencingToken_ = fencingToken_;
+  RaiseToken(backend);
+  const TimePoint now = clock_.Now();
+  if (backend.number_ > 0 || now - leaderSince_ < kLateCommandLimit) {
+    // A late lease of an earlier incarnation would be the longest, as the clock began anew.
+    backend.leaseEnd_ = now + WithClockDrift(limits_.holdMax_ + kStartDeadline);
+  }
+  return handle;
+}
+
+void
+RunTracker::RaiseToken(Backend& aBackend) const
+{
+  // The id alone does not keep a command to an earlier incarnation from it.
+  const int64_t token = fencingToken_ + aBackend.number_;
+  if (token <= highestToken_) {
+    aBackend.fencingToken_ = token;
+  }
+}
+
+BackendHandle
+RunTracker::AddRecorded(const BackendEntry& aEntry)
+{
+  const BackendHandle handle = AddIncarnation(aEntry);
+  Backend& backend = backends_.At(handle);
   backend.recorded_ = true;
   backend.unreconciled_ = true;
   // Until CheckTakeover(), an earlier leader may still renew it.
@@ -79,7 +105,7 @@
       }
     }
     if (!handle.IsValid()) {
-      handle = backends_.Add(entry);
+      handle = AddIncarnation(entry);
       changed_ = true;
     }
     Backend& backend = backends_.At(handle);
@@ -101,9 +127,9 @@
 RunTracker::IsUsable(const Backend& aBackend) const
 {
   return aBackend.registered_ && aBackend.verified_ && aBackend.recorded_ && !aBackend.hasEnded_ &&
-         !aBackend.cordoned_ && !aBackend.entry_.draining_ && aBackend.failedPolls_ == 0 &&
-         aBackend.clock_ != 0 && !aBackend.restartSuspectedAt_ && !aBackend.listedGone_ &&
-         aBackend.ejectedUntil_ <= clock_.Now();
+         aBackend.refusesEarlier_ && !aBackend.cordoned_ && !aBackend.entry_.draining_ &&
+         aBackend.failedPolls_ == 0 && aBackend.clock_ != 0 && !aBackend.restartSuspectedAt_ &&
+         !aBackend.listedGone_ && aBackend.ejectedUntil_ <= clock_.Now();
 }
 
 std::set<std::string>
@@ -164,10 +190,11 @@
   const RunId id = aRun.id_;
   const std::weak_ptr<bool> alive = alive_;
   commands_.Stop(
-    StopCommand{ backend.Address(), id, fencingToken_ },
-    [this, alive, aBackend, id, sent = aRun.stopSentAt_](const CommandResult& aResult) {
+    StopCommand{ backend.Address(), id, backend.fencingToken_ },
+    [this, alive, aBackend, id, token = backend.fencingToken_, sent = aRun.stopSentAt_](
+      const CommandResult& aResult) {
       if (alive.lock()) {
-        OnStopped(aBackend, id, sent, aResult);
+        OnStopped(aBackend, id, token, sent, aResult);
       }
     });
 }
@@ -175,6 +202,7 @@
 void
 RunTracker::OnStopped(BackendHandle aBackend,
                       const RunId& aRun,
+                      int64_t aToken,
                       TimePoint aSent,
                       const CommandResult& aResult)
 {
@@ -183,9 +211,7 @@
     return; // The next incarnation gets its own stop command.
   }
   ReadClock(backend, aSent, aResult);
-  if (aResult.outcome_ == CommandOutcome::Fenced) {
-    fenced_ = true;
-  }
+  NoteFenced(backend, aToken, aResult);
   if (aResult.outcome_ == CommandOutcome::OtherIncarnation) {
     EndIncarnation(aBackend, "another incarnation answers", IncarnationEnd::Replaced);
     return;
@@ -207,6 +233,15 @@
   }
 }
 
+void
+RunTracker::NoteFenced(const Backend& aBackend, int64_t aToken, const CommandResult& aResult)
+{
+  // One that was sent before the token was raised has been refused for a later one of ours.
+  if (aResult.outcome_ == CommandOutcome::Fenced && aToken >= aBackend.fencingToken_) {
+    fenced_ = true;
+  }
+}
+
 void
 RunTracker::StopJob(uint32_t aJob)
 {
@@ -415,6 +450,10 @@
         Stop(handle, run);
       }
     }
+    if (!backend.HasOwnToken(fencingToken_)) {
+      RaiseToken(backend);
+      backend.nextPollAt_ = backend.HasOwnToken(fencingToken_) ? now : backend.nextPollAt_;
+    }
     const bool isDue = !backend.HasOpenPoll() && now >= backend.nextPollAt_ && NeedsPoll(backend);
     if (isDue || LacksLease(backend)) {
       SendPoll(handle);
