Hold a task whose start may still reach the next incarnation

Cause: a start had no answer when its backend server went down. Host control listed the host as down, so the leader dropped the run and started the task elsewhere; the server came back under its old id and carried the first start out. A restart that a poll shows carries such runs over, an end that host control shows did not: the same loss was decided in two places. Change: such a task stays active until the next incarnation has answered a poll with its own token (if it has begun the run, the run goes on), the host has another backend server, or the start is 7 s old (LOST counts from 9 s). The same after a lapsed lease. Measured: StartDoesNotRunBesideItsReplacement and StartThatTheNextOneHasCarriedOutGoesOn failed before and pass; 385 unit tests around runs, restarts, leaders and cancels pass.

--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -44,6 +44,7 @@
   Unplanned, ///< It has crashed, or its host has failed.
   Uncertain, ///< It does not respond and the lease of its runs is over; it may return.
   Replaced,  ///< Another backend server answers for it, and refuses the starts in flight.
+  HostDown,  ///< It has crashed, and host control lists no other backend server on its host.
   Count
 };
 
@@ -173,6 +174,8 @@
     /// Last incarnation that has acknowledged its stop, or that a copy of it has reached.
     BackendHandle stoppedOn_;
     bool hasCopies_ = false; ///< It was sent again; any of the copies may still be in flight.
+    /// The lost incarnation whose task stays active, so that it does not start elsewhere yet.
+    BackendHandle heldFor_;
   };
 
   enum class PollKind
@@ -248,6 +251,8 @@
   /// @param aToken Fencing token of the poll that it has answered.
   void StopLateStarts(BackendHandle aBackend, int64_t aToken, const PollResult& aResult);
   LateStart* FindLateStart(const std::string& aBackend, const RunId& aRun);
+  /// @returns The record of a start that may still be carried out.
+  LateStart& RememberStart(const std::string& aBackend, const BackendRun& aRun);
   /// Notes that the start, or a copy of it, has reached a backend server.
   void SettleLateStart(BackendHandle aBackend, const RunId& aRun);
   void ForgetOldLateStarts();
@@ -286,7 +291,31 @@
   std::vector<uint32_t> AttributeLoss(const Backend& aBackend,
                                       const char* aReason,
                                       IncarnationEnd aEnd);
-  void DropAllRuns(BackendHandle aBackend);
+  /// @param aMayReturn Whether a later incarnation may carry out the starts in flight.
+  void DropAllRuns(BackendHandle aBackend, bool aMayReturn);
+  /// @returns True if a start of the run may reach the next incarnation, or has reached it.
+  bool MayReachNext(const Backend& aBackend, const BackendRun& aRun);
+  /// Remembers the start of a lost run. Its task stays active until it is certain that the run does
+  /// not begin.
+  void Hold(BackendHandle aBackend, const BackendRun& aRun);
+  bool HoldsTasks() const;
+  void ReleaseHeld(LateStart& aStart, const char* aReason);
+  void ReleaseOverdue();
+  /// Ends the hold on the task of a run that has ended.
+  void ReleaseEnded(BackendHandle aBackend, const EndedTask& aEnd);
+  /// @returns True if a backend server does not come back to its host.
+  static bool IsReplaced(const HostEntry& aHost, const std::string& aBackend)
+  {
+    return aHost.state_ == HostState::Moving || aHost.state_ == HostState::Maintenance ||
+           (!aHost.backend_.empty() && aHost.backend_ != aBackend);
+  }
+  /// Releases the tasks held for backend servers whose host has another one.
+  void ReleaseReplaced(const std::map<std::string, HostEntry>& aHosts, TimePoint aAskedAt);
+  /// Frees a task whose run is lost, once its end cannot be one that another leader knows.
+  void LoseTask(const TaskRef& aTask,
+                BackendHandle aBackend,
+                int64_t aRun,
+                const std::string& aCheckpoint);
   /// Logs which starts and leases of an incarnation that ends got no response.
   void LogOpenCalls(const Backend& aBackend) const;
   void ApplyEnd(BackendHandle aBackend, const EndedTask& aEnd);
--- a/src/run_crashes.cpp
+++ b/src/run_crashes.cpp
@@ -161,18 +161,31 @@
 }
 
 void
-RunTracker::DropAllRuns(BackendHandle aBackend)
+RunTracker::DropAllRuns(BackendHandle aBackend, bool aMayReturn)
 {
   const Backend& backend = backends_.At(aBackend);
   while (!backend.runs_.empty()) {
-    const BackendRun& run = backend.runs_.back();
-    const RunId id = run.id_;
-    if (lease_ == LeaseState::Over && run.task_) {
-      deferredLosses_.push_back(LostRun{ *run.task_, aBackend, id.run_, run.checkpoint_ });
-      backends_.RemoveRun(aBackend, id);
-      continue;
+    const BackendRun run = backend.runs_.back();
+    backends_.RemoveRun(aBackend, run.id_);
+    if (aMayReturn && MayReachNext(backend, run)) {
+      Hold(aBackend, run);
+    } else if (run.task_) {
+      LoseTask(*run.task_, aBackend, run.id_.run_, run.checkpoint_);
     }
-    DropRun(aBackend, id, "");
+    changed_ = true;
+  }
+}
+
+void
+RunTracker::LoseTask(const TaskRef& aTask,
+                     BackendHandle aBackend,
+                     int64_t aRun,
+                     const std::string& aCheckpoint)
+{
+  if (lease_ == LeaseState::Over) {
+    deferredLosses_.push_back(LostRun{ aTask, aBackend, aRun, aCheckpoint });
+  } else {
+    ReleaseTask(aTask, aBackend, aRun, aCheckpoint);
   }
 }
 
--- a/src/run_limits_p.h
+++ b/src/run_limits_p.h
@@ -26,6 +26,10 @@
 /// no bound but seconds.
 constexpr std::chrono::milliseconds kLateCommandLimit{ 15000 };
 
+/// Longest time from a start without a response until its task may start elsewhere, if its backend
+/// server is gone. In time for a task that must not be down for more than 9 s.
+constexpr std::chrono::milliseconds kHoldLimit{ 7000 };
+
 /// @returns Time between two points in ms, for the log.
 inline int64_t
 MillisecondsBetween(std::chrono::steady_clock::time_point aFrom,
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -418,11 +418,16 @@
     run.isBestEffort_ = spec.bestEffort_;
     run.isContinuous_ = spec.continuous_;
     run.isSuspect_ = jobs_.CrashesOf(ref) > 0;
+    const Task& task = jobs_.At(ref);
+    const bool isHeld = task.phase_ == TaskPhase::Active && task.run_ == run.id_.run_;
     // An earlier leader has stored that it works on.
-    run.proven_ = run.isSuspect_ && !jobs_.IsInTrial(ref);
-    wanted = jobs_.At(ref).phase_ == TaskPhase::Waiting && !jobs_.At(ref.job_).HasEnded();
+    run.proven_ = run.isSuspect_ && !isHeld && !jobs_.IsInTrial(ref);
+    wanted = (task.phase_ == TaskPhase::Waiting || isHeld) && !jobs_.At(ref.job_).HasEnded();
   }
   Confirm(run, aRunning, aClock);
+  if (LateStart* late = FindLateStart(backend.entry_.id_, run.id_)) {
+    late->heldFor_ = BackendHandle{};
+  }
   if (wanted) {
     jobs_.Activate(ref, run.id_.run_, aBackend, TimePoint{});
     if (run.proven_) {
@@ -473,8 +478,8 @@
             { "start_age_ms", MillisecondsBetween(run.sentAt_, now) },
             { "poll_age_ms", MillisecondsBetween(aSent, now) },
             { "ends_listed", aResult.ended_.size() } });
-      if (!run.everConfirmed_ && !FindLateStart(backend.entry_.id_, run.id_)) {
-        lateStarts_[backend.entry_.id_].push_back(LateStart{ run, aBackend });
+      if (!run.everConfirmed_) {
+        RememberStart(backend.entry_.id_, run).stoppedOn_ = aBackend;
       }
     }
   }
--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -132,8 +132,7 @@
   size_t carried = 0;
   for (const BackendRun& run : earlier.runs_) {
     // The others have ended with the incarnation that ran them.
-    const LateStart* late = FindLateStart(earlier.entry_.id_, run.id_);
-    if (!run.everConfirmed_ || run.confirmedByNext_ || (late && late->hasCopies_)) {
+    if (MayReachNext(earlier, run)) {
       CarryOver(run, aBackend, next);
       ++carried;
     }
@@ -196,6 +195,15 @@
   return nullptr;
 }
 
+RunTracker::LateStart&
+RunTracker::RememberStart(const std::string& aBackend, const BackendRun& aRun)
+{
+  LateStart* known = FindLateStart(aBackend, aRun.id_);
+  LateStart& start = known ? *known : lateStarts_[aBackend].emplace_back();
+  start.run_ = aRun;
+  return start;
+}
+
 void
 RunTracker::SettleLateStart(BackendHandle aBackend, const RunId& aRun)
 {
@@ -207,7 +215,7 @@
     start.stoppedOn_ = start.run_.id_ == aRun ? aBackend : start.stoppedOn_;
   }
   std::erase_if(starts->second, [&aRun](const LateStart& aStart) {
-    return aStart.run_.id_ == aRun && !aStart.hasCopies_;
+    return aStart.run_.id_ == aRun && !aStart.hasCopies_ && !aStart.heldFor_.IsValid();
   });
   if (starts->second.empty()) {
     lateStarts_.erase(starts);
@@ -234,9 +242,15 @@
   if (starts == lateStarts_.end()) {
     return;
   }
-  for (const LateStart& start : starts->second) {
+  for (LateStart& start : starts->second) {
     const bool isRefused = start.stoppedOn_ == aBackend || start.run_.fencingToken_ < aToken ||
                            aResult.clock_ > start.run_.deadline_;
+    if (start.heldFor_.IsValid()) {
+      if (isRefused && !aResult.hasMoreEnds_) {
+        ReleaseHeld(start, "refused from now on");
+      }
+      continue; // If it begins first, it goes on.
+    }
     if (isRefused || backend.FindRun(start.run_.id_)) {
       continue;
     }
--- a/src/run_starts.cpp
+++ b/src/run_starts.cpp
@@ -189,12 +189,9 @@
   Backend& backend = backends_.At(latest);
   const TimePoint now = clock_.Now();
   if (aRun && !aRun->everConfirmed_) {
-    LateStart* late = FindLateStart(backend.entry_.id_, aRun->id_);
-    if (!late) {
-      late = &lateStarts_[backend.entry_.id_].emplace_back(LateStart{ *aRun, BackendHandle{} });
-    }
+    LateStart& late = RememberStart(backend.entry_.id_, *aRun);
     if (latest == aBackend && MayRepeatStart(backend, *aRun)) {
-      late->hasCopies_ = true;
+      late.hasCopies_ = true;
       SendStart(aBackend, aCommand);
     } else {
       AwaitOutcome(aBackend, *aRun);
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -149,10 +149,11 @@
 RunTracker::HasUnresponsive() const
 {
   const auto& live = backends_.Live();
-  return std::any_of(live.begin(), live.end(), [this](const BackendHandle& aHandle) {
+  const bool hasSilent = std::any_of(live.begin(), live.end(), [this](BackendHandle aHandle) {
     const Backend& backend = backends_.At(aHandle);
     return backend.failedPolls_ > 0 && (backend.unreconciled_ || !backend.runs_.empty());
   });
+  return hasSilent || HoldsTasks();
 }
 
 void
@@ -175,9 +176,13 @@
           { { "backend", backend.entry_.id_ },
             { "host_state", static_cast<int>(host.state_) },
             { "listed", host.backend_ } });
-      EndIncarnation(handle, "host control lists its host without it");
+      EndIncarnation(handle,
+                     "host control lists its host without it",
+                     IsReplaced(host, backend.entry_.id_) ? IncarnationEnd::Unplanned
+                                                          : IncarnationEnd::HostDown);
     }
   }
+  ReleaseReplaced(aHosts, aAskedAt);
 }
 
 void
@@ -293,7 +298,7 @@
         { "runs", backend.runs_.size() } });
   LogOpenCalls(backend);
   const std::vector<uint32_t> failedJobs = AttributeLoss(backend, aReason, aEnd);
-  DropAllRuns(aBackend);
+  DropAllRuns(aBackend, aEnd == IncarnationEnd::HostDown);
   endedIncarnations_[backend.entry_.id_] = backend.entry_.startTimeMs_;
   if (backend.recorded_ && onIncarnationEnded_) {
     onIncarnationEnded_(backend.entry_.id_);
@@ -362,6 +367,7 @@
   const TimePoint now = clock_.Now();
   const BackendRun* run = backend.FindRun(aEnd.run_);
   UpdateFailureStreak(backend, run, aEnd);
+  ReleaseEnded(aBackend, aEnd);
   SettleLateStart(aBackend, aEnd.run_);
   TaskId id;
   TaskRef ref;
@@ -419,6 +425,7 @@
   if (!hasTakenOver_) {
     CheckTakeover();
   }
+  ReleaseOverdue();
   ForgetOldLateStarts();
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
@@ -434,7 +441,7 @@
             { "last_answer_ms", MillisecondsBetween(backend.answeredPollSentAt_, now) } });
       const auto failedJobs =
         AttributeLoss(backend, "the lease of its runs is over", IncarnationEnd::Uncertain);
-      DropAllRuns(handle);
+      DropAllRuns(handle, true);
       for (const uint32_t job : failedJobs) {
         StopJob(job);
       }
