Ask idle backend servers for their clock

The clock of a backend server is reckoned from its last answer as 2 % slow. One that runs nothing was not polled, so that after 75 s the deadline of a start had passed there before it was sent; it was refused once, and a gang over such a backend server and a busy one began in part (GANG).

Ruled out: a deadline from an upper bound of the clock. It would let a start take effect later than kStartDeadline, which leases and holds rest on.

Change: a backend server that runs nothing is polled 20 s after its last answer, whether the registry lists it or not; the reckoned clock is then 0.4 s behind at most, of a deadline of 1.5 s.

--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds kUnstoredEndsPollInterval{ 300 };
 // Time between polls of a backend server that runs nothing but may still get a late start.
 constexpr milliseconds kIdlePollPeriod{ 1000 };
+// Time between polls of one that runs nothing. Its clock is known as a lower bound that falls
+// behind by 2 %; a start still has most of its time until the deadline.
+constexpr milliseconds kClockPollPeriod{ 20000 };
 
 }
 
@@ -48,7 +51,9 @@
   if (!aBackend.verified_ || awaitsOwnToken) {
     return aBackend.registered_ || mayStartLate || !IsLeaseOver(aBackend);
   }
-  return (mayStartLate && clock_.Now() >= aBackend.nextIdlePollAt_) || !aBackend.runs_.empty() ||
+  const TimePoint now = clock_.Now();
+  return (mayStartLate && now >= aBackend.nextIdlePollAt_) || !aBackend.runs_.empty() ||
+         now - aBackend.answeredPollSentAt_ >= kClockPollPeriod ||
          aBackend.endsStored_ > aBackend.endsAcknowledged_ ||
          (aBackend.failedPolls_ > 0 && aBackend.registered_);
 }
