Keep a submission whose caller got an unknown outcome

A submission that had waited 1.5 s behind a slow store was answered with Unknown. If the store then fell silent, ExpireWaiters() took it out of the queue without telling anyone; its job stayed in memory, never to be stored, and all later calls for it got Unknown. A repeated submission of it got NotStored.

Ruled out: telling NotStored in this case. The caller has its answer already, and the job would have to be removed behind its back.

Change: a job that one of its callers takes for perhaps stored stays in the queue, and none of its callers is told that it is not stored.

Measured: the test fails without the change (the repeated call gets NotStored, the job is not stored after the stall) and passes with it.

--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace sardinespoke {
 
@@ -476,8 +477,15 @@
   const bool stalled = IsStalled();
   std::vector<Waiter> remaining;
   std::vector<Waiter> refused;
+  // A job that one caller takes for perhaps stored must not be refused to another one.
+  std::set<uint32_t> kept;
+  for (const Waiter& waiter : waiters_) {
+    if (waiter.notified_ || waiter.sent_) {
+      kept.insert(waiter.job_);
+    }
+  }
   for (Waiter& waiter : waiters_) {
-    if (!waiter.sent_ && waiter.isSubmission_ && stalled) {
+    if (waiter.isSubmission_ && stalled && kept.count(waiter.job_) == 0) {
       submitted_.erase(std::remove(submitted_.begin(), submitted_.end(), waiter.job_),
                        submitted_.end());
       refused.push_back(std::move(waiter));
@@ -491,9 +499,7 @@
   }
   waiters_ = std::move(remaining);
   for (const Waiter& waiter : refused) {
-    if (!waiter.notified_) {
-      waiter.done_(JournalOutcome::NotStored);
-    }
+    waiter.done_(JournalOutcome::NotStored);
   }
 }
 
--- a/tests/job_journal_test.cpp
+++ b/tests/job_journal_test.cpp
@@ -231,6 +231,38 @@
   EXPECT_EQ(Next().count(JobJournal::ProgressKey(JobId(0))), 1U);
 }
 
+// A submission whose caller got Unknown must be written once the store answers again. Fault: it was
+// dropped without a word when the store fell silent, and all later calls for it got Unknown.
+TEST_F(JobJournalTest, SubmissionOfUnknownOutcomeIsWrittenAfterAStall)
+{
+  constexpr uint32_t kLast = 199;
+  std::optional<JournalOutcome> first;
+  std::optional<JournalOutcome> repeated;
+  for (uint32_t number = 0; number < kLast; ++number) {
+    jobs_.At(number).stored_ = false;
+    journal_.Submit(number, [](JournalOutcome) {});
+  }
+  jobs_.At(kLast).stored_ = false;
+  journal_.Submit(kLast, [&](JournalOutcome aOutcome) { first = aOutcome; });
+  for (int count = 0; count < 5; ++count) { // The store is slow,
+    Next(milliseconds(400));
+    Answer();
+  }
+  ASSERT_EQ(first, JournalOutcome::Unknown);
+  for (int count = 0; count < 10; ++count) { // then silent,
+    Next(milliseconds(100));
+  }
+  ASSERT_TRUE(journal_.IsStalled());
+  journal_.AwaitSubmission(kLast, [&](JournalOutcome aOutcome) { repeated = aOutcome; });
+  Next(milliseconds(100));
+  EXPECT_NE(repeated, JournalOutcome::NotStored); // The job may be stored later.
+  for (int count = 0; count < 10; ++count) {      // then well.
+    Answer();
+    Next(milliseconds(100));
+  }
+  EXPECT_TRUE(jobs_.At(kLast).stored_);
+}
+
 // A backlog must be written as fast as the store allows. Fault: 29 jobs each 120 ms.
 TEST_F(JobJournalTest, FullTransactionsAreNotDelayed)
 {
