Repeat maintenance commands only under a certain lease

A leader whose commands to host control got no response repeated them without end, also after its lease. Host control fences by host, and not everywhere: once a successor had found the host up in the list, it took another one down, and the late repeat took effect beside it (LIMIT), under tasks that the successor had started there.

Ruled out: that the fence stops it. The successor has sent no command for that host, so its fence there is the earlier one.

Change: without a certain lease the command is not repeated. It still counts as perhaps carried out; once the lease is certain again, the host list tells.

--- a/src/rollout_runner.cpp
+++ b/src/rollout_runner.cpp
@@ -488,9 +488,13 @@
       progress.stage_ = Stage::Maintained;
       return;
     case CommandOutcome::Unknown:
-      // Counts as down until the outcome is known; the command is idempotent.
+      // Counts as down until the outcome is known; the command is idempotent. Without a certain
+      // lease, a successor may count it as one that will have no effect any more; once the lease is
+      // certain again, the host list shows the outcome.
       progress.mayBeCommanded_ = true;
-      SendMaintenanceCommand(rollout, aHost, progress);
+      if (leadership_.HoldsValidLease()) {
+        SendMaintenanceCommand(rollout, aHost, progress);
+      }
       return;
     default:
       if (progress.mayBeCommanded_) {
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -158,6 +158,8 @@
     bool disconnected_ = false; ///< No command of this entry host reaches the fleet.
     /// Hosts whose backend servers no command of this entry host reaches.
     std::set<std::string> unreachableHosts_;
+    bool losesHostCommands_ = false; ///< Commands to host control have no effect and no response.
+    size_t hostCommands_ = 0;        ///< Commands to host control.
 
   private:
     /// @returns Whether this entry host is cut off from a backend server.
--- a/standins/simulated_hosts.cpp
+++ b/standins/simulated_hosts.cpp
@@ -61,7 +61,8 @@
 SimulatedFleet::Client::ChangeHost(const HostCommand& aOrder, OnResult aDone)
 {
   SimulatedFleet& fleet = fleet_;
-  HostCommandFault fault = HostCommandFault::None;
+  ++hostCommands_;
+  HostCommandFault fault = losesHostCommands_ ? HostCommandFault::Lost : HostCommandFault::None;
   if (!fleet.hostCommandFaults_.empty()) {
     fault = fleet.hostCommandFaults_.front();
     fleet.hostCommandFaults_.pop_front();
