Repeat moves only under a certain lease

Cause: as with maintenance: a move without a response was repeated without end, also after the leader's lease, when a successor may have started tasks on the host that looked idle.

Change: without a certain lease the move is kept and sent again once the lease is certain. It stays among the pending moves, so that its backend server is not left cordoned.

Measured: MovesAreNotRepeatedAfterTheLease fails without the change (one command more after the lease) and passes with it. MovesGoOnWithTheLease passes with and without it.

--- a/include/sardinespoke/host_allocator.h
+++ b/include/sardinespoke/host_allocator.h
@@ -39,6 +39,7 @@
     TimePoint since_{};
     bool acceptedByHostControl_ = false; ///< Host control confirmed the move.
     bool arrived_ = false;               ///< Its backend server accepts work in the new pool.
+    bool awaitsLease_ = false; ///< No response; sent again once the leader's lease is certain.
   };
 
   std::vector<PoolState> CollectPools(const FleetConfig& aConfig);
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -173,6 +173,11 @@
 {
   const TimePoint now = clock_.Now();
   for (auto pending = pendingMoves_.begin(); pending != pendingMoves_.end();) {
+    if (pending->second.awaitsLease_) {
+      pending->second.awaitsLease_ = false;
+      pending->second.since_ = now;
+      SendMoveCommand(pending->first);
+    }
     const BackendHandle handle = backends_.OnHost(pending->first);
     pending->second.arrived_ =
       pending->second.arrived_ || (handle.IsValid() && runs_.IsUsable(backends_.At(handle)) &&
@@ -278,7 +283,12 @@
       leadership_.StepDown("host control has seen a higher fencing token");
       return;
     case CommandOutcome::Unknown:
-      SendMoveCommand(aHost); // Moves are idempotent.
+      // Moves are idempotent, but without a certain lease a successor may use the host.
+      if (leadership_.HoldsValidLease()) {
+        SendMoveCommand(aHost);
+      } else {
+        found->second.awaitsLease_ = true;
+      }
       return;
     default:
       Log(LogLevel::Info,
--- a/tests/late_host_command_test.cpp
+++ b/tests/late_host_command_test.cpp
@@ -99,5 +99,34 @@
     world_.RunUntil([this] { return world_.Fleet().Maintained() == kHosts; }, seconds(40)));
 }
 
+// A move that an earlier leader repeated long after its lease could end a backend server that its
+// successor has filled.
+TEST_F(LateHostCommandTest, MovesAreNotRepeatedAfterTheLease)
+{
+  for (unsigned int job = 1; job <= 3; ++job) {
+    world_.Submit(kPool, JobId(job), Tasks(100, seconds(20)));
+  }
+  ASSERT_TRUE(HasSentHostCommand());
+  CutOffLeader();
+  world_.Run(seconds(2));
+  const size_t sent = world_.FleetOf(0).hostCommands_;
+  world_.FleetOf(0).losesHostCommands_ = false;
+  world_.Run(seconds(4));
+  EXPECT_EQ(world_.FleetOf(0).hostCommands_, sent);
+}
+
+// A move without a response must be sent again once the lease is certain again.
+TEST_F(LateHostCommandTest, MovesGoOnWithTheLease)
+{
+  for (unsigned int job = 1; job <= 3; ++job) {
+    world_.Submit(kPool, JobId(job), Tasks(100, seconds(20)));
+  }
+  ASSERT_TRUE(HasSentHostCommand());
+  const size_t outside = world_.Fleet().CountHostsOutside(kPool);
+  LoseLeaseForAWhile();
+  EXPECT_TRUE(world_.RunUntil([&] { return world_.Fleet().CountHostsOutside(kPool) < outside; },
+                              seconds(20)));
+}
+
 }
 }
