Hand over the starts that may still be carried out

A leader that resigns left its successor the ends of leases, but neither its starts without an answer nor the tasks that it held for them. The successor started such a task at once when host control listed the host as down; the next incarnation under the same id could carry out the first start before the successor's first poll had reached it: two runs.

Ruled out: the successor's fencing token alone. It keeps the start away only once the incarnation has answered a poll (InheritedStartTest.TaskStartsOnceTheNextOneHasAnswered passes without this change).

Change: the handover names the starts that may reach a later incarnation, with the id and host of the backend server, task, run and age, 1,000 at most: those that block a task first, then the latest; handover.cut_off tells of the others. The successor puts such a run on a recorded backend server as an uncertain one, and holds the task if that incarnation has ended; the limit of 7 s counts from the first send. Handovers without the field are read as before.

--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -72,7 +72,11 @@
   /// @param aRemaining As the leader that resigned has counted it.
   void InheritLease(BackendHandle aBackend, std::chrono::milliseconds aRemaining);
 
-  /// @returns The leases of the recorded backend servers.
+  /// Remembers a start of an earlier leader. Call after AddRecorded().
+  void InheritStart(const OpenStart& aStart);
+
+  /// @returns The leases of the recorded backend servers and the starts that may still be carried
+  /// out.
   Handover MakeHandover() const;
 
   /// Sends a start command. The task must be waiting and the backend server usable.
@@ -254,6 +258,7 @@
   /// @param aToken Fencing token of the poll that it has answered.
   void StopLateStarts(BackendHandle aBackend, int64_t aToken, const PollResult& aResult);
   LateStart* FindLateStart(const std::string& aBackend, const RunId& aRun);
+  const LateStart* FindLateStart(const std::string& aBackend, const RunId& aRun) const;
   /// @returns The record of a start that may still be carried out.
   LateStart& RememberStart(const std::string& aBackend, const BackendRun& aRun);
   /// Notes that the start, or a copy of it, has reached a backend server.
@@ -273,6 +278,8 @@
                     int64_t aToken,
                     const PollResult& aResult);
   void Adopt(BackendHandle aBackend, const RunningTask& aRunning, TimePoint aSent, int64_t aClock);
+  /// Sets what a run has from the step of its task.
+  void DescribeRun(BackendRun& aRun, const TaskRef& aTask) const;
   /// @param aClock Clock of its backend server in ms.
   void Confirm(BackendRun& aRun, const RunningTask& aRunning, int64_t aClock);
   void ObserveWork(BackendRun& aRun, int64_t aClock);
@@ -297,11 +304,12 @@
   /// @param aMayReturn Whether a later incarnation may carry out the starts in flight.
   void DropAllRuns(BackendHandle aBackend, bool aMayReturn);
   /// @returns True if a start of the run may reach the next incarnation, or has reached it.
-  bool MayReachNext(const Backend& aBackend, const BackendRun& aRun);
+  bool MayReachNext(const Backend& aBackend, const BackendRun& aRun) const;
   /// Remembers the start of a lost run. Its task stays active until it is certain that the run does
   /// not begin.
   void Hold(BackendHandle aBackend, const BackendRun& aRun);
   bool HoldsTasks() const;
+  std::vector<OpenStart> OpenStarts() const;
   void ReleaseHeld(LateStart& aStart, const char* aReason);
   void ReleaseOverdue();
   /// Ends the hold on the task of a run that has ended.
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -278,6 +278,11 @@
       runs_.InheritLease(handle, handover->remainingLeases_.at(entry.id_));
     }
   }
+  if (handover) {
+    for (const OpenStart& start : handover->openStarts_) {
+      runs_.InheritStart(start);
+    }
+  }
   for (const auto& [key, record] : parts_[PartRollouts]) {
     if (!rolloutRunner_.RestoreRecord(record.value_)) {
       Log(LogLevel::Error, "rollout.unreadable", { { "key", key } });
@@ -296,7 +301,8 @@
         { "jobs", parts_[PartJobs].size() },
         { "backends", parts_[PartBackends].size() },
         { "handed_over", handover != nullptr },
-        { "leases_inherited", handover ? handover->remainingLeases_.size() : 0 } });
+        { "leases_inherited", handover ? handover->remainingLeases_.size() : 0 },
+        { "starts_inherited", handover ? handover->openStarts_.size() : 0 } });
   parts_.clear();
   loaded_ = true;
 }
--- a/src/run_holds.cpp
+++ b/src/run_holds.cpp
@@ -9,8 +9,10 @@
 
 namespace sardinespoke {
 
+using std::chrono::milliseconds;
+
 bool
-RunTracker::MayReachNext(const Backend& aBackend, const BackendRun& aRun)
+RunTracker::MayReachNext(const Backend& aBackend, const BackendRun& aRun) const
 {
   const LateStart* late = FindLateStart(aBackend.entry_.id_, aRun.id_);
   return !aRun.everConfirmed_ || aRun.confirmedByNext_ || (late && late->hasCopies_);
@@ -102,4 +104,73 @@
   }
 }
 
+std::vector<OpenStart>
+RunTracker::OpenStarts() const
+{
+  std::vector<OpenStart> starts;
+  const TimePoint now = clock_.Now();
+  const auto add = [&](const BackendEntry& aEntry, const BackendRun& aRun, bool aBlocks) {
+    const auto age = std::chrono::floor<milliseconds>(now - aRun.sentAt_);
+    starts.push_back(
+      OpenStart{ aEntry.id_, aEntry.host_, aRun.id_.task_, aRun.id_.run_, age, aBlocks });
+  };
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    for (const BackendRun& run : backend.runs_) {
+      if (MayReachNext(backend, run)) {
+        const Task* task = run.task_ ? &jobs_.At(*run.task_) : nullptr;
+        const bool isTasksRun =
+          task && task->phase_ == TaskPhase::Active && task->run_ == run.id_.run_;
+        add(backend.entry_, run, isTasksRun);
+      }
+    }
+  }
+  for (const auto& [id, late] : lateStarts_) {
+    const BackendHandle live = backends_.Find(id);
+    for (const LateStart& start : late) {
+      if (start.heldFor_.IsValid()) {
+        add(backends_.At(start.heldFor_).entry_, start.run_, true);
+      } else if (!live.IsValid() || !backends_.At(live).FindRun(start.run_.id_)) {
+        BackendEntry entry;
+        entry.id_ = id;
+        add(entry, start.run_, false);
+      }
+    }
+  }
+  return starts;
+}
+
+void
+RunTracker::InheritStart(const OpenStart& aStart)
+{
+  BackendRun run;
+  run.id_ = RunId{ aStart.task_, aStart.run_ };
+  run.isAdopted_ = true;
+  run.phase_ = RunPhase::Uncertain;
+  run.sentAt_ = clock_.Now() - aStart.age_;
+  run.progressAt_ = clock_.Now();
+  TaskId id;
+  TaskRef ref;
+  const bool isKnown = TaskId::Parse(aStart.task_, id) && jobs_.Locate(id, ref);
+  if (!aStart.blocksTask_ || !isKnown || jobs_.At(ref).phase_ != TaskPhase::Waiting ||
+      jobs_.At(ref.job_).HasEnded()) {
+    RememberStart(aStart.backend_, run);
+    return;
+  }
+  DescribeRun(run, ref);
+  const BackendHandle live = backends_.Find(aStart.backend_);
+  if (live.IsValid()) {
+    jobs_.Activate(ref, aStart.run_, live, run.sentAt_);
+    backends_.AddRun(live, std::move(run));
+    return;
+  }
+  BackendEntry entry;
+  entry.id_ = aStart.backend_;
+  entry.host_ = aStart.host_;
+  const BackendHandle ended = backends_.Add(entry);
+  backends_.Close(ended);
+  jobs_.Activate(ref, aStart.run_, ended, run.sentAt_);
+  Hold(ended, run);
+}
+
 }
--- a/src/run_isolation.cpp
+++ b/src/run_isolation.cpp
@@ -117,6 +117,8 @@
 RunTracker::MakeHandover() const
 {
   Handover handover;
+  handover.openStarts_ = OpenStarts();
+  handover.LimitOpenStarts();
   // Before that, an earlier leader may still renew leases.
   if (!hasTakenOver_ || lease_ == LeaseState::Over) {
     return handover;
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -415,14 +415,8 @@
   TaskRef ref;
   bool wanted = false;
   if (TaskId::Parse(aRunning.run_.task_, id) && jobs_.Locate(id, ref)) {
-    const StepSpec& spec = jobs_.SpecOf(ref);
-    run.task_ = ref;
-    run.resources_ = spec.Need();
+    DescribeRun(run, ref);
     run.isSizeUnknown_ = false;
-    run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
-    run.isBestEffort_ = spec.bestEffort_;
-    run.isContinuous_ = spec.continuous_;
-    run.isSuspect_ = jobs_.CrashesOf(ref) > 0;
     const Task& task = jobs_.At(ref);
     const bool isHeld = task.phase_ == TaskPhase::Active && task.run_ == run.id_.run_;
     // An earlier leader has stored that it works on.
--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -180,14 +180,14 @@
   backends_.AddRun(aTo, std::move(aRun));
 }
 
-RunTracker::LateStart*
-RunTracker::FindLateStart(const std::string& aBackend, const RunId& aRun)
+const RunTracker::LateStart*
+RunTracker::FindLateStart(const std::string& aBackend, const RunId& aRun) const
 {
   const auto starts = lateStarts_.find(aBackend);
   if (starts == lateStarts_.end()) {
     return nullptr;
   }
-  for (LateStart& start : starts->second) {
+  for (const LateStart& start : starts->second) {
     if (start.run_.id_ == aRun) {
       return &start;
     }
@@ -195,6 +195,12 @@
   return nullptr;
 }
 
+RunTracker::LateStart*
+RunTracker::FindLateStart(const std::string& aBackend, const RunId& aRun)
+{
+  return const_cast<LateStart*>(std::as_const(*this).FindLateStart(aBackend, aRun));
+}
+
 RunTracker::LateStart&
 RunTracker::RememberStart(const std::string& aBackend, const BackendRun& aRun)
 {
--- a/src/run_starts.cpp
+++ b/src/run_starts.cpp
@@ -27,19 +27,13 @@
 {
   const TimePoint now = clock_.Now();
   Backend& backend = backends_.At(aBackend);
-  const StepSpec& spec = jobs_.SpecOf(aTask);
   BackendRun run;
-  run.task_ = aTask;
   run.id_ = RunId{ jobs_.IdOf(aTask).Text(), aRun };
   run.sentAt_ = now;
   run.progressAt_ = now;
   run.deadline_ = backend.ClockNow(now) + kStartDeadline.count();
   run.fencingToken_ = backend.fencingToken_;
-  run.resources_ = spec.Need();
-  run.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
-  run.isBestEffort_ = spec.bestEffort_;
-  run.isContinuous_ = spec.continuous_;
-  run.isSuspect_ = jobs_.CrashesOf(aTask) > 0;
+  DescribeRun(run, aTask);
   if (run.isSuspect_) {
     ++crashCounts_.isolated_;
     Log(LogLevel::Info,
@@ -64,6 +58,18 @@
   SendStart(aBackend, command);
 }
 
+void
+RunTracker::DescribeRun(BackendRun& aRun, const TaskRef& aTask) const
+{
+  const StepSpec& spec = jobs_.SpecOf(aTask);
+  aRun.task_ = aTask;
+  aRun.resources_ = spec.Need();
+  aRun.hasLatencyTarget_ = spec.latencyTarget_ > milliseconds(0);
+  aRun.isBestEffort_ = spec.bestEffort_;
+  aRun.isContinuous_ = spec.continuous_;
+  aRun.isSuspect_ = jobs_.CrashesOf(aTask) > 0;
+}
+
 void
 RunTracker::SendStart(BackendHandle aBackend, const StartCommand& aCommand)
 {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -94,9 +94,46 @@
   Handover handover;
   handover.fencingToken_ = 42;
   handover.remainingLeases_["i-1"] = milliseconds(1700);
+  handover.openStarts_ = { OpenStart{
+                             "i-1", "m-1", JobId(1) + ".0.0.0", 7, milliseconds(900), true },
+                           OpenStart{ "i-2", "", JobId(1) + ".0.0.1", 8, milliseconds(0), false } };
   const Handover read = Handover::Parse(handover.Serialize());
   EXPECT_EQ(read.fencingToken_, 42);
   EXPECT_EQ(read.remainingLeases_, handover.remainingLeases_);
+  EXPECT_EQ(read.openStarts_, handover.openStarts_);
+}
+
+// A handover of an earlier release must still count.
+TEST(Handover, ReadsOneWithoutOpenStarts)
+{
+  const Handover read = Handover::Parse(R"({"fence":4,"leases":{"i-1":50}})");
+  EXPECT_EQ(read.fencingToken_, 4);
+  EXPECT_EQ(read.remainingLeases_.at("i-1"), milliseconds(50));
+  EXPECT_TRUE(read.openStarts_.empty());
+}
+
+// A record larger than the store accepts would leave no handover at all.
+TEST(Handover, FitsInARecord)
+{
+  constexpr size_t kStarts = 20000;
+  constexpr size_t kRecordBytes = 1 << 20;
+  Handover handover;
+  for (size_t index = 0; index < kStarts; ++index) {
+    const std::string longId(150, 'i');
+    handover.openStarts_.push_back(OpenStart{ longId,
+                                              longId,
+                                              longId,
+                                              static_cast<int64_t>(index + 1),
+                                              milliseconds(index),
+                                              index % 2 == 0 });
+  }
+  handover.LimitOpenStarts();
+  EXPECT_LT(handover.Serialize().size(), kRecordBytes);
+  ASSERT_FALSE(handover.openStarts_.empty());
+  for (const OpenStart& start : handover.openStarts_) {
+    EXPECT_TRUE(start.blocksTask_);
+    EXPECT_LT(start.age_, milliseconds(kStarts / 2));
+  }
 }
 
 // An unreadable handover must count as none: a lease would be taken for shorter than it is.
@@ -109,6 +146,8 @@
                             R"({"fence":"4","leases":{}})",
                             R"({"fence":4})",
                             R"({"fence":4,"leases":[1]})",
+                            R"({"fence":4,"leases":{"i-1":50},"starts":4})",
+                            R"({"fence":4,"leases":{"i-1":50},"starts":[{"backend":"i-1"}]})",
                             R"({"fence":4,"leases":{"i-1":-5}})" }) {
     const Handover handover = Handover::Parse(text);
     EXPECT_TRUE(handover.fencingToken_ == 0 || handover.remainingLeases_.empty()) << text;
