Send the limit of processor time to adopted best-effort runs

Cause: a pace command outlived its leader. A new leader took each adopted run for one with all of its processor time, so that it never lifted the 0 % that an earlier leader had set: the best-effort task made no progress until the limit changed again, which need not happen.

Ruled out: the stop of runs without progress, which leaves best-effort tasks alone.

Change: the limit of an adopted run, or of one whose start was inherited, counts as unknown, and the present one is sent.

--- a/src/run_holds.cpp
+++ b/src/run_holds.cpp
@@ -146,6 +146,7 @@
   BackendRun run;
   run.id_ = RunId{ aStart.task_, aStart.run_ };
   run.isAdopted_ = true;
+  run.confirmedCpuPercent_ = kUnknownCpuPercent;
   run.phase_ = RunPhase::Uncertain;
   run.sentAt_ = clock_.Now() - aStart.age_;
   run.progressAt_ = clock_.Now();
--- a/src/run_limits_p.h
+++ b/src/run_limits_p.h
@@ -30,6 +30,10 @@
 /// server is gone. In time for a task that must not be down for more than 9 s.
 constexpr std::chrono::milliseconds kHoldLimit{ 7000 };
 
+/// Limit of the processor time of a run that an earlier leader may have set. Differs from all
+/// others, so that the present one is sent.
+constexpr uint32_t kUnknownCpuPercent = 101;
+
 /// @returns Time between two points in ms, for the log.
 inline int64_t
 MillisecondsBetween(std::chrono::steady_clock::time_point aFrom,
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -403,6 +403,7 @@
   BackendRun run;
   run.id_ = aRunning.run_;
   run.isAdopted_ = true;
+  run.confirmedCpuPercent_ = kUnknownCpuPercent;
   run.fencingToken_ = backend.fencingToken_;
   run.everConfirmed_ = true;
   run.confirmedAt_ = aSent;
