--- a/src/best_effort.cpp
+++ b/src/best_effort.cpp
@@ -38,18 +38,18 @@
         { { "task", run.id_.task_ }, { "backend", backend.entry_.id_ }, { "percent", percent } });
     const RunId id = run.id_;
     const std::weak_ptr<bool> alive = alive_;
-    commands_.Throttle(
-      ThrottleCommand{ backend.Address(), id, percent, backend.fencingToken_ },
-      [this, alive, aBackend, id, percent](const CommandResult& aResult) {
-        BackendRun* throttled = alive.lock() ? backends_.At(aBackend).FindRun(id) : nullptr;
-        if (!throttled) {
-          return;
-        }
-        throttled->throttleInFlight_ = false;
-        if (aResult.outcome_ == CommandOutcome::Done) {
-          throttled->confirmedCpuPercent_ = percent;
-        }
-      });
+    commands_.Throttle(ThrottleCommand{ backend.Address(), id, percent, backend.fencingToken_ },
+                       [this, alive, aBackend, id, percent](const CommandResult& aResult) {
+                         BackendRun* throttled =
+                           alive.lock() ? backends_.At(aBackend).FindRun(id) : nullptr;
+                         if (!throttled) {
+                           return;
+                         }
+                         throttled->throttleInFlight_ = false;
+                         if (aResult.outcome_ == CommandOutcome::Done) {
+                           throttled->confirmedCpuPercent_ = percent;
+                         }
+                       });
   }
 }
 
