--- a/tests/earlier_incarnation_test.cpp
+++ b/tests/earlier_incarnation_test.cpp
@@ -39,10 +39,10 @@
 
   void Submit()
   {
-    EXPECT_EQ(world_.Submit("births", kJob, Tasks(1, kLong)).kind_, JobResponseKind::Accepted);
+    EXPECT_EQ(world_.Submit("births", job_, Tasks(1, kLong)).kind_, JobResponseKind::Accepted);
   }
 
-  bool HasRun() { return world_.Fleet().RunsOf(kJob + ".0.0.0") > 0; }
+  bool HasRun() { return world_.Fleet().RunsOf(job_ + ".0.0.0") > 0; }
 
   /// Submits the job and lets its server go down with the start in flight.
   /// @param aArrival When the start is carried out, from now on.
@@ -65,7 +65,7 @@
     Server(0).unresponsive_ = false;
   }
 
-  const std::string kJob = JobId(1);
+  const std::string job_ = JobId(1);
   JobWorld world_;
 };
 
--- a/tests/inherited_start_test.cpp
+++ b/tests/inherited_start_test.cpp
@@ -34,14 +34,14 @@
     return world_.Fleet().BehaviourOf("births", aHost);
   }
 
-  bool HasRun() { return world_.Fleet().RunsOf(kJob + ".0.0.0") > 0; }
+  bool HasRun() { return world_.Fleet().RunsOf(job_ + ".0.0.0") > 0; }
 
   /// @param aArrival When the start is carried out, from now on.
   void GoDownDuringStart(milliseconds aArrival)
   {
     Server(0).delaysStarts_ = true;
     Server(0).startDelay_ = aArrival;
-    EXPECT_EQ(world_.Submit("births", kJob, Tasks(1, seconds(20))).kind_,
+    EXPECT_EQ(world_.Submit("births", job_, Tasks(1, seconds(20))).kind_,
               JobResponseKind::Accepted);
     world_.Run(milliseconds(50));
     Server(0).delaysStarts_ = false;
@@ -75,7 +75,7 @@
     ASSERT_TRUE(world_.RunUntil([this] { return world_.Leader().has_value(); }, seconds(3)));
   }
 
-  const std::string kJob = JobId(1);
+  const std::string job_ = JobId(1);
   JobWorld world_;
 };
 
@@ -143,7 +143,7 @@
 {
   GoDownDuringStart(milliseconds(3000));
   world_.Run(milliseconds(1500));
-  world_.Cancel("births", kJob);
+  world_.Cancel("births", job_);
   ChangeLeader();
   world_.Run(milliseconds(500));
   ComeBack();
--- a/tests/throttle_test.cpp
+++ b/tests/throttle_test.cpp
@@ -27,11 +27,11 @@
     world_.Submit("market", JobId(1), { withTarget, bestEffort });
   }
 
-  uint32_t Percent() { return world_.Fleet().ThrottleOf(kTask); }
+  uint32_t Percent() { return world_.Fleet().ThrottleOf(task_); }
 
-  bool IsPaused() { return world_.Fleet().RunsOf(kTask) == 1 && Percent() == 0; }
+  bool IsPaused() { return world_.Fleet().RunsOf(task_) == 1 && Percent() == 0; }
 
-  const std::string kTask = JobId(1) + ".0.1.0";
+  const std::string task_ = JobId(1) + ".0.1.0";
   JobWorld world_;
 };
 
