--- a/include/sardinespoke/caller_codec.h
+++ b/include/sardinespoke/caller_codec.h
@@ -12,6 +12,7 @@
   std::string method_;
   std::string host_;
   std::string path_;
+  std::string apiKey_; ///< Empty if the call has none.
   std::string body_;
   std::chrono::milliseconds timeout_{ 3000 }; ///< How long the caller waits for the response.
 };
--- a/include/sardinespoke/job.h
+++ b/include/sardinespoke/job.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
 {
   std::string id_;
   std::string queue_;   ///< Name of the queue that accepted the job.
+  std::string tenant_;  ///< Name of the tenant that it belongs to; empty if it has none.
   std::string payload_; ///< Passed to every task.
   std::vector<StepSpec> steps_;
   /// Due time of the first occurrence since the Unix epoch.
@@ -77,11 +79,21 @@
   double stretch_ = 1.0; ///< Completion objective as a multiple of the critical path of the job.
   std::chrono::milliseconds latencyTarget_{ 0 }; ///< Added to the completion objective.
   std::chrono::milliseconds timeout_{ 0 };
-  bool advised_ = false; ///< The advice service decides where the steps of its jobs may run.
+  bool isPublic_ = false; ///< Calls need no key.
+  bool advised_ = false;  ///< The advice service decides where the steps of its jobs may run.
   std::chrono::milliseconds adviceDecide_{ 0 }; ///< Decision time of the advice service per query.
   std::chrono::milliseconds advicePeriod_{ 0 }; ///< Added time per backend server in the query.
 };
 
+/// A tenant with its keys and limits.
+struct TenantPolicy
+{
+  std::string name_;
+  std::vector<std::string> apiKeys_;
+  double weight_ = 1.0; ///< Share when all is full, and submissions per second within it.
+  Resources cap_;       ///< Most that it may have running over all pools; 0: no limit.
+};
+
 /// A pool of hosts.
 struct ServicePolicy
 {
@@ -95,6 +107,8 @@
   int64_t version_ = 0;
   std::vector<QueuePolicy> queues_;
   std::vector<ServicePolicy> services_;
+  /// Empty: there are no tenants, and calls need no key.
+  std::optional<std::vector<TenantPolicy>> tenants_;
   uint64_t maxBodyBytes_ = 0;
 };
 
--- a/include/sardinespoke/job_request.h
+++ b/include/sardinespoke/job_request.h
@@ -23,7 +23,8 @@
   JobRequestKind kind_ = JobRequestKind::State;
   std::string host_;
   std::string path_;
-  JobSpec spec_; ///< The job of a submission, without id and queue.
+  std::string apiKey_; ///< Empty if the call has none.
+  JobSpec spec_;       ///< The job of a submission, without id, queue and tenant.
   size_t bodyBytes_ = 0;
   std::string problem_; ///< Why the body is unusable; empty if it is usable.
 };
@@ -36,6 +37,8 @@
   Pending,
   NoQueue,
   NoJob,
+  UnknownKey,  ///< No tenant has the key of the call.
+  OtherTenant, ///< The job belongs to another tenant than the key.
   Invalid,
   Refused, ///< No effect; the caller should retry later.
   Unknown, ///< The request may have taken effect.
