Authenticate callers by the keys of their tenants

Cause: a deployment with tenants says which keys may use its queues.

Change: entry hosts forward the bearer token; the leader looks it up in the newest configuration, answers 401, or 503 while the configuration is too old to deny a key, and 403 for jobs of other tenants. The job record names the tenant. A configuration without tenants asks for no key.

--- a/include/sardinespoke/admin_server.h
+++ b/include/sardinespoke/admin_server.h
@@ -37,6 +37,7 @@
   std::string body_;
   /// Sent as Retry-After in whole seconds, rounded up; 0 omits the header.
   std::chrono::milliseconds retryAfter_{ 0 };
+  std::string challenge_;        ///< Sent as WWW-Authenticate; empty omits the header.
   bool closeConnection_ = false; ///< Closes the connection after this response.
 
   static AdminResponse Json(unsigned int aStatus, const nlohmann::json& aBody);
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -7,6 +7,7 @@
 #include "sardinespoke/metrics.h"
 #include "sardinespoke/phase_times.h"
 #include "sardinespoke/task_scheduler.h"
+#include "sardinespoke/tenant_keys.h"
 
 namespace sardinespoke {
 
@@ -77,8 +78,19 @@
 
   /// @returns Services of the configuration and of open jobs; entries of others are not used.
   std::set<std::string> NamedServices();
+  /// Finds the tenant that a call belongs to.
+  /// @param aTenant Set to its name; empty if there is none, as for a public queue without a key.
+  /// @returns The response that refuses the call; empty if the call may go on.
+  std::optional<JobResponse> Authenticate(const JobRequest& aRequest,
+                                          const QueuePolicy& aQueue,
+                                          std::string& aTenant);
+  /// @returns True if the caller with the key of a tenant may not use a job.
+  static bool IsOfOtherTenant(const Job& aJob,
+                              const QueuePolicy& aQueue,
+                              const std::string& aTenant);
   void Submit(const JobRequest& aRequest,
               const QueuePolicy& aQueue,
+              const std::string& aTenant,
               const JobResponseCallback& aRespond);
   /// Responds to a repeated submission of a job that is being stored.
   void AwaitSubmission(uint32_t aJob, const JobResponseCallback& aRespond);
@@ -139,6 +151,7 @@
   std::map<std::string, ReadEntry> readEntries_; ///< By key.
   PrefixFeed operator_;
   FleetConfig config_;
+  TenantKeys keys_;               ///< Of config_.
   bool operatorChanged_ = false;  ///< There are records that have not been applied.
   TimePoint configConfirmedAt_{}; ///< See PrefixFeed::ConfirmedAt().
   bool configOutdated_ = false;   ///< As last logged.
--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -69,6 +69,9 @@
     ulfius_add_header_to_response(
       aResponse, "Retry-After", std::to_string(seconds.count()).c_str());
   }
+  if (!response.challenge_.empty()) {
+    ulfius_add_header_to_response(aResponse, "WWW-Authenticate", response.challenge_.c_str());
+  }
   if (response.closeConnection_) {
     ulfius_add_header_to_response(aResponse, "Connection", "close");
   }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "sardinespoke/entry_node.h"
 
+#include "bearer_token_p.h"
 #include "number_range_p.h"
 #include "sardinespoke/logging.h"
 
@@ -69,7 +70,8 @@
 {
   return json{ { "type", kCallType },   { "method", aCall.method_ },
                { "host", aCall.host_ }, { "path", aCall.path_ },
-               { "body", aCall.body_ }, { "patience_ms", aCall.timeout_.count() } };
+               { "body", aCall.body_ }, { "patience_ms", aCall.timeout_.count() },
+               { "key", aCall.apiKey_ } };
 }
 
 /// @returns Whether an answer of a leader also holds for the attempt at an earlier one.
@@ -356,6 +358,7 @@
   call.method_ = aMessage.value("method", "");
   call.host_ = aMessage.value("host", "");
   call.path_ = aMessage.value("path", "");
+  call.apiKey_ = aMessage.value("key", ""); // Earlier releases forward none.
   call.body_ = aMessage.value("body", "");
   call.timeout_ = milliseconds(aMessage.value("patience_ms", call.timeout_.count()));
   Enqueue(Request{ std::move(call),
@@ -451,6 +454,7 @@
   call.method_ = aRequest.method_;
   call.host_ = aRequest.Header("host");
   call.path_ = aRequest.path_;
+  call.apiKey_ = BearerToken(aRequest.Header("authorization"));
   call.body_ = aRequest.body_;
   const std::string patience = aRequest.Header(codec_.TimeoutHeader());
   int64_t value = 0;
@@ -466,6 +470,7 @@
   --inFlight_;
   metrics_.Count("caller_requests{status=\"" + std::to_string(reply.status_) + "\"}");
   metrics_.Observe("caller_latency", clock_.Now() - begin);
+  constexpr unsigned int kUnauthorized = 401;
   constexpr unsigned int kNotFound = 404;
   if (reply.status_ >= 500 || reply.status_ == kNotFound) {
     Log(LogLevel::Info,
@@ -481,6 +486,7 @@
   response.status_ = reply.status_;
   response.body_ = reply.body_;
   response.retryAfter_ = reply.retryAfter_;
+  response.challenge_ = reply.status_ == kUnauthorized ? "Bearer" : "";
   response.closeConnection_ = stopping_;
   return response;
 }
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -374,8 +374,10 @@
             "config.applied",
             { { "version", config.version_ },
               { "queues", config.queues_.size() },
+              { "tenants", config.tenants_ ? config.tenants_->size() : 0 },
               { "revision", record.revision_ } });
         config_ = std::move(config);
+        keys_.Apply(config_);
       }
       continue;
     }
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -151,6 +151,7 @@
     { "interval_ms", aJob.spec_.interval_.count() },
     { "repeats", aJob.spec_.repeats_ },
     { "queue", EncodePolicy(aJob.policy_) },
+    { "tenant", aJob.spec_.tenant_ },
     { "accepted_ms", aJob.acceptedWall_.count() }
   }.dump();
 }
@@ -169,6 +170,7 @@
     aSpec.repeats_ = Count(aRecord, "repeats");
     aPolicy = DecodePolicy(aRecord.at("queue"));
     aSpec.queue_ = aPolicy.name_;
+    aSpec.tenant_ = aRecord.value("tenant", ""); // Earlier releases wrote none.
     aAcceptedWallMs = Integer(aRecord, "accepted_ms", kUnixTimeRange);
   });
 }
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -159,6 +159,42 @@
   ++earlyCancels_;
 }
 
+std::optional<JobResponse>
+JobControl::Authenticate(const JobRequest& aRequest,
+                         const QueuePolicy& aQueue,
+                         std::string& aTenant)
+{
+  if (!keys_.AreRequired()) {
+    return std::nullopt;
+  }
+  if (const std::string* tenant = keys_.TenantOf(aRequest.apiKey_)) {
+    aTenant = *tenant;
+    return std::nullopt;
+  }
+  if (aQueue.isPublic_) {
+    return std::nullopt;
+  }
+  if (ConfigAge() > settings_.denyLimit_) {
+    return MakeResponse(JobResponseKind::Refused, "the keys may have changed");
+  }
+  metrics_.Count("calls_with_unknown_key");
+  Log(LogLevel::Info,
+      "key.unknown",
+      { { "path", aRequest.path_ },
+        { "has_key", !aRequest.apiKey_.empty() },
+        { "config_version", config_.version_ },
+        { "confirmed_ms_ago", ConfigAge().count() },
+        { "fence", leadership_.FencingToken() } });
+  return MakeResponse(JobResponseKind::UnknownKey, "no tenant has this key");
+}
+
+bool
+JobControl::IsOfOtherTenant(const Job& aJob, const QueuePolicy& aQueue, const std::string& aTenant)
+{
+  return !aQueue.isPublic_ && !aTenant.empty() && !aJob.spec_.tenant_.empty() &&
+         aJob.spec_.tenant_ != aTenant;
+}
+
 JobResponse
 JobControl::StateResponse(const Job& aJob) const
 {
@@ -190,9 +226,19 @@
     aRespond(MakeResponse(JobResponseKind::NoQueue));
     return;
   }
+  std::string tenant;
+  if (const auto refusal = Authenticate(aRequest, *queue, tenant)) {
+    aRespond(*refusal);
+    return;
+  }
   const std::string id = aRequest.path_.substr(queue->prefix_.size());
+  Job* job = jobs_.Find(id);
+  if (job && IsOfOtherTenant(*job, *queue, tenant)) {
+    aRespond(MakeResponse(JobResponseKind::OtherTenant, "the job belongs to another tenant"));
+    return;
+  }
   if (aRequest.kind_ == JobRequestKind::Submit) {
-    Submit(aRequest, *queue, aRespond);
+    Submit(aRequest, *queue, tenant, aRespond);
     return;
   }
   if (id.empty()) {
@@ -201,7 +247,6 @@
     aRespond(response);
     return;
   }
-  Job* job = jobs_.Find(id);
   if (!job) {
     RespondToUnknownJob(id, aRespond, [this, request = aRequest, id, aRespond] {
       const QueuePolicy* current = FindQueue(request.host_, request.path_);
@@ -237,6 +282,7 @@
 void
 JobControl::Submit(const JobRequest& aRequest,
                    const QueuePolicy& aQueue,
+                   const std::string& aTenant,
                    const JobResponseCallback& aRespond)
 {
   const std::string id = aRequest.path_.substr(aQueue.prefix_.size());
@@ -276,6 +322,7 @@
   JobSpec spec = aRequest.spec_;
   spec.id_ = id;
   spec.queue_ = aQueue.name_;
+  spec.tenant_ = aTenant;
   const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
   jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
   journal_.Submit(index, [this, index, id, aRespond](JournalOutcome aOutcome) {
--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -219,13 +219,21 @@
 }
 
 JobRequest
-JobWorld::SubmitCall(const std::string& aPool, const std::string& aId, std::vector<StepSpec> aSteps)
+JobWorld::CallTo(JobRequestKind aKind, const std::string& aPool, const std::string& aId) const
 {
-  specs_[aId] = aSteps;
   JobRequest call;
-  call.kind_ = JobRequestKind::Submit;
+  call.kind_ = aKind;
   call.host_ = "callers";
   call.path_ = "/" + aPool + "/" + aId;
+  call.apiKey_ = apiKey_;
+  return call;
+}
+
+JobRequest
+JobWorld::SubmitCall(const std::string& aPool, const std::string& aId, std::vector<StepSpec> aSteps)
+{
+  specs_[aId] = aSteps;
+  JobRequest call = CallTo(JobRequestKind::Submit, aPool, aId);
   call.spec_.payload_ = "payload of " + aId;
   call.spec_.steps_ = std::move(aSteps);
   return call;
@@ -265,26 +273,13 @@
 JobState
 JobWorld::StateOf(const std::string& aPool, const std::string& aId)
 {
-  JobRequest call;
-  call.host_ = "callers";
-  call.path_ = "/" + aPool + "/" + aId;
-  return Call(call).state_;
-}
-
-JobRequest
-JobWorld::CancelCall(const std::string& aPool, const std::string& aId)
-{
-  JobRequest call;
-  call.kind_ = JobRequestKind::Cancel;
-  call.host_ = "callers";
-  call.path_ = "/" + aPool + "/" + aId;
-  return call;
+  return Call(CallTo(JobRequestKind::State, aPool, aId)).state_;
 }
 
 JobResponse
 JobWorld::Cancel(const std::string& aPool, const std::string& aId)
 {
-  return Call(CancelCall(aPool, aId));
+  return Call(CallTo(JobRequestKind::Cancel, aPool, aId));
 }
 
 JobResponse
@@ -299,7 +294,7 @@
 JobResponse
 JobWorld::CancelAt(size_t aHost, const std::string& aPool, const std::string& aId)
 {
-  return CallAt(aHost, CancelCall(aPool, aId));
+  return CallAt(aHost, CallTo(JobRequestKind::Cancel, aPool, aId));
 }
 
 void
@@ -307,7 +302,7 @@
                      const std::string& aId,
                      const JobResponseCallback& aAnswer)
 {
-  Send(CancelCall(aPool, aId), aAnswer);
+  Send(CallTo(JobRequestKind::Cancel, aPool, aId), aAnswer);
 }
 
 }
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -41,6 +41,9 @@
   /// loss of the leader's record.
   bool IsLeader(size_t aHost) const;
 
+  /// Sets the API key of the calls from now on.
+  void UseKey(const std::string& aKey) { apiKey_ = aKey; }
+
   /// Sends a call to the leader; dropped without an answer if there is no leader.
   void Send(const JobRequest& aCall, const JobResponseCallback& aAnswer);
   void SendSubmit(const std::string& aPool,
@@ -119,10 +122,11 @@
   };
 
   void Boot(size_t aHost);
+  /// @returns A call to a path below that of a pool's queue.
+  JobRequest CallTo(JobRequestKind aKind, const std::string& aPool, const std::string& aId) const;
   JobRequest SubmitCall(const std::string& aPool,
                         const std::string& aId,
                         std::vector<StepSpec> aSteps);
-  static JobRequest CancelCall(const std::string& aPool, const std::string& aId);
   void Tick(Node& aNode);
   SimulatedFleet::TaskShape ShapeOf(const std::string& aTask) const;
 
@@ -133,6 +137,7 @@
   std::unique_ptr<SimulatedFleet> fleet_;
   std::vector<Node> nodes_;
   FleetConfig config_;
+  std::string apiKey_;
   Metrics metrics_;
   JobControlSettings settings_;
   std::map<std::string, std::vector<StepSpec>> specs_;
--- a/standins/plain_fleet_format.cpp
+++ b/standins/plain_fleet_format.cpp
@@ -28,18 +28,29 @@
                        { "max_attempts", queue.maxAttempts_ },
                        { "stretch", queue.stretch_ },
                        { "latency_target_ms", queue.latencyTarget_.count() },
+                       { "public", queue.isPublic_ },
                        { "advised", queue.advised_ } });
   }
   json services = json::array();
   for (const ServicePolicy& service : aConfig.services_) {
     services.push_back({ { "name", service.name_ }, { "spare", service.spare_ } });
   }
-  return json{
-    { "version", aConfig.version_ },
-    { "max_body_bytes", aConfig.maxBodyBytes_ },
-    { "queues", queues },
-    { "services", services }
-  }.dump();
+  json config{ { "version", aConfig.version_ },
+               { "max_body_bytes", aConfig.maxBodyBytes_ },
+               { "queues", queues },
+               { "services", services } };
+  if (aConfig.tenants_) {
+    config["tenants"] = json::array();
+    for (const TenantPolicy& tenant : *aConfig.tenants_) {
+      config["tenants"].push_back({ { "name", tenant.name_ },
+                                    { "keys", tenant.apiKeys_ },
+                                    { "weight", tenant.weight_ },
+                                    { "cpu_milli", tenant.cap_.cpuMilli_ },
+                                    { "memory_mb", tenant.cap_.memoryMb_ },
+                                    { "accelerators", tenant.cap_.accelerators_ } });
+    }
+  }
+  return config.dump();
 }
 
 std::string
@@ -83,6 +94,7 @@
     row.at("max_attempts").get_to(queue.maxAttempts_);
     row.at("stretch").get_to(queue.stretch_);
     queue.latencyTarget_ = milliseconds(row.at("latency_target_ms").get<int64_t>());
+    row.at("public").get_to(queue.isPublic_);
     row.at("advised").get_to(queue.advised_);
     aConfig.queues_.push_back(std::move(queue));
   }
@@ -90,6 +102,20 @@
     aConfig.services_.push_back(
       ServicePolicy{ row.at("name").get<std::string>(), row.at("spare").get<bool>() });
   }
+  if (!body.contains("tenants")) {
+    return true;
+  }
+  aConfig.tenants_.emplace();
+  for (const json& row : body.at("tenants")) {
+    TenantPolicy tenant;
+    row.at("name").get_to(tenant.name_);
+    row.at("keys").get_to(tenant.apiKeys_);
+    row.at("weight").get_to(tenant.weight_);
+    tenant.cap_ = Resources{ row.at("cpu_milli").get<int64_t>(),
+                             row.at("memory_mb").get<int64_t>(),
+                             row.at("accelerators").get<int64_t>() };
+    aConfig.tenants_->push_back(std::move(tenant));
+  }
   return true;
 }
 
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -22,6 +22,15 @@
   return record;
 }
 
+Record
+Config(const std::string& aTenants)
+{
+  Record record;
+  record.key_ = "op/config";
+  record.value_ = R"({"version":7,"routes":[],"services":[],"tenants":)" + aTenants + "}";
+  return record;
+}
+
 JobRequest
 Post(const std::string& aBody)
 {
@@ -68,6 +77,52 @@
   EXPECT_EQ(read(room).cpuMilli_, 16000);
 }
 
+// Keys, weights and caps must be read by their names on the wire.
+TEST(FleetFormat, ReadsTenants)
+{
+  FleetConfig config;
+  ASSERT_TRUE(FleetFormat().ReadConfig(
+    Config(R"([{"name":"t","api-keys":["k1","k2"],"priority":1,"weight":2.5,
+                "cap":{"cpu":5000,"mem-mb":100,"gpu":1}}])"),
+    config));
+  ASSERT_TRUE(config.tenants_.has_value());
+  ASSERT_EQ(config.tenants_->size(), 1U);
+  const TenantPolicy& tenant = config.tenants_->front();
+  EXPECT_EQ(tenant.name_, "t");
+  EXPECT_EQ(tenant.apiKeys_, (std::vector<std::string>{ "k1", "k2" }));
+  EXPECT_DOUBLE_EQ(tenant.weight_, 2.5);
+  EXPECT_EQ(tenant.cap_.cpuMilli_, 5000);
+  EXPECT_EQ(tenant.cap_.memoryMb_, 100);
+  EXPECT_EQ(tenant.cap_.accelerators_, 1);
+}
+
+// A mistake in one tenant must take neither the configuration nor the keys of the others.
+TEST(FleetFormat, LeavesOutWhatIsUnreadableInATenant)
+{
+  FleetConfig config;
+  ASSERT_TRUE(FleetFormat().ReadConfig(
+    Config(R"([7, {"api-keys":["k0"]}, {"name":"a","api-keys":[1,"","k1"],"weight":-1,"cap":5},
+               {"name":"a","api-keys":["k2"]}, {"name":"b","api-keys":"k3","weight":0,
+                "cap":{"cpu":-1}}])"),
+    config));
+  ASSERT_EQ(config.tenants_->size(), 2U);
+  const TenantPolicy& first = config.tenants_->front();
+  EXPECT_EQ(first.apiKeys_, std::vector<std::string>{ "k1" });
+  EXPECT_GT(first.weight_, 0.0);
+  EXPECT_EQ(first.cap_.cpuMilli_, 0);
+  EXPECT_TRUE(config.tenants_->back().apiKeys_.empty());
+  EXPECT_GT(config.tenants_->back().weight_, 0.0);
+}
+
+// Text in place of the list must not open all queues to everybody.
+TEST(FleetFormat, KnowsNoKeyIfTheListOfTenantsIsUnreadable)
+{
+  FleetConfig config;
+  ASSERT_TRUE(FleetFormat().ReadConfig(Config(R"("none")"), config));
+  ASSERT_TRUE(config.tenants_.has_value());
+  EXPECT_TRUE(config.tenants_->empty());
+}
+
 // Malformed entries must be neither used nor stop the process.
 TEST(FleetFormat, RejectsMalformedEntries)
 {
