Keep what each tenant runs within its cap

Change: tasks count for their tenant from the command that starts them until they certainly do not run. The scheduler starts a task only within the cap over all pools, counts what a new leader has not seen yet as far as backend servers without an answer may run it, and leaves work that waits for a cap out of the demand that grows pools.

--- a/include/sardinespoke/job.h
+++ b/include/sardinespoke/job.h
@@ -34,6 +34,9 @@
   /// Availability budget: tasks that planned disruptions may interrupt at once.
   uint32_t maxUnavailable_ = 0;
 
+  /// @returns What a task counts against the cap of its tenant.
+  Resources Declared() const { return Resources{ cpuMilli_, memoryMb_, accelerators_ }; }
+
   /// @returns The capacity that a task reserves on a backend server.
   Resources Need() const
   {
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -2,6 +2,7 @@
 
 #include "sardinespoke/clock.h"
 #include "sardinespoke/job.h"
+#include "sardinespoke/tenant_usage.h"
 
 #include <cstdint>
 #include <limits>
@@ -71,6 +72,7 @@
 {
   JobSpec spec_;
   QueuePolicy policy_;
+  TenantUsage::Id tenant_ = TenantUsage::kNoTenant;
   std::string originalService_;              ///< Service of its queue when the job was accepted.
   TimePoint accepted_{};                     ///< On this process's clock.
   std::chrono::milliseconds acceptedWall_{}; ///< Since the Unix epoch.
@@ -201,6 +203,13 @@
   /// @returns The first task of a group; any other task itself.
   TaskRef FirstOfGroup(TaskRef aRef) const;
 
+  /// What the tenants run by the state of their tasks.
+  TenantUsage& Tenants() { return tenants_; }
+  const TenantUsage& Tenants() const { return tenants_; }
+
+  /// Gives a job the present policy of its queue, which may name another pool.
+  void SetPolicy(Job& aJob, const QueuePolicy& aPolicy);
+
   /// Jobs by index; removed ones are nullptr.
   const std::vector<std::unique_ptr<Job>>& Jobs() const { return jobs_; }
 
@@ -221,13 +230,16 @@
   static JobState StateOf(const Job& aJob);
 
 private:
-  void MarkDone(Step& aStep, Task& aTask);
+  void MarkDone(const TaskRef& aRef);
+  /// Counts a task of a step as running or not any more.
+  void CountRunning(const Job& aJob, uint32_t aStep, bool aRuns);
   void SetTrial(const TaskRef& aRef, bool aInTrial);
   void OpenOccurrence(Job& aJob);
 
   std::vector<std::unique_ptr<Job>> jobs_;
   std::vector<uint32_t> open_;
   std::vector<uint32_t> touched_;
+  TenantUsage tenants_;
   std::unordered_map<std::string, uint32_t> byId_;
 };
 
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -143,6 +143,10 @@
   /// yet.
   std::set<std::string> UnreconciledServices() const;
 
+  /// @returns Capacity of the backend servers that may run inherited tasks and have not responded
+  /// yet.
+  Resources UnreconciledCapacity() const;
+
   /// @returns True if a backend server with work does not respond, so that a fresh list of hosts is
   /// needed.
   bool HasUnresponsive() const;
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -7,6 +7,7 @@
 #include "sardinespoke/wait_order.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,14 @@
   /// The usable backend servers of one pool.
   using Pool = std::vector<BackendHandle>;
 
+  /// While backend servers have not told a new leader what they run, counts the inherited tasks
+  /// that they may run.
+  void CountUnseen();
+  /// Adds the tasks of a step that found no place to the demand of its pool, as far as the cap of
+  /// their tenant lets them run.
+  void AddDemand(uint32_t aJob, const Step& aStep, uint32_t aStepIndex, size_t aTasks);
+  /// Logs the tenants whose tasks wait for their cap, once each time.
+  void LogCapped();
   size_t PlaceJob(uint32_t aJob, const Pool& aPool);
   size_t PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
   Pool AllowedBackends(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
@@ -66,6 +75,11 @@
   size_t poolSize_ = 0;  ///< Of that pool.
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
+  std::map<TenantUsage::Id, Resources> demand_;             ///< Counted in the last Run().
+  std::set<TenantUsage::Id> capped_;    ///< Tenants with tasks that wait for their cap.
+  std::set<TenantUsage::Id> wasCapped_; ///< The same as last logged.
+  bool hasUnseen_ = false;
+  TimePoint nextUnseenCount_{};
 };
 
 }
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -378,6 +378,7 @@
               { "revision", record.revision_ } });
         config_ = std::move(config);
         keys_.Apply(config_);
+        jobs_.Tenants().Apply(config_);
       }
       continue;
     }
@@ -391,7 +392,7 @@
     Job& job = jobs_.At(index);
     for (const QueuePolicy& queue : config_.queues_) {
       if (queue.name_ == job.spec_.queue_) {
-        job.policy_ = queue;
+        jobs_.SetPolicy(job, queue);
       }
     }
   }
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -27,6 +27,7 @@
   job->spec_ = std::move(aSpec);
   job->originalService_ = aPolicy.service_;
   job->policy_ = std::move(aPolicy);
+  job->tenant_ = tenants_.IdOf(job->spec_.tenant_);
   job->accepted_ = aNow;
   job->acceptedWall_ = aWall;
   const auto index = static_cast<uint32_t>(jobs_.size());
@@ -154,7 +155,10 @@
 {
   Task& task = At(aRef);
   Step& step = StepOf(aRef);
-  step.active_ += task.phase_ == TaskPhase::Active ? 0 : 1;
+  if (task.phase_ != TaskPhase::Active) {
+    ++step.active_;
+    CountRunning(*jobs_[aRef.job_], aRef.step_, true);
+  }
   task.phase_ = TaskPhase::Active;
   task.run_ = aRun;
   task.backend_ = aBackend;
@@ -171,6 +175,7 @@
     return;
   }
   --StepOf(aRef).active_;
+  CountRunning(*jobs_[aRef.job_], aRef.step_, false);
   task.phase_ = TaskPhase::Waiting;
   task.backend_ = BackendHandle{};
   EndTrial(aRef);
@@ -197,15 +202,53 @@
 }
 
 void
-JobTable::MarkDone(Step& aStep, Task& aTask)
+JobTable::MarkDone(const TaskRef& aRef)
 {
-  if (aTask.phase_ == TaskPhase::Done) {
+  Task& task = At(aRef);
+  Step& step = StepOf(aRef);
+  if (task.phase_ == TaskPhase::Done) {
     return;
   }
-  aStep.active_ -= aTask.phase_ == TaskPhase::Active ? 1 : 0;
-  aTask.phase_ = TaskPhase::Done;
-  aTask.checkpoint_.clear();
-  ++aStep.done_;
+  if (task.phase_ == TaskPhase::Active) {
+    --step.active_;
+    CountRunning(*jobs_[aRef.job_], aRef.step_, false);
+  }
+  task.phase_ = TaskPhase::Done;
+  task.checkpoint_.clear();
+  ++step.done_;
+}
+
+void
+JobTable::CountRunning(const Job& aJob, uint32_t aStep, bool aRuns)
+{
+  const Resources need = aJob.spec_.steps_[aStep].Declared();
+  if (aRuns) {
+    tenants_.Add(aJob.tenant_, aJob.policy_.service_, need);
+  } else {
+    tenants_.Remove(aJob.tenant_, aJob.policy_.service_, need);
+  }
+}
+
+void
+JobTable::SetPolicy(Job& aJob, const QueuePolicy& aPolicy)
+{
+  const auto countAll = [this, &aJob](bool aRuns) {
+    for (const Occurrence& occurrence : aJob.occurrences_) {
+      for (uint32_t step = 0; step < occurrence.steps_.size(); ++step) {
+        for (uint32_t count = 0; count < occurrence.steps_[step].active_; ++count) {
+          CountRunning(aJob, step, aRuns);
+        }
+      }
+    }
+  };
+  const bool moves = aJob.policy_.service_ != aPolicy.service_;
+  if (moves) {
+    countAll(false);
+  }
+  aJob.policy_ = aPolicy;
+  if (moves) {
+    countAll(true);
+  }
 }
 
 void
@@ -227,11 +270,11 @@
   Touch(aRef.job_);
   ++job.progress_;
   if (job.spec_.steps_[aRef.step_].gang_) {
-    for (Task& member : step.tasks_) {
-      MarkDone(step, member);
+    for (uint32_t member = 0; member < step.tasks_.size(); ++member) {
+      MarkDone(TaskRef{ aRef.job_, aRef.occurrence_, aRef.step_, member });
     }
   } else {
-    MarkDone(step, task);
+    MarkDone(aRef);
   }
   if (step.done_ < step.tasks_.size()) {
     return;
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -146,6 +146,22 @@
   return services;
 }
 
+Resources
+RunTracker::UnreconciledCapacity() const
+{
+  Resources sum;
+  for (const BackendHandle handle : backends_.Live()) {
+    const Backend& backend = backends_.At(handle);
+    if (!backend.unreconciled_ || IsLeaseOver(backend)) {
+      continue;
+    }
+    sum.cpuMilli_ += backend.entry_.capacity_.cpuMilli_;
+    sum.memoryMb_ += backend.entry_.capacity_.memoryMb_;
+    sum.accelerators_ += backend.entry_.capacity_.accelerators_;
+  }
+  return sum;
+}
+
 bool
 RunTracker::HasUnresponsive() const
 {
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+// Period of the count of tasks that a new leader has not seen. An old count is too high, not too
+// low.
+constexpr std::chrono::milliseconds kUnseenCountPeriod{ 100 };
+
 double
 Utilization(const Backend& aBackend)
 {
@@ -62,6 +66,9 @@
   waitingCoreMs_.clear();
   suspects_.BeginRound();
   unplacedContinuousTasks_.clear();
+  demand_.clear();
+  capped_.clear();
+  CountUnseen();
   std::map<std::string, std::vector<uint32_t>> waiting;
   const std::set<std::string> awaited = runs_.UnreconciledServices();
   for (const uint32_t index : jobs_.Open()) {
@@ -90,9 +97,97 @@
       started += PlaceJob(job, pool);
     }
   }
+  LogCapped();
   return started;
 }
 
+void
+TaskScheduler::CountUnseen()
+{
+  const TimePoint now = clock_.Now();
+  if (now < nextUnseenCount_) {
+    return;
+  }
+  nextUnseenCount_ = now + kUnseenCountPeriod;
+  const Resources room = runs_.UnreconciledCapacity();
+  if (room.cpuMilli_ == 0 && room.memoryMb_ == 0) {
+    if (hasUnseen_) {
+      jobs_.Tenants().SetUnseen({});
+      hasUnseen_ = false;
+    }
+    return;
+  }
+  hasUnseen_ = true;
+  std::map<TenantUsage::Id, Resources> unseen;
+  for (const auto& job : jobs_.Jobs()) {
+    if (!job || !job->inherited_ || job->finished_ || job->tenant_ == TenantUsage::kNoTenant) {
+      continue;
+    }
+    Resources& sum = unseen[job->tenant_];
+    for (const Occurrence& occurrence : job->occurrences_) {
+      for (size_t step = 0; step < occurrence.steps_.size(); ++step) {
+        const Step& state = occurrence.steps_[step];
+        const auto tasks = static_cast<int64_t>(state.tasks_.size() - state.done_ - state.active_);
+        const Resources need = job->spec_.steps_[step].Declared();
+        sum.cpuMilli_ += tasks * need.cpuMilli_;
+        sum.memoryMb_ += tasks * need.memoryMb_;
+        sum.accelerators_ += tasks * need.accelerators_;
+      }
+    }
+  }
+  for (auto& [tenant, sum] : unseen) {
+    sum.cpuMilli_ = std::min(sum.cpuMilli_, room.cpuMilli_);
+    sum.memoryMb_ = std::min(sum.memoryMb_, room.memoryMb_);
+    sum.accelerators_ = std::min(sum.accelerators_, room.accelerators_);
+  }
+  jobs_.Tenants().SetUnseen(std::move(unseen));
+}
+
+void
+TaskScheduler::AddDemand(uint32_t aJob, const Step& aStep, uint32_t aStepIndex, size_t aTasks)
+{
+  const Job& job = jobs_.At(aJob);
+  const StepSpec& spec = job.spec_.steps_[aStepIndex];
+  Resources& planned = demand_[job.tenant_];
+  const uint32_t headroom = jobs_.Tenants().Headroom(job.tenant_, spec.Declared(), planned);
+  const auto tasks = static_cast<int64_t>(std::min<size_t>(aTasks, headroom));
+  planned.cpuMilli_ += tasks * spec.cpuMilli_;
+  planned.memoryMb_ += tasks * spec.memoryMb_;
+  planned.accelerators_ += tasks * spec.accelerators_;
+  if (spec.continuous_) {
+    unplacedContinuousTasks_[job.policy_.service_] += static_cast<uint32_t>(tasks);
+  }
+  if (!order_.IsLate(jobs_, aJob, clock_.Now())) {
+    const int64_t coreMsPerTask =
+      spec.cpuMilli_ * durations_.ExpectedDuration(job, aStep, aStepIndex).count() / 1000;
+    waitingCoreMs_[job.policy_.service_] += tasks * coreMsPerTask;
+  }
+}
+
+void
+TaskScheduler::LogCapped()
+{
+  const TenantUsage& tenants = jobs_.Tenants();
+  for (const TenantUsage::Id tenant : capped_) {
+    if (wasCapped_.count(tenant) > 0) {
+      continue;
+    }
+    const Resources& running = tenants.RunningOf(tenant);
+    const Resources& cap = tenants.CapOf(tenant);
+    Log(LogLevel::Info,
+        "tenant.at_cap",
+        { { "tenant", tenants.NameOf(tenant) },
+          { "cpu_milli", running.cpuMilli_ },
+          { "memory_mb", running.memoryMb_ },
+          { "accelerators", running.accelerators_ },
+          { "cap_cpu_milli", cap.cpuMilli_ },
+          { "cap_memory_mb", cap.memoryMb_ },
+          { "cap_accelerators", cap.accelerators_ },
+          { "has_unseen", hasUnseen_ } });
+  }
+  wasCapped_ = capped_;
+}
+
 size_t
 TaskScheduler::PlaceJob(uint32_t aJob, const Pool& aPool)
 {
@@ -114,14 +209,8 @@
       const size_t placed = job.spec_.steps_[step].gang_ ? PlaceGang(aJob, occurrence, step, pool)
                                                          : PlaceStep(aJob, occurrence, step, pool);
       started += placed;
-      if (job.spec_.steps_[step].continuous_ && waiting > placed) {
-        unplacedContinuousTasks_[job.policy_.service_] += static_cast<uint32_t>(waiting - placed);
-      }
-      if (waiting > placed && !order_.IsLate(jobs_, aJob, clock_.Now())) {
-        const auto coreMsPerTask = job.spec_.steps_[step].cpuMilli_ *
-                                   durations_.ExpectedDuration(job, state, step).count() / 1000;
-        waitingCoreMs_[job.policy_.service_] +=
-          static_cast<int64_t>(waiting - placed) * coreMsPerTask;
+      if (waiting > placed) {
+        AddDemand(aJob, state, step, waiting - placed);
       }
     }
   }
@@ -190,6 +279,8 @@
 TaskScheduler::PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool)
 {
   const StepSpec& spec = jobs_.At(aJob).spec_.steps_[aStep];
+  const TenantUsage::Id tenant = jobs_.At(aJob).tenant_;
+  const uint32_t headroom = jobs_.Tenants().Headroom(tenant, spec.Declared());
   size_t started = 0;
   bool isFull = false;
   for (uint32_t index = 0; index < spec.taskCount_; ++index) {
@@ -198,6 +289,10 @@
     if (task.phase_ != TaskPhase::Waiting) {
       continue;
     }
+    if (started == headroom) {
+      capped_.insert(tenant);
+      return started;
+    }
     if (jobs_.CrashesOf(ref) > 0) {
       if (!runs_.SettleTrial(ref)) {
         return started;
@@ -237,6 +332,11 @@
     return 0; // Some tasks of the previous run have not ended yet.
   }
   const TaskRef first{ aJob, aOccurrence, aStep, 0 };
+  const TenantUsage::Id tenant = jobs_.At(aJob).tenant_;
+  if (jobs_.Tenants().Headroom(tenant, spec.Declared()) < spec.taskCount_) {
+    capped_.insert(tenant);
+    return 0;
+  }
   const bool isSuspect = jobs_.CrashesOf(first) > 0;
   if (isSuspect && !runs_.SettleTrial(first)) {
     return 0;
