--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -116,6 +116,7 @@
   void RemoveEndedJobs();
   void OnRunEnded(const RunEvent& aEvent);
   void PublishMetrics();
+  void PublishTenants();
   void LogLoad();
   void TickLoaded();
   void DoHousekeeping();
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -168,9 +168,26 @@
   metrics_.Set("jobs_given_up", static_cast<double>(crashes.givenUp_));
   metrics_.Set("config_version", static_cast<double>(config_.version_));
   metrics_.Set("owner_fence", static_cast<double>(leadership_.FencingToken()));
+  PublishTenants();
   LogLoad();
 }
 
+void
+JobControl::PublishTenants()
+{
+  const TenantUsage& tenants = jobs_.Tenants();
+  for (TenantUsage::Id tenant = 0; tenant < tenants.Size(); ++tenant) {
+    const Resources& cap = tenants.CapOf(tenant);
+    if (cap.cpuMilli_ == 0 && cap.memoryMb_ == 0 && cap.accelerators_ == 0) {
+      continue;
+    }
+    const std::string label = "{tenant=\"" + tenants.NameOf(tenant) + "\"}";
+    const Resources& running = tenants.RunningOf(tenant);
+    metrics_.Set("tenant_cpu_milli" + label, static_cast<double>(running.cpuMilli_));
+    metrics_.Set("tenant_memory_mb" + label, static_cast<double>(running.memoryMb_));
+  }
+}
+
 void
 JobControl::LogLoad()
 {
