Index waiting jobs; order tenants by their shares

Change: jobs with ready waiting tasks are kept by pool, size class and rank, and only those that have changed are ranked anew. A round visits only size classes that may fit; demand is summed up when the allocator asks. Tenants beyond their weighted share of a pool, or with more submissions a second than their weight, come after others with jobs in time.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -113,6 +113,9 @@
   std::vector<BackendRun> runs_;
   Resources used_;
   uint32_t runsOfUnknownSize_ = 0;
+  uint32_t continuousRuns_ = 0;
+  uint32_t bestEffortRuns_ = 0;
+  uint32_t latencyTargetRuns_ = 0; ///< Runs with a bound on their response times.
   TimePoint ejectedUntil_{};
   uint32_t failuresInRow_ = 0;
   uint32_t startsWithoutResponse_ = 0; ///< Consecutive starts without a response.
@@ -182,6 +185,9 @@
   void RemoveRun(BackendHandle aBackend, const RunId& aRun);
 
 private:
+  /// Adds a run to what its backend server uses, or takes it out.
+  static void CountRun(Backend& aBackend, const BackendRun& aRun, int32_t aSign);
+
   std::vector<std::unique_ptr<Backend>> backends_;
   std::vector<BackendHandle> live_;
   std::map<std::string, BackendHandle> byId_;
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -6,6 +6,7 @@
 #include "sardinespoke/job_request.h"
 #include "sardinespoke/metrics.h"
 #include "sardinespoke/phase_times.h"
+#include "sardinespoke/submission_rates.h"
 #include "sardinespoke/task_scheduler.h"
 #include "sardinespoke/tenant_keys.h"
 
@@ -135,6 +136,7 @@
   AdviceCache advice_;
   DurationModel durations_;
   ArrivalRate arrivals_;
+  SubmissionRates submissionRates_;
   WaitOrder waitOrder_;
   TaskScheduler scheduler_;
   JobJournal journal_;
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -70,6 +70,7 @@
 
 struct Job
 {
+  uint32_t index_ = 0; ///< In the job table.
   JobSpec spec_;
   QueuePolicy policy_;
   TenantUsage::Id tenant_ = TenantUsage::kNoTenant;
@@ -83,11 +84,13 @@
   bool inherited_ = false;      ///< Accepted by an earlier leader.
   /// Revision of the progress record that an inherited job was restored from; 0: there was none.
   int64_t restoredRevision_ = 0;
-  bool resumed_ = false; ///< This leader has started a task of an inherited job.
-  bool started_ = false; ///< At least one task has started.
+  bool resumed_ = false;     ///< This leader has started a task of an inherited job.
+  bool started_ = false;     ///< At least one task has started.
+  bool isAboveRate_ = false; ///< Its tenant submitted more than its weight allows.
   bool cancelled_ = false;
   bool failed_ = false;
   bool finished_ = false;                    ///< All tasks are done.
+  bool changed_ = false;                     ///< See JobTable::TakeChanged().
   bool touched_ = false;                     ///< Progress differs from the stored record.
   JobState visibleState_ = JobState::Queued; ///< State in the stored progress record.
   uint32_t progress_ = 0;                    ///< Grows when a task is done or an occurrence begins.
@@ -226,6 +229,13 @@
   /// Jobs marked by Touch(), in the order of their first change; clears the marks.
   std::vector<uint32_t> TakeTouched();
 
+  /// Marks a job whose waiting tasks, order or pool may have changed. The table marks what it
+  /// changes itself.
+  void MarkChanged(uint32_t aJob);
+
+  /// Jobs marked by MarkChanged(), also removed ones; clears the marks.
+  std::vector<uint32_t> TakeChanged();
+
   /// State by the current progress; final states become visible to callers once stored.
   static JobState StateOf(const Job& aJob);
 
@@ -239,6 +249,7 @@
   std::vector<std::unique_ptr<Job>> jobs_;
   std::vector<uint32_t> open_;
   std::vector<uint32_t> touched_;
+  std::vector<uint32_t> changed_;
   TenantUsage tenants_;
   std::unordered_map<std::string, uint32_t> byId_;
 };
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -4,7 +4,8 @@
 #include "sardinespoke/refused_needs.h"
 #include "sardinespoke/run_tracker.h"
 #include "sardinespoke/suspect_placement.h"
-#include "sardinespoke/wait_order.h"
+#include "sardinespoke/tenant_shares.h"
+#include "sardinespoke/wait_index.h"
 
 #include <map>
 #include <set>
@@ -29,24 +30,40 @@
   /// @returns Number of tasks started.
   size_t Run();
 
-  /// @returns Work of the ready tasks of a pool that the last Run() could not place and that can
-  /// still meet their objective, in core-milliseconds.
-  int64_t WaitingCoreMs(const std::string& aService) const;
+  /// @returns Work of the ready tasks of a pool that wait for capacity and can still meet their
+  /// objective, in core-milliseconds.
+  int64_t WaitingCoreMs(const std::string& aService);
 
-  /// @returns Number of continuous tasks of a pool that the last Run() could not place.
-  uint32_t UnplacedContinuousTasks(const std::string& aService) const;
+  /// @returns Number of continuous tasks of a pool that wait for capacity.
+  uint32_t UnplacedContinuousTasks(const std::string& aService);
 
 private:
   /// The usable backend servers of one pool.
   using Pool = std::vector<BackendHandle>;
+  struct Servers
+  {
+    std::string service_;
+    Pool pool_;
+    Resources capacity_;
+  };
 
   /// While backend servers have not told a new leader what they run, counts the inherited tasks
   /// that they may run.
   void CountUnseen();
-  /// Adds the tasks of a step that found no place to the demand of its pool, as far as the cap of
-  /// their tenant lets them run.
-  void AddDemand(uint32_t aJob, const Step& aStep, uint32_t aStepIndex, size_t aTasks);
-  /// Logs the tenants whose tasks wait for their cap, once each time.
+  /// Finds the usable backend servers of the pools with waiting jobs.
+  void CollectServers();
+  size_t PlacePool(const std::string& aService,
+                   const WaitIndex::Pool& aWaiting,
+                   const Servers& aServers);
+  /// @returns Whether an earlier leader's run of the job may still exist.
+  bool MayRunUnseen(const Job& aJob) const;
+  /// Sums up the demand of all pools, if it may have changed.
+  void UpdateDemand();
+  /// Adds the waiting tasks of a job to the demand of its pool, as far as the cap of its tenant
+  /// lets them run.
+  void AddDemand(uint32_t aJob);
+  void AddDemand(const Job& aJob, const Step& aStep, uint32_t aStepIndex, size_t aTasks);
+  /// Logs the tenants whose tasks wait for their cap, each at most once a second.
   void LogCapped();
   size_t PlaceJob(uint32_t aJob, const Pool& aPool);
   size_t PlaceStep(uint32_t aJob, uint32_t aOccurrence, uint32_t aStep, const Pool& aPool);
@@ -73,11 +90,16 @@
   SuspectPlacement suspects_;
   RefusedNeeds refused_; ///< Of the pool whose jobs are being placed.
   size_t poolSize_ = 0;  ///< Of that pool.
+  WaitIndex index_;
+  std::map<std::string, Servers> servers_; ///< By pool.
+  std::vector<Servers*> serversOf_;        ///< By index of the backend server.
+  std::set<std::string> unreconciled_;     ///< See RunTracker::UnreconciledServices().
+  bool demandMayHaveChanged_ = true;
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
-  std::map<TenantUsage::Id, Resources> demand_;             ///< Counted in the last Run().
+  std::map<TenantUsage::Id, Resources> demand_;             ///< Counted so far.
   std::set<TenantUsage::Id> capped_;    ///< Tenants with tasks that wait for their cap.
-  std::set<TenantUsage::Id> wasCapped_; ///< The same as last logged.
+  std::map<TenantUsage::Id, TimePoint> cappedLogs_; ///< When that was last logged, by tenant.
   bool hasUnseen_ = false;
   TimePoint nextUnseenCount_{};
 };
--- /dev/null
+++ b/include/sardinespoke/tenant_shares.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "sardinespoke/tenant_usage.h"
+
+#include <string>
+
+namespace sardinespoke {
+
+/// Weighted shares of one pool among the tenants that wait or run there.
+///
+/// Load pattern: one tenant sends many times its usual load to a pool that is full. A tenant is
+/// beyond its share while its dominant resource there exceeds its weight's part of all their
+/// weights. Since usage is measured by what runs, work that has ended counts no more, and a tenant
+/// that used idle capacity owes nothing.
+class TenantShares
+{
+public:
+  /// @param aWaiting Tenants with jobs that wait for the pool.
+  TenantShares(const TenantUsage& aTenants,
+               const std::string& aPool,
+               const Resources& aCapacity,
+               const std::map<TenantUsage::Id, uint32_t>& aWaiting);
+
+  /// @returns True if the tenant uses more than its share now.
+  bool IsBeyondShare(TenantUsage::Id aTenant) const;
+
+private:
+  const TenantUsage& tenants_;
+  const std::string& pool_;
+  const Resources capacity_;
+  double sharePerWeight_ = 0.0;
+};
+
+}
--- a/include/sardinespoke/wait_order.h
+++ b/include/sardinespoke/wait_order.h
@@ -6,19 +6,40 @@
 
 namespace sardinespoke {
 
+/// Groups of jobs of equal priority, in the order in which they get capacity.
+enum class WaitTier : uint32_t
+{
+  Continuous, ///< Small jobs that lose value with every second.
+  InTime,     ///< Can still meet the objective.
+  Late,
+  Count
+};
+
+/// Position of a waiting job among those of its pool.
+struct WaitRank
+{
+  uint32_t job_ = 0;
+  uint32_t priority_ = 0;
+  WaitTier tier_ = WaitTier::InTime;
+  double remainingWork_ = 0.0; ///< Core-seconds.
+  TimePoint lateFrom_{};       ///< A job that has not gone on by then is late.
+
+  bool operator<(const WaitRank& aOther) const;
+};
+
 /// Order in which the waiting jobs of a pool get capacity.
 ///
 /// Load pattern: for some seconds one queue needs several times the capacity of its pool. In order
 /// of arrival all its jobs would become late. Jobs are ordered by priority; then jobs with
-/// continuous tasks, which are small and lose value with every second; then jobs that can still
-/// meet their objective, least remaining work first; then late jobs, least remaining work first.
+/// continuous tasks; then jobs that can still meet their objective, least remaining work first;
+/// then late jobs, least remaining work first.
 class WaitOrder
 {
 public:
   explicit WaitOrder(const DurationModel& aDurations);
 
-  /// Sorts job indices.
-  void Sort(const JobTable& aJobs, TimePoint aNow, std::vector<uint32_t>& aWaiting) const;
+  /// @returns The present position of a job.
+  WaitRank RankOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
 
   /// @returns True if the job can no longer finish within its latency objective.
   bool IsLate(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
@@ -29,7 +50,7 @@
   {
     uint32_t progress_ = 0; ///< Progress of the job that it was made for.
     TimePoint madeAt_{};
-    TimePoint lateFrom_{}; ///< A job that has not gone on by then is late.
+    TimePoint lateFrom_{};
     double remainingWork_ = 0.0;
   };
 
--- a/src/backend_table.cpp
+++ b/src/backend_table.cpp
@@ -117,6 +117,9 @@
   backend.runs_.shrink_to_fit();
   backend.used_ = Resources{};
   backend.runsOfUnknownSize_ = 0;
+  backend.continuousRuns_ = 0;
+  backend.bestEffortRuns_ = 0;
+  backend.latencyTargetRuns_ = 0;
   live_.erase(std::remove(live_.begin(), live_.end(), aBackend), live_.end());
   const auto found = byId_.find(backend.entry_.id_);
   if (found != byId_.end() && found->second == aBackend) {
@@ -146,12 +149,21 @@
   return found == byHost_.end() ? BackendHandle{} : found->second;
 }
 
+void
+BackendTable::CountRun(Backend& aBackend, const BackendRun& aRun, int32_t aSign)
+{
+  AdjustBy(aBackend.used_, aRun.resources_, aSign);
+  aBackend.runsOfUnknownSize_ += aRun.isSizeUnknown_ ? aSign : 0;
+  aBackend.continuousRuns_ += aRun.isContinuous_ ? aSign : 0;
+  aBackend.bestEffortRuns_ += aRun.isBestEffort_ ? aSign : 0;
+  aBackend.latencyTargetRuns_ += aRun.hasLatencyTarget_ ? aSign : 0;
+}
+
 void
 BackendTable::AddRun(BackendHandle aBackend, BackendRun aRun)
 {
   Backend& backend = At(aBackend);
-  AdjustBy(backend.used_, aRun.resources_, 1);
-  backend.runsOfUnknownSize_ += aRun.isSizeUnknown_ ? 1 : 0;
+  CountRun(backend, aRun, 1);
   backend.runs_.push_back(std::move(aRun));
 }
 
@@ -163,8 +175,7 @@
   if (!run) {
     return;
   }
-  AdjustBy(backend.used_, run->resources_, -1);
-  backend.runsOfUnknownSize_ -= run->isSizeUnknown_ ? 1 : 0;
+  CountRun(backend, *run, -1);
   backend.runs_.erase(backend.runs_.begin() + (run - backend.runs_.data()));
 }
 
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -264,6 +264,7 @@
     Job& job = jobs_.At(index);
     job.stored_ = true;
     job.inherited_ = true;
+    jobs_.MarkChanged(index);
     jobs_.OpenDueOccurrences(job, wall_);
     const auto progress = parts_[PartProgress].find(JobJournal::ProgressKey(id));
     if (progress != parts_[PartProgress].end()) {
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -408,6 +408,7 @@
   hasBatch_ = false;
   for (const uint32_t job : batch_.jobs_) {
     jobs_.At(job).stored_ = true;
+    jobs_.MarkChanged(job);
   }
   for (size_t index = 0; index < batch_.progress_.size(); ++index) {
     jobs_.At(batch_.progress_[index]).visibleState_ = batch_.visibleStates_[index];
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -324,7 +324,10 @@
   spec.queue_ = aQueue.name_;
   spec.tenant_ = aTenant;
   const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
-  jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
+  Job& job = jobs_.At(index);
+  jobs_.OpenDueOccurrences(job, wall_);
+  const double weight = jobs_.Tenants().WeightOf(job.tenant_);
+  job.isAboveRate_ = !submissionRates_.Take(job.tenant_, weight, clock_.Now());
   journal_.Submit(index, [this, index, id, aRespond](JournalOutcome aOutcome) {
     const char* outcome = OutcomeName(aOutcome);
     metrics_.Count(std::string("job_submissions{outcome=\"") + outcome + "\"}");
@@ -384,6 +387,7 @@
   }
   if (!job.HasEnded()) {
     job.cancelled_ = true;
+    jobs_.MarkChanged(aJob);
     job.endedAt_ = clock_.Now();
     runs_.StopJob(aJob);
     Log(LogLevel::Info, "job.cancelled", { { "job", job.spec_.id_ } });
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -31,6 +31,7 @@
   job->accepted_ = aNow;
   job->acceptedWall_ = aWall;
   const auto index = static_cast<uint32_t>(jobs_.size());
+  job->index_ = index;
   byId_[job->spec_.id_] = index;
   open_.push_back(index);
   jobs_.push_back(std::move(job));
@@ -43,6 +44,7 @@
   byId_.erase(jobs_[aJob]->spec_.id_);
   open_.erase(std::remove(open_.begin(), open_.end(), aJob), open_.end());
   jobs_[aJob].reset();
+  MarkChanged(aJob);
 }
 
 Job*
@@ -119,7 +121,10 @@
 JobTable::OpenDueOccurrences(Job& aJob, std::chrono::milliseconds aWall)
 {
   const uint32_t due = DueOccurrences(aJob.spec_, aWall);
-  aJob.dueOccurrences_ = std::max(aJob.dueOccurrences_, due);
+  if (due > aJob.dueOccurrences_) {
+    aJob.dueOccurrences_ = due;
+    MarkChanged(aJob.index_);
+  }
   while (aJob.occurrences_.size() < due) {
     OpenOccurrence(aJob);
   }
@@ -164,6 +169,7 @@
   task.backend_ = aBackend;
   task.startedAt_ = aNow;
   jobs_[aRef.job_]->started_ = true;
+  MarkChanged(aRef.job_);
   SetTrial(aRef, CrashesOf(aRef) > 0);
 }
 
@@ -178,6 +184,7 @@
   CountRunning(*jobs_[aRef.job_], aRef.step_, false);
   task.phase_ = TaskPhase::Waiting;
   task.backend_ = BackendHandle{};
+  MarkChanged(aRef.job_);
   EndTrial(aRef);
   std::string& checkpoint = At(FirstOfGroup(aRef)).checkpoint_;
   if (!aCheckpoint.empty() && aCheckpoint != checkpoint) {
@@ -246,6 +253,7 @@
     countAll(false);
   }
   aJob.policy_ = aPolicy;
+  MarkChanged(aJob.index_);
   if (moves) {
     countAll(true);
   }
@@ -268,6 +276,7 @@
     step.measured_ = (step.measured_ * before + lasted) / (before + 1);
   }
   Touch(aRef.job_);
+  MarkChanged(aRef.job_);
   ++job.progress_;
   if (job.spec_.steps_[aRef.step_].gang_) {
     for (uint32_t member = 0; member < step.tasks_.size(); ++member) {
@@ -316,6 +325,7 @@
     return false;
   }
   job.failed_ = true;
+  MarkChanged(job.index_);
   job.endedAt_ = aNow;
   return true;
 }
@@ -328,6 +338,7 @@
     task.crashes_ = aCrashes;
     task.doubt_ = aCrashes == 0 ? 1.0 : task.doubt_;
     Touch(aRef.job_);
+    MarkChanged(aRef.job_);
   }
 }
 
@@ -356,6 +367,7 @@
     return false;
   }
   job.failed_ = true;
+  MarkChanged(job.index_);
   job.endedAt_ = aNow;
   Touch(aRef.job_);
   return true;
@@ -406,6 +418,30 @@
   return touched;
 }
 
+void
+JobTable::MarkChanged(uint32_t aJob)
+{
+  if (!jobs_[aJob]) {
+    changed_.push_back(aJob);
+  } else if (!jobs_[aJob]->changed_) {
+    jobs_[aJob]->changed_ = true;
+    changed_.push_back(aJob);
+  }
+}
+
+std::vector<uint32_t>
+JobTable::TakeChanged()
+{
+  std::vector<uint32_t> changed;
+  changed.swap(changed_);
+  for (const uint32_t job : changed) {
+    if (jobs_[job]) {
+      jobs_[job]->changed_ = false;
+    }
+  }
+  return changed;
+}
+
 JobState
 JobTable::StateOf(const Job& aJob)
 {
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// Shortest time between two log lines about the same tenant.
+constexpr std::chrono::milliseconds kCappedLogPeriod{ 1000 };
 // Period of the count of tasks that a new leader has not seen. An old count is too high, not too
 // low.
 constexpr std::chrono::milliseconds kUnseenCountPeriod{ 100 };
@@ -43,19 +45,22 @@
   , order_(aOrder)
   , clock_(aClock)
   , suspects_(aBackends, aClock)
+  , index_(aJobs, aOrder)
 {
 }
 
 int64_t
-TaskScheduler::WaitingCoreMs(const std::string& aService) const
+TaskScheduler::WaitingCoreMs(const std::string& aService)
 {
+  UpdateDemand();
   const auto found = waitingCoreMs_.find(aService);
   return found == waitingCoreMs_.end() ? 0 : found->second;
 }
 
 uint32_t
-TaskScheduler::UnplacedContinuousTasks(const std::string& aService) const
+TaskScheduler::UnplacedContinuousTasks(const std::string& aService)
 {
+  UpdateDemand();
   const auto found = unplacedContinuousTasks_.find(aService);
   return found == unplacedContinuousTasks_.end() ? 0 : found->second;
 }
@@ -63,44 +68,110 @@
 size_t
 TaskScheduler::Run()
 {
-  waitingCoreMs_.clear();
   suspects_.BeginRound();
-  unplacedContinuousTasks_.clear();
-  demand_.clear();
+  demandMayHaveChanged_ = true;
   capped_.clear();
   CountUnseen();
-  std::map<std::string, std::vector<uint32_t>> waiting;
-  const std::set<std::string> awaited = runs_.UnreconciledServices();
-  for (const uint32_t index : jobs_.Open()) {
-    const Job& job = jobs_.At(index);
-    const bool mayStillRun = job.inherited_ && (awaited.count(job.policy_.service_) > 0 ||
-                                                awaited.count(job.originalService_) > 0);
-    if (!job.stored_ || mayStillRun) {
-      continue;
+  index_.Update(clock_.Now());
+  unreconciled_ = runs_.UnreconciledServices();
+  CollectServers();
+  size_t started = 0;
+  for (const auto& [service, waiting] : index_.Pools()) {
+    if (!waiting.IsEmpty()) {
+      started += PlacePool(service, waiting, servers_[service]);
     }
-    waiting[job.policy_.service_].push_back(index);
   }
-  std::map<std::string, Pool> pools;
+  LogCapped();
+  return started;
+}
+
+void
+TaskScheduler::CollectServers()
+{
+  for (auto& [service, servers] : servers_) {
+    servers.pool_.clear();
+    servers.capacity_ = Resources();
+  }
   for (const BackendHandle handle : backends_.Live()) {
     const Backend& backend = backends_.At(handle);
-    if (runs_.IsUsable(backend)) {
-      pools[backend.entry_.service_].push_back(handle);
+    if (!runs_.IsUsable(backend)) {
+      continue;
+    }
+    if (handle.index_ >= serversOf_.size()) {
+      serversOf_.resize(handle.index_ + 1);
+    }
+    Servers*& servers = serversOf_[handle.index_];
+    if (!servers || servers->service_ != backend.entry_.service_) {
+      servers = &servers_[backend.entry_.service_];
+      servers->service_ = backend.entry_.service_;
     }
+    servers->pool_.push_back(handle);
+    servers->capacity_.cpuMilli_ += backend.entry_.capacity_.cpuMilli_;
+    servers->capacity_.memoryMb_ += backend.entry_.capacity_.memoryMb_;
+    servers->capacity_.accelerators_ += backend.entry_.capacity_.accelerators_;
   }
+}
+
+size_t
+TaskScheduler::PlacePool(const std::string& aService,
+                         const WaitIndex::Pool& aWaiting,
+                         const Servers& aServers)
+{
+  refused_ = RefusedNeeds();
+  poolSize_ = aServers.pool_.size();
+  const auto largestFreeCpu = [&] {
+    int64_t largest = 0;
+    for (const BackendHandle handle : aServers.pool_) {
+      const Backend& backend = backends_.At(handle);
+      largest = std::max(largest, backend.entry_.capacity_.cpuMilli_ - backend.used_.cpuMilli_);
+    }
+    return largest;
+  };
+  const TenantShares shares(jobs_.Tenants(), aService, aServers.capacity_, aWaiting.Tenants());
+  WaitIndex::Cursor cursor(aWaiting, largestFreeCpu());
   size_t started = 0;
-  for (auto& [service, jobs] : waiting) {
-    order_.Sort(jobs_, clock_.Now(), jobs);
-    const Pool& pool = pools[service];
-    refused_ = RefusedNeeds();
-    poolSize_ = pool.size();
-    for (const uint32_t job : jobs) {
-      started += PlaceJob(job, pool);
+  const auto place = [&](uint32_t aJob) {
+    const size_t placed = PlaceJob(aJob, aServers.pool_);
+    if (placed > 0) {
+      started += placed;
+      cursor.Limit(largestFreeCpu());
+    }
+  };
+  // Jobs in time whose tenants are beyond their share, until all others of that priority had a
+  // place.
+  std::vector<const WaitRank*> beyondShare;
+  const auto placeBeyondShare = [&] {
+    for (const WaitRank* rank : beyondShare) {
+      place(rank->job_);
     }
+    beyondShare.clear();
+  };
+  while (const WaitRank* rank = cursor.Next()) {
+    const Job& job = jobs_.At(rank->job_);
+    if (MayRunUnseen(job)) {
+      continue;
+    }
+    const bool isInTime = rank->tier_ == WaitTier::InTime;
+    if (!beyondShare.empty() && (!isInTime || beyondShare.front()->priority_ < rank->priority_)) {
+      placeBeyondShare();
+    }
+    if (isInTime && (job.isAboveRate_ || shares.IsBeyondShare(job.tenant_))) {
+      beyondShare.push_back(rank);
+      continue;
+    }
+    place(rank->job_);
   }
-  LogCapped();
+  placeBeyondShare();
   return started;
 }
 
+bool
+TaskScheduler::MayRunUnseen(const Job& aJob) const
+{
+  return aJob.inherited_ && (unreconciled_.count(aJob.policy_.service_) > 0 ||
+                             unreconciled_.count(aJob.originalService_) > 0);
+}
+
 void
 TaskScheduler::CountUnseen()
 {
@@ -144,23 +215,58 @@
 }
 
 void
-TaskScheduler::AddDemand(uint32_t aJob, const Step& aStep, uint32_t aStepIndex, size_t aTasks)
+TaskScheduler::UpdateDemand()
+{
+  if (!demandMayHaveChanged_) {
+    return;
+  }
+  demandMayHaveChanged_ = false;
+  waitingCoreMs_.clear();
+  unplacedContinuousTasks_.clear();
+  demand_.clear();
+  index_.Update(clock_.Now());
+  for (const auto& [service, waiting] : index_.Pools()) {
+    WaitIndex::Cursor cursor(waiting, std::numeric_limits<uint32_t>::max());
+    while (const WaitRank* rank = cursor.Next()) {
+      if (!MayRunUnseen(jobs_.At(rank->job_))) {
+        AddDemand(rank->job_);
+      }
+    }
+  }
+}
+
+void
+TaskScheduler::AddDemand(uint32_t aJob)
 {
   const Job& job = jobs_.At(aJob);
-  const StepSpec& spec = job.spec_.steps_[aStepIndex];
-  Resources& planned = demand_[job.tenant_];
-  const uint32_t headroom = jobs_.Tenants().Headroom(job.tenant_, spec.Declared(), planned);
+  for (uint32_t occurrence = 0; occurrence < job.dueOccurrences_; ++occurrence) {
+    for (uint32_t step = 0; step < job.spec_.steps_.size(); ++step) {
+      const Step& state = job.occurrences_[occurrence].steps_[step];
+      const size_t waiting = state.tasks_.size() - state.done_ - state.active_;
+      if (waiting > 0 && jobs_.IsReady(job, occurrence, step)) {
+        AddDemand(job, state, step, waiting);
+      }
+    }
+  }
+}
+
+void
+TaskScheduler::AddDemand(const Job& aJob, const Step& aStep, uint32_t aStepIndex, size_t aTasks)
+{
+  const StepSpec& spec = aJob.spec_.steps_[aStepIndex];
+  Resources& planned = demand_[aJob.tenant_];
+  const uint32_t headroom = jobs_.Tenants().Headroom(aJob.tenant_, spec.Declared(), planned);
   const auto tasks = static_cast<int64_t>(std::min<size_t>(aTasks, headroom));
   planned.cpuMilli_ += tasks * spec.cpuMilli_;
   planned.memoryMb_ += tasks * spec.memoryMb_;
   planned.accelerators_ += tasks * spec.accelerators_;
   if (spec.continuous_) {
-    unplacedContinuousTasks_[job.policy_.service_] += static_cast<uint32_t>(tasks);
+    unplacedContinuousTasks_[aJob.policy_.service_] += static_cast<uint32_t>(tasks);
   }
-  if (!order_.IsLate(jobs_, aJob, clock_.Now())) {
+  if (!order_.IsLate(jobs_, aJob.index_, clock_.Now())) {
     const int64_t coreMsPerTask =
-      spec.cpuMilli_ * durations_.ExpectedDuration(job, aStep, aStepIndex).count() / 1000;
-    waitingCoreMs_[job.policy_.service_] += tasks * coreMsPerTask;
+      spec.cpuMilli_ * durations_.ExpectedDuration(aJob, aStep, aStepIndex).count() / 1000;
+    waitingCoreMs_[aJob.policy_.service_] += tasks * coreMsPerTask;
   }
 }
 
@@ -169,9 +275,11 @@
 {
   const TenantUsage& tenants = jobs_.Tenants();
   for (const TenantUsage::Id tenant : capped_) {
-    if (wasCapped_.count(tenant) > 0) {
+    TimePoint& loggedAt = cappedLogs_[tenant];
+    if (loggedAt != TimePoint{} && clock_.Now() - loggedAt < kCappedLogPeriod) {
       continue;
     }
+    loggedAt = clock_.Now();
     const Resources& running = tenants.RunningOf(tenant);
     const Resources& cap = tenants.CapOf(tenant);
     Log(LogLevel::Info,
@@ -185,7 +293,6 @@
           { "cap_accelerators", cap.accelerators_ },
           { "has_unseen", hasUnseen_ } });
   }
-  wasCapped_ = capped_;
 }
 
 size_t
@@ -204,14 +311,11 @@
       if (waiting == 0 || !jobs_.IsReady(job, occurrence, step)) {
         continue;
       }
-      const Pool pool =
-        job.policy_.advised_ ? AllowedBackends(aJob, occurrence, step, aPool) : aPool;
-      const size_t placed = job.spec_.steps_[step].gang_ ? PlaceGang(aJob, occurrence, step, pool)
-                                                         : PlaceStep(aJob, occurrence, step, pool);
-      started += placed;
-      if (waiting > placed) {
-        AddDemand(aJob, state, step, waiting - placed);
-      }
+      const Pool allowed =
+        job.policy_.advised_ ? AllowedBackends(aJob, occurrence, step, aPool) : Pool();
+      const Pool& pool = job.policy_.advised_ ? allowed : aPool;
+      started += job.spec_.steps_[step].gang_ ? PlaceGang(aJob, occurrence, step, pool)
+                                              : PlaceStep(aJob, occurrence, step, pool);
     }
   }
   if (first && started > 0) {
@@ -401,14 +505,10 @@
     score += kWrongRackPenalty;
   }
   const bool hasLatencyTarget = aSpec.latencyTarget_ > std::chrono::milliseconds(0);
-  bool hasContinuous = false;
-  for (const BackendRun& run : aBackend.runs_) {
-    hasContinuous = hasContinuous || run.isContinuous_;
-    score += (hasLatencyTarget && run.isBestEffort_) || (aSpec.bestEffort_ && run.hasLatencyTarget_)
-               ? kInterferencePenalty
-               : 0.0;
-  }
-  return score - (hasContinuous ? kContinuousTaskBonus : 0.0);
+  const uint32_t disturbing = (hasLatencyTarget ? aBackend.bestEffortRuns_ : 0) +
+                              (aSpec.bestEffort_ ? aBackend.latencyTargetRuns_ : 0);
+  score += kInterferencePenalty * disturbing;
+  return score - (aBackend.continuousRuns_ > 0 ? kContinuousTaskBonus : 0.0);
 }
 
 BackendHandle
--- a/src/wait_order.cpp
+++ b/src/wait_order.cpp
@@ -12,20 +12,13 @@
 // The durations that a queue has learned change little within this time.
 constexpr std::chrono::milliseconds kEstimateAge{ 250 };
 
-struct Rank
-{
-  uint32_t job_ = 0;
-  uint32_t priority_ = 0;
-  uint32_t tier_ = 0; ///< 0: continuous, 1: can meet its objective, 2: late.
-  double remainingWork_ = 0.0;
-
-  bool operator<(const Rank& aOther) const
-  {
-    return std::tie(priority_, tier_, remainingWork_, job_) <
-           std::tie(aOther.priority_, aOther.tier_, aOther.remainingWork_, aOther.job_);
-  }
-};
+}
 
+bool
+WaitRank::operator<(const WaitRank& aOther) const
+{
+  return std::tie(priority_, tier_, remainingWork_, job_) <
+         std::tie(aOther.priority_, aOther.tier_, aOther.remainingWork_, aOther.job_);
 }
 
 WaitOrder::WaitOrder(const DurationModel& aDurations)
@@ -63,24 +56,23 @@
   return aNow > EstimateOf(aJobs, aJob, aNow).lateFrom_;
 }
 
-void
-WaitOrder::Sort(const JobTable& aJobs, TimePoint aNow, std::vector<uint32_t>& aWaiting) const
+WaitRank
+WaitOrder::RankOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const
 {
-  std::vector<Rank> ranks;
-  ranks.reserve(aWaiting.size());
-  for (const uint32_t index : aWaiting) {
-    const Job& job = aJobs.At(index);
-    Rank rank{ index, job.policy_.priority_, 0, 0.0 };
-    if (!job.HasContinuousSteps()) {
-      const Estimate& estimate = EstimateOf(aJobs, index, aNow);
-      rank.tier_ = aNow > estimate.lateFrom_ ? 2 : 1;
-      rank.remainingWork_ = estimate.remainingWork_;
-    }
-    ranks.push_back(rank);
+  const Job& job = aJobs.At(aJob);
+  WaitRank rank;
+  rank.job_ = aJob;
+  rank.priority_ = job.policy_.priority_;
+  rank.lateFrom_ = TimePoint::max();
+  if (job.HasContinuousSteps()) {
+    rank.tier_ = WaitTier::Continuous;
+    return rank;
   }
-  std::sort(ranks.begin(), ranks.end());
-  std::transform(
-    ranks.begin(), ranks.end(), aWaiting.begin(), [](const Rank& aRank) { return aRank.job_; });
+  const Estimate& estimate = EstimateOf(aJobs, aJob, aNow);
+  rank.tier_ = aNow > estimate.lateFrom_ ? WaitTier::Late : WaitTier::InTime;
+  rank.remainingWork_ = estimate.remainingWork_;
+  rank.lateFrom_ = estimate.lateFrom_;
+  return rank;
 }
 
 }
--- a/tests/wait_order_test.cpp
+++ b/tests/wait_order_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -36,7 +37,9 @@
 
   std::vector<uint32_t> Sorted(std::vector<uint32_t> aJobs)
   {
-    order_.Sort(jobs_, clock_.Now(), aJobs);
+    std::sort(aJobs.begin(), aJobs.end(), [this](uint32_t aLeft, uint32_t aRight) {
+      return order_.RankOf(jobs_, aLeft, clock_.Now()) < order_.RankOf(jobs_, aRight, clock_.Now());
+    });
     return aJobs;
   }
 
