--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -24,6 +24,8 @@
   /// Age up to which requests for the queues that it names are handled, also by a leader that has
   /// lost most backend servers to a possible successor.
   std::chrono::milliseconds admitLimit_{ 7000 };
+  /// Turns hopeless submissions away; see OverloadPolicy.
+  bool refusesHopeless_ = false;
 };
 
 /// The control loop of the leader: accepts and stores jobs, places their tasks, tracks backend
@@ -93,6 +95,8 @@
               const QueuePolicy& aQueue,
               const std::string& aTenant,
               const JobResponseCallback& aRespond);
+  /// @returns The refusal of a new job that is hopeless; empty if it is admitted.
+  std::optional<JobResponse> RefuseHopeless(uint32_t aJob);
   /// Responds to a repeated submission of a job that is being stored.
   void AwaitSubmission(uint32_t aJob, const JobResponseCallback& aRespond);
   void CountArrival(const Job& aJob);
@@ -137,6 +141,7 @@
   DurationModel durations_;
   ArrivalRate arrivals_;
   SubmissionRates submissionRates_;
+  OverloadPolicy overload_;
   WaitOrder waitOrder_;
   TaskScheduler scheduler_;
   JobJournal journal_;
--- a/include/sardinespoke/node_settings.h
+++ b/include/sardinespoke/node_settings.h
@@ -28,6 +28,8 @@
   std::chrono::milliseconds configApply_{ 2000 };
   /// Added to configApply_ while the store refuses some entry hosts.
   std::chrono::milliseconds configStretch_{ 5000 };
+  /// Parts of the platform that the deployment uses, by the platform's names.
+  std::vector<std::string> platformParts_;
   std::string logLevel_ = "info";
 
   /// Parses and checks a settings file.
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sardinespoke/advice_cache.h"
+#include "sardinespoke/overload_policy.h"
 #include "sardinespoke/refused_needs.h"
 #include "sardinespoke/run_tracker.h"
 #include "sardinespoke/suspect_placement.h"
@@ -30,6 +31,12 @@
   /// @returns Number of tasks started.
   size_t Run();
 
+  /// @returns What is known of the pool of a new job and of the jobs before it.
+  SubmissionLoad LoadFor(uint32_t aJob);
+
+  /// @returns Part of its pool that the tenant of a job is entitled to.
+  double ShareFor(uint32_t aJob) const;
+
   /// @returns Work of the ready tasks of a pool that wait for capacity and can still meet their
   /// objective, in core-milliseconds.
   int64_t WaitingCoreMs(const std::string& aService);
@@ -98,7 +105,7 @@
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
   std::map<TenantUsage::Id, Resources> demand_;             ///< Counted so far.
-  std::set<TenantUsage::Id> capped_;    ///< Tenants with tasks that wait for their cap.
+  std::set<TenantUsage::Id> capped_;                ///< Tenants with tasks that wait for their cap.
   std::map<TenantUsage::Id, TimePoint> cappedLogs_; ///< When that was last logged, by tenant.
   bool hasUnseen_ = false;
   TimePoint nextUnseenCount_{};
--- a/include/sardinespoke/tenant_shares.h
+++ b/include/sardinespoke/tenant_shares.h
@@ -21,6 +21,9 @@
                const Resources& aCapacity,
                const std::map<TenantUsage::Id, uint32_t>& aWaiting);
 
+  /// @returns Part of the pool that the tenant is entitled to, above 0 and up to 1.
+  double ShareOf(TenantUsage::Id aTenant) const;
+
   /// @returns True if the tenant uses more than its share now.
   bool IsBeyondShare(TenantUsage::Id aTenant) const;
 
--- a/include/sardinespoke/wait_index.h
+++ b/include/sardinespoke/wait_index.h
@@ -65,6 +65,16 @@
   /// Takes in the jobs that have changed and those whose order depends on the time.
   void Update(TimePoint aNow);
 
+  /// Remaining work of the waiting jobs before a job of a pool, in core-seconds.
+  struct Backlog
+  {
+    double ahead_ = 0.0;
+    double lateAhead_ = 0.0; ///< Of late jobs of its priority that come before it once it is late.
+  };
+
+  /// @param aRank Position of a job in time, which need not be in the index.
+  Backlog BacklogBefore(const std::string& aPool, const WaitRank& aRank) const;
+
   /// By name. Pools without waiting jobs may be missing or empty.
   const std::map<std::string, Pool>& Pools() const { return pools_; }
 
--- a/include/sardinespoke/wait_order.h
+++ b/include/sardinespoke/wait_order.h
@@ -41,6 +41,9 @@
   /// @returns The present position of a job.
   WaitRank RankOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
 
+  /// @returns Time from its acceptance in which a job is to be done.
+  std::chrono::milliseconds Objective(const Job& aJob) const;
+
   /// @returns True if the job can no longer finish within its latency objective.
   bool IsLate(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const;
 
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -326,6 +326,11 @@
   const uint32_t index = jobs_.Add(std::move(spec), aQueue, clock_.Now(), wall_);
   Job& job = jobs_.At(index);
   jobs_.OpenDueOccurrences(job, wall_);
+  if (const auto refusal = RefuseHopeless(index)) {
+    jobs_.Remove(index);
+    aRespond(*refusal);
+    return;
+  }
   const double weight = jobs_.Tenants().WeightOf(job.tenant_);
   job.isAboveRate_ = !submissionRates_.Take(job.tenant_, weight, clock_.Now());
   journal_.Submit(index, [this, index, id, aRespond](JournalOutcome aOutcome) {
@@ -352,6 +357,38 @@
   });
 }
 
+std::optional<JobResponse>
+JobControl::RefuseHopeless(uint32_t aJob)
+{
+  const Job& job = jobs_.At(aJob);
+  if (!settings_.refusesHopeless_ || job.HasContinuousSteps() || job.spec_.repeats_ > 0) {
+    return std::nullopt;
+  }
+  const SubmissionLoad load = scheduler_.LoadFor(aJob);
+  const auto retryAfter = overload_.RetryAfter(
+    load, job.policy_.service_, job.tenant_, scheduler_.ShareFor(aJob), clock_.Now());
+  if (retryAfter == std::chrono::milliseconds(0)) {
+    return std::nullopt;
+  }
+  metrics_.Count("submissions_refused_hopeless");
+  Log(LogLevel::Info,
+      "job.refused_hopeless",
+      { { "job", job.spec_.id_ },
+        { "queue", job.spec_.queue_ },
+        { "tenant", job.spec_.tenant_ },
+        { "cores", load.cores_ },
+        { "work_ahead", load.workAhead_ },
+        { "late_work_ahead", load.lateWorkAhead_ },
+        { "work", load.work_ },
+        { "critical_path_ms", load.criticalPath_.count() },
+        { "objective_ms", load.objective_.count() },
+        { "retry_after_ms", retryAfter.count() } });
+  JobResponse response =
+    MakeResponse(JobResponseKind::Refused, "the job would take several times its objective");
+  response.retryAfter_ = retryAfter;
+  return response;
+}
+
 void
 JobControl::AwaitSubmission(uint32_t aJob, const JobResponseCallback& aRespond)
 {
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -14,6 +14,7 @@
 constexpr uint64_t kMaxMilliseconds = 3600000;
 constexpr double kMaxSeconds = 3600.0;
 constexpr double kMaxCores = 1024.0;
+constexpr size_t kMaxParts = 100;
 constexpr char kAddressText[] = "an IPv4 address and port, \"address:port\"";
 
 json
@@ -55,6 +56,7 @@
       { "keep_ended_s", NumberSchema(kMaxSeconds, "seconds") },
       { "config_apply_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "config_stretch_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
+      { "platform_parts", JsonSchema::List(JsonSchema::Text(), kMaxParts, "at most 100 names") },
       { "log", JsonSchema::OneOf({ "debug", "info", "warn", "error" }) } },
     { "id", "zone", "caller", "health", "peer", "store", "host_control" }));
   return kSchema;
@@ -119,6 +121,7 @@
   ReadSeconds(document, "keep_ended_s", settings.keepEnded_);
   ReadMilliseconds(document, "config_apply_ms", settings.configApply_);
   ReadMilliseconds(document, "config_stretch_ms", settings.configStretch_);
+  settings.platformParts_ = document.value("platform_parts", settings.platformParts_);
   settings.logLevel_ = document.value("log", settings.logLevel_);
   return settings;
 }
--- /dev/null
+++ b/src/overload_policy.cpp
@@ -0,0 +1,67 @@
+#include "sardinespoke/overload_policy.h"
+
+#include <algorithm>
+
+namespace sardinespoke {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+// A late job earns its caller something until it takes this multiple of its objective.
+constexpr int kWorthlessFactor = 3;
+// A pool may grow to about twice its size by moved hosts while a burst lasts. Durations that are
+// learned are uncertain as well, and a refusal must be certain.
+constexpr double kGrowthFactor = 2.0;
+constexpr milliseconds kLeastRetry{ 1000 };
+// Callers that must wait for longer ask again by themselves; a burst is over by then.
+constexpr milliseconds kLongestRetry{ 30000 };
+
+Seconds
+TimeToWork(double aCoreSeconds, double aCores)
+{
+  constexpr double kLeastCores = 0.001;
+  return Seconds(aCoreSeconds / std::max(aCores, kLeastCores));
+}
+
+}
+
+bool
+OverloadPolicy::IsHopeless(const SubmissionLoad& aLoad)
+{
+  // A pool without a usable server has lost contact with them, or is about to get some.
+  if (aLoad.cores_ <= 0.0 || aLoad.objective_ <= milliseconds(0)) {
+    return false;
+  }
+  const double cores = aLoad.cores_ * kGrowthFactor;
+  const auto path = std::max<Seconds>(aLoad.criticalPath_, TimeToWork(aLoad.work_, cores));
+  if (TimeToWork(aLoad.workAhead_, cores) + path <= Seconds(aLoad.objective_)) {
+    return false;
+  }
+  const auto finish = TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, cores) + path;
+  return finish > Seconds(aLoad.objective_ * kWorthlessFactor);
+}
+
+milliseconds
+OverloadPolicy::RetryAfter(const SubmissionLoad& aLoad,
+                           const std::string& aPool,
+                           TenantUsage::Id aTenant,
+                           double aShare,
+                           TimePoint aNow)
+{
+  if (!IsHopeless(aLoad)) {
+    return milliseconds(0);
+  }
+  const auto wait = std::chrono::duration_cast<milliseconds>(
+    TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, aLoad.cores_) -
+    Seconds(aLoad.objective_ - aLoad.criticalPath_));
+  TimePoint& next = nextReturn_[{ aPool, aTenant }];
+  const TimePoint earliest = aNow + std::clamp(wait, kLeastRetry, kLongestRetry);
+  const TimePoint place = std::clamp(next, earliest, aNow + kLongestRetry);
+  next = place + std::chrono::duration_cast<TimePoint::duration>(
+                   TimeToWork(aLoad.work_, aLoad.cores_ * aShare));
+  return std::chrono::ceil<milliseconds>(place - aNow);
+}
+
+}
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -65,6 +65,39 @@
   return found == unplacedContinuousTasks_.end() ? 0 : found->second;
 }
 
+SubmissionLoad
+TaskScheduler::LoadFor(uint32_t aJob)
+{
+  constexpr double kMilli = 1000.0;
+  const Job& job = jobs_.At(aJob);
+  const WaitRank rank = order_.RankOf(jobs_, aJob, clock_.Now());
+  index_.Update(clock_.Now());
+  const WaitIndex::Backlog backlog = index_.BacklogBefore(job.policy_.service_, rank);
+  SubmissionLoad load;
+  load.cores_ = static_cast<double>(servers_[job.policy_.service_].capacity_.cpuMilli_) / kMilli;
+  load.workAhead_ = backlog.ahead_;
+  load.lateWorkAhead_ = backlog.lateAhead_;
+  load.work_ = rank.remainingWork_;
+  load.criticalPath_ = durations_.CriticalPath(job);
+  load.objective_ = order_.Objective(job);
+  return load;
+}
+
+double
+TaskScheduler::ShareFor(uint32_t aJob) const
+{
+  const Job& job = jobs_.At(aJob);
+  const auto pool = index_.Pools().find(job.policy_.service_);
+  const auto servers = servers_.find(job.policy_.service_);
+  if (job.tenant_ == TenantUsage::kNoTenant || pool == index_.Pools().end() ||
+      servers == servers_.end()) {
+    return 1.0;
+  }
+  return TenantShares(
+           jobs_.Tenants(), servers->first, servers->second.capacity_, pool->second.Tenants())
+    .ShareOf(job.tenant_);
+}
+
 size_t
 TaskScheduler::Run()
 {
--- a/src/tenant_shares.cpp
+++ b/src/tenant_shares.cpp
@@ -1,5 +1,7 @@
 #include "sardinespoke/tenant_shares.h"
 
+#include <algorithm>
+
 namespace sardinespoke {
 
 TenantShares::TenantShares(const TenantUsage& aTenants,
@@ -19,6 +21,13 @@
   sharePerWeight_ = weights > 0.0 ? 1.0 / weights : 0.0;
 }
 
+double
+TenantShares::ShareOf(TenantUsage::Id aTenant) const
+{
+  const double share = sharePerWeight_ * tenants_.WeightOf(aTenant);
+  return share > 0.0 ? std::min(share, 1.0) : 1.0;
+}
+
 bool
 TenantShares::IsBeyondShare(TenantUsage::Id aTenant) const
 {
--- a/src/wait_index.cpp
+++ b/src/wait_index.cpp
@@ -77,6 +77,30 @@
   }
 }
 
+WaitIndex::Backlog
+WaitIndex::BacklogBefore(const std::string& aPool, const WaitRank& aRank) const
+{
+  Backlog backlog;
+  const auto pool = pools_.find(aPool);
+  if (pool == pools_.end()) {
+    return backlog;
+  }
+  WaitRank late = aRank;
+  late.tier_ = WaitTier::Late;
+  WaitRank firstLate = late;
+  firstLate.remainingWork_ = 0.0;
+  firstLate.job_ = 0;
+  for (const auto& ranks : pool->second.classes_) {
+    for (auto rank = ranks.begin(); rank != ranks.end() && *rank < aRank; ++rank) {
+      backlog.ahead_ += rank->remainingWork_;
+    }
+    for (auto rank = ranks.lower_bound(firstLate); rank != ranks.end() && *rank < late; ++rank) {
+      backlog.lateAhead_ += rank->remainingWork_;
+    }
+  }
+  return backlog;
+}
+
 void
 WaitIndex::Refresh(uint32_t aJob, TimePoint aNow)
 {
--- a/src/wait_order.cpp
+++ b/src/wait_order.cpp
@@ -26,6 +26,15 @@
 {
 }
 
+std::chrono::milliseconds
+WaitOrder::Objective(const Job& aJob) const
+{
+  const double stretched =
+    std::min(aJob.policy_.stretch_ * static_cast<double>(durations_.CriticalPath(aJob).count()),
+             static_cast<double>(kDurationRange.max_));
+  return std::chrono::milliseconds(static_cast<int64_t>(stretched)) + aJob.policy_.latencyTarget_;
+}
+
 const WaitOrder::Estimate&
 WaitOrder::EstimateOf(const JobTable& aJobs, uint32_t aJob, TimePoint aNow) const
 {
@@ -38,14 +47,9 @@
       aNow - known.madeAt_ < kEstimateAge) {
     return known;
   }
-  const double stretched =
-    std::min(job.policy_.stretch_ * static_cast<double>(durations_.CriticalPath(job).count()),
-             static_cast<double>(kDurationRange.max_));
-  const auto objective =
-    std::chrono::milliseconds(static_cast<int64_t>(stretched)) + job.policy_.latencyTarget_;
   known.progress_ = job.progress_;
   known.madeAt_ = aNow;
-  known.lateFrom_ = job.accepted_ + objective - durations_.RemainingCriticalPath(job);
+  known.lateFrom_ = job.accepted_ + Objective(job) - durations_.RemainingCriticalPath(job);
   known.remainingWork_ = durations_.RemainingWork(job);
   return known;
 }
