Bound what clients occupy in a process

Queued calls of the leader are bounded in bytes. Limits follow from memory and descriptors of the machine and can be set.

--- a/include/sardinespoke/admin_server.h
+++ b/include/sardinespoke/admin_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinespoke/intake_budget.h"
 #include "sardinespoke/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -49,7 +50,7 @@
                              const std::string& aMessage);
 };
 
-/// HTTP server of the admin address.
+/// HTTP server with a thread for each connection, within an IntakeBudget.
 class AdminServer
 {
 public:
@@ -67,6 +68,10 @@
   /// Sets the handler for requests that match no route; call before Init().
   void SetFallback(Handler aHandler);
 
+  /// Counts the connections in a budget that several servers share; call before Init(). A server
+  /// has one of its own otherwise.
+  void SetBudget(IntakeBudget& aBudget);
+
   /// Starts listening. Errors: ConfigError if the address cannot be bound.
   leaf::result<void> Init(const Endpoint& aListen);
   void Shutdown();
--- a/include/sardinespoke/entry_node.h
+++ b/include/sardinespoke/entry_node.h
@@ -3,6 +3,7 @@
 #include "sardinespoke/admin_server.h"
 #include "sardinespoke/caller_codec.h"
 #include "sardinespoke/http_multi.h"
+#include "sardinespoke/intake_budget.h"
 #include "sardinespoke/job_control.h"
 #include "sardinespoke/metrics.h"
 #include "sardinespoke/nng_peer_link.h"
@@ -20,8 +21,9 @@
 /// Settings of an EntryNode.
 struct EntryNodeSettings
 {
-  Endpoint caller_; ///< Where callers connect.
-  Endpoint health_; ///< Health check and metrics.
+  Endpoint caller_;     ///< Where callers connect.
+  Endpoint health_;     ///< Health check and metrics.
+  IntakeLimits intake_; ///< Of both.
   LeadershipSettings leadership_;
   JobControlSettings control_;
   std::chrono::milliseconds stopGrace_{ 3500 }; ///< Time of normal service after a stop signal.
@@ -75,6 +77,8 @@
   void HandleQueuedRequests();
   void FollowLeadership();
   void LogLoad();
+  /// Logs that clients were cut off since the last report.
+  void LogIntake();
   void HandleRequest(const Request& aRequest);
   CallerReply HandleLocally(const CallerCall& aCall);
   CallerReply ForwardToLeader(const CallerCall& aCall);
@@ -96,6 +100,8 @@
   const ClockI& clock_;
   Metrics metrics_;
   NngPeerLink peers_;
+  IntakeBudget intake_;
+  IntakeCounters loggedIntake_; ///< As of the last report.
   AdminServer callerServer_;
   AdminServer healthServer_;
   std::unique_ptr<Leadership> leadership_;
@@ -110,8 +116,10 @@
   std::atomic<bool> leaderUnresponsive_{ false }; ///< Two pings in a row failed.
   std::atomic<uint32_t> inFlight_{ 0 };
   std::atomic<TimePoint> lastReplyAt_{ TimePoint{} }; ///< When the last response was sent.
-  mutable std::mutex mutex_;                          ///< Guards requests_ and leaderAddress_.
+  /// Guards requests_, queuedBytes_ and leaderAddress_.
+  mutable std::mutex mutex_;
   std::deque<Request> requests_;
+  uint64_t queuedBytes_ = 0; ///< Of their bodies.
   std::string leaderAddress_;
 };
 
--- a/include/sardinespoke/node_settings.h
+++ b/include/sardinespoke/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinespoke/intake_budget.h"
 #include "sardinespoke/settings.h"
 
 namespace sardinespoke {
@@ -28,6 +29,7 @@
   std::chrono::milliseconds configApply_{ 2000 };
   /// Added to configApply_ while the store refuses some entry hosts.
   std::chrono::milliseconds configStretch_{ 5000 };
+  IntakeLimits intake_; ///< Some of them follow from the memory and descriptors of this host.
   std::string logLevel_ = "info";
 
   /// Parses and checks a settings file.
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -98,7 +98,7 @@
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
   std::map<TenantUsage::Id, Resources> demand_;             ///< Counted so far.
-  std::set<TenantUsage::Id> capped_;    ///< Tenants with tasks that wait for their cap.
+  std::set<TenantUsage::Id> capped_;                ///< Tenants with tasks that wait for their cap.
   std::map<TenantUsage::Id, TimePoint> cappedLogs_; ///< When that was last logged, by tenant.
   bool hasUnseen_ = false;
   TimePoint nextUnseenCount_{};
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -22,6 +22,8 @@
 constexpr char kPingType[] = "owner.ping";
 // Requests queued for the control thread; further ones are refused at once.
 constexpr size_t kMaxQueuedRequests = 1000;
+// Their bodies, also those that other entry hosts forward, as a part of the budget for clients.
+constexpr uint64_t kQueuePercent = 50;
 // Few threads suffice, since callers' requests get asynchronous replies.
 constexpr size_t kPeerCallThreads = 3;
 // How long a request waits for the election of a leader before it is refused.
@@ -134,6 +136,7 @@
   , codec_(aCodec)
   , clock_(aClock)
   , peers_(PeerLinkSettings{ settings_.leadership_.address_, kPeerCallThreads })
+  , intake_(settings_.intake_, aClock)
 {
 }
 
@@ -161,6 +164,8 @@
   BOOST_LEAF_CHECK(peers_.Init());
   callerServer_.SetFallback(
     [this](const AdminRequest& aRequest) { return HandleCallerRequest(aRequest); });
+  callerServer_.SetBudget(intake_);
+  healthServer_.SetBudget(intake_);
   BOOST_LEAF_CHECK(callerServer_.Init(settings_.caller_));
   healthServer_.AddRoute("GET", "/metrics", [this](const AdminRequest&) {
     AdminResponse response;
@@ -249,6 +254,7 @@
 EntryNode::LogLoad()
 {
   FlushLog();
+  LogIntake();
   metrics_.Set("log_lines_dropped", static_cast<double>(DroppedLogLines()));
   const HttpMulti::Load load = http_.TakeLoad();
   if (!control_) {
@@ -265,6 +271,30 @@
         { "connections", http_.Connections() } });
 }
 
+void
+EntryNode::LogIntake()
+{
+  const IntakeCounters now = intake_.Counters();
+  metrics_.Set("intake_bytes", static_cast<double>(now.bytes_));
+  metrics_.Set("intake_connections", static_cast<double>(now.connections_));
+  const uint64_t forBytes = now.closedForBytes_ - loggedIntake_.closedForBytes_;
+  const uint64_t forConnections = now.closedForConnections_ - loggedIntake_.closedForConnections_;
+  const uint64_t forTime = now.closedForTime_ - loggedIntake_.closedForTime_;
+  const uint64_t refused = now.refused_ - loggedIntake_.refused_;
+  loggedIntake_ = now;
+  if (forBytes + forConnections + forTime + refused == 0) {
+    return;
+  }
+  Log(LogLevel::Warn,
+      "intake.limited",
+      { { "closed_for_bytes", forBytes },
+        { "closed_for_connections", forConnections },
+        { "closed_for_time", forTime },
+        { "refused", refused },
+        { "bytes", now.bytes_ },
+        { "connections", now.connections_ } });
+}
+
 void
 EntryNode::FollowLeadership()
 {
@@ -295,6 +325,7 @@
   {
     const std::lock_guard lock(mutex_);
     requests.swap(requests_);
+    queuedBytes_ = 0;
   }
   for (const Request& request : requests) {
     HandleRequest(request);
@@ -324,7 +355,10 @@
 {
   {
     const std::lock_guard lock(mutex_);
-    if (requests_.size() < kMaxQueuedRequests) {
+    const uint64_t bytes = queuedBytes_ + aRequest.call_.body_.size();
+    const uint64_t limit = settings_.intake_.budgetBytes_ * kQueuePercent / 100;
+    if (requests_.size() < kMaxQueuedRequests && bytes <= limit) {
+      queuedBytes_ = bytes;
       requests_.push_back(std::move(aRequest));
       http_.Wake();
       return;
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -4,6 +4,8 @@
 #include "json_schema_p.h"
 #include "listen_address_p.h"
 
+#include <algorithm>
+
 namespace sardinespoke {
 
 namespace {
@@ -14,6 +16,14 @@
 constexpr uint64_t kMaxMilliseconds = 3600000;
 constexpr double kMaxSeconds = 3600.0;
 constexpr double kMaxCores = 1024.0;
+constexpr uint64_t kMaxMemoryMb = 1U << 24U;
+constexpr uint64_t kMaxDescriptors = 1U << 20U;
+constexpr uint64_t kMaxBudgetBytes = 1U << 30U;
+// Part of the memory that clients may occupy. The rest is for the process without load, 40 MB, and
+// for the state of a leader, 92 MB at 3,000 backend servers.
+constexpr uint64_t kBudgetPercent = 25;
+// Part of the descriptors for clients; a leader has a connection to each backend server as well.
+constexpr uint64_t kConnectionPercent = 25;
 constexpr char kAddressText[] = "an IPv4 address and port, \"address:port\"";
 
 json
@@ -31,6 +41,23 @@
                { "description", "a number of " + aUnit + " from 0" } };
 }
 
+json
+IntakeSchema()
+{
+  return JsonSchema::ClosedObject(
+    { { "budget_bytes", JsonSchema::Integer(1U << 20U, kMaxBudgetBytes, "bytes") },
+      { "address_percent", JsonSchema::Integer(1, 100, "percent") },
+      { "max_connections", JsonSchema::Integer(4, kMaxDescriptors, "connections") },
+      { "max_body_bytes", JsonSchema::Integer(1024, kMaxBudgetBytes, "bytes") },
+      { "max_header_fields", JsonSchema::Integer(8, 65536, "header fields") },
+      { "max_head_bytes", JsonSchema::Integer(8192, 1U << 20U, "bytes") },
+      { "head_timeout_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "idle_timeout_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "transfer_timeout_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
+      { "least_bytes_per_second", JsonSchema::Integer(1, kMaxBudgetBytes, "bytes") } },
+    {});
+}
+
 const JsonSchema&
 Schema()
 {
@@ -55,6 +82,9 @@
       { "keep_ended_s", NumberSchema(kMaxSeconds, "seconds") },
       { "config_apply_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "config_stretch_ms", JsonSchema::Integer(0, kMaxMilliseconds, "milliseconds") },
+      { "memory_mb", JsonSchema::Integer(0, kMaxMemoryMb, "megabytes") },
+      { "max_descriptors", JsonSchema::Integer(0, kMaxDescriptors, "descriptors") },
+      { "intake", IntakeSchema() },
       { "log", JsonSchema::OneOf({ "debug", "info", "warn", "error" }) } },
     { "id", "zone", "caller", "health", "peer", "store", "host_control" }));
   return kSchema;
@@ -90,6 +120,43 @@
   }
 }
 
+template<typename Number>
+void
+ReadNumber(const json& aDocument, const char* aName, Number& aValue)
+{
+  aValue = aDocument.value(aName, aValue);
+}
+
+IntakeLimits
+ReadIntake(const json& aDocument)
+{
+  IntakeLimits limits;
+  const auto memoryMb = aDocument.value<uint64_t>("memory_mb", 0);
+  if (memoryMb > 0) {
+    limits.budgetBytes_ = (memoryMb << 20U) * kBudgetPercent / 100;
+  }
+  const auto descriptors = aDocument.value<uint64_t>("max_descriptors", 0);
+  if (descriptors > 0) {
+    limits.maxConnections_ = static_cast<uint32_t>(
+      std::clamp<uint64_t>(descriptors * kConnectionPercent / 100, 1, limits.maxConnections_));
+  }
+  if (!aDocument.contains("intake")) {
+    return limits;
+  }
+  const json& intake = aDocument.at("intake");
+  ReadNumber(intake, "budget_bytes", limits.budgetBytes_);
+  ReadNumber(intake, "address_percent", limits.addressPercent_);
+  ReadNumber(intake, "max_connections", limits.maxConnections_);
+  ReadNumber(intake, "max_body_bytes", limits.maxBodyBytes_);
+  ReadNumber(intake, "max_header_fields", limits.maxHeaderFields_);
+  ReadNumber(intake, "max_head_bytes", limits.maxHeadBytes_);
+  ReadMilliseconds(intake, "head_timeout_ms", limits.headTimeout_);
+  ReadMilliseconds(intake, "idle_timeout_ms", limits.idleTimeout_);
+  ReadMilliseconds(intake, "transfer_timeout_ms", limits.transferTimeout_);
+  ReadNumber(intake, "least_bytes_per_second", limits.leastBytesPerSecond_);
+  return limits;
+}
+
 }
 
 leaf::result<NodeSettings>
@@ -119,6 +186,7 @@
   ReadSeconds(document, "keep_ended_s", settings.keepEnded_);
   ReadMilliseconds(document, "config_apply_ms", settings.configApply_);
   ReadMilliseconds(document, "config_stretch_ms", settings.configStretch_);
+  settings.intake_ = ReadIntake(document);
   settings.logLevel_ = document.value("log", settings.logLevel_);
   return settings;
 }
