--- a/include/sardinespoke/node_settings.h
+++ b/include/sardinespoke/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sardinespoke/intake_budget.h"
 #include "sardinespoke/settings.h"
 
 namespace sardinespoke {
@@ -30,6 +31,7 @@
   std::chrono::milliseconds configStretch_{ 5000 };
   /// Parts of the platform that the deployment uses, by the platform's names.
   std::vector<std::string> platformParts_;
+  IntakeLimits intake_; ///< Some of them follow from the memory and descriptors of this host.
   std::string logLevel_ = "info";
 
   /// Parses and checks a settings file.
