Refuse late submissions while the leader is the bottleneck; cut its idle costs

Change: while the control loop has no time left, submissions that would be late at the rate that the pool starts work are refused.

--- a/include/sardinespoke/entry_node.h
+++ b/include/sardinespoke/entry_node.h
@@ -102,6 +102,7 @@
   NngPeerLink peers_;
   IntakeBudget intake_;
   IntakeCounters loggedIntake_; ///< As of the last report.
+  TimePoint loadReportedAt_{};
   AdminServer callerServer_;
   AdminServer healthServer_;
   std::unique_ptr<Leadership> leadership_;
--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -54,6 +54,15 @@
 
   TimePoint NextDue() const;
 
+  /// @returns Time spent in Tick() since the last call.
+  std::chrono::nanoseconds TakeBusyTime() { return std::exchange(busy_, {}); }
+
+  /// Notes how much of its time the control loop has worked since the last call.
+  void ReportUtilization(double aUtilization, std::chrono::nanoseconds aPeriod)
+  {
+    scheduler_.ReportUtilization(aUtilization, aPeriod);
+  }
+
   /// @returns What the next leader needs to know if this one resigns now.
   Handover MakeHandover() const { return loaded_ ? runs_.MakeHandover() : Handover{}; }
 
@@ -175,7 +184,8 @@
   TimePoint nextMetrics_{};
   TimePoint nextSchedule_{};
   PhaseTimes phases_;
-  uint32_t ticks_ = 0; ///< Since the last report.
+  std::chrono::nanoseconds busy_{ 0 }; ///< See TakeBusyTime().
+  uint32_t ticks_ = 0;                 ///< Since the last report.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/sardinespoke/overload_policy.h
+++ b/include/sardinespoke/overload_policy.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -19,6 +20,9 @@
   /// Core-seconds of the late jobs that come before it once it is late as well.
   double lateWorkAhead_ = 0.0;
   double work_ = 0.0; ///< Its own core-seconds.
+  /// Core-seconds that were started in the pool each second, if the leader has no processor time
+  /// left to start more; empty otherwise.
+  std::optional<double> startedPerSecond_;
   std::chrono::milliseconds criticalPath_{ 0 };
   std::chrono::milliseconds objective_{ 0 };
 };
@@ -28,7 +32,9 @@
 /// Load pattern: for longer than a pool can grow, a queue asks for several times its capacity.
 /// Accepted jobs that miss their objective wait behind all others; a caller who is told so at once
 /// can do something else. A job is worth nothing to its caller once it takes more than three times
-/// its objective, so only a submission that would take longer is turned away.
+/// its objective, so only a submission that would take longer is turned away. While the leader
+/// itself is the bottleneck, each late job takes its time from jobs of all pools that can be in
+/// time, so that every submission that would be late is turned away.
 ///
 /// The order of return follows the order of refusals, tenant by tenant: each refusal takes the next
 /// place in a queue that moves on as fast as its tenant's part of the pool can work, so that the
@@ -45,7 +51,7 @@
                                        TimePoint aNow);
 
   /// @returns True if a job would take more than three times its objective, although the pool grows
-  /// meanwhile.
+  /// meanwhile; or more than its objective, if the leader is the bottleneck.
   static bool IsHopeless(const SubmissionLoad& aLoad);
 
 private:
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -133,6 +133,9 @@
   /// together with the progress that the end reports caused.
   std::map<uint32_t, int64_t> EndsApplied() const;
 
+  /// @returns Whether EndsApplied() has any.
+  bool HasUnstoredEnds() const;
+
   bool IsUsable(const Backend& aBackend) const;
 
   /// Ends the incarnations that no longer run according to host control's list.
@@ -344,11 +347,11 @@
   void ReadClock(Backend& aBackend, TimePoint aSent, const CommandResult& aResult);
   /// @returns The incarnation that has answered a poll.
   BackendHandle FollowRestart(BackendHandle aBackend, const CommandResult& aResult);
-  bool NeedsPoll(const Backend& aBackend) const;
+  bool NeedsPoll(const Backend& aBackend, TimePoint aNow) const;
   /// @returns True if it runs tasks that the poll in flight has not asked a lease for.
-  bool LacksLease(const Backend& aBackend) const;
+  bool LacksLease(const Backend& aBackend, TimePoint aNow) const;
   /// @returns True if the response to the newest poll is late and a lease depends on it.
-  bool IsAnswerOverdue(const Backend& aBackend) const;
+  bool IsAnswerOverdue(const Backend& aBackend, TimePoint aNow) const;
   /// @returns The deadline of the lease that a poll asks for, on its backend server's clock in ms;
   /// 0 if it asks for none.
   int64_t AskForLease(Backend& aBackend, PollKind aKind);
--- a/include/sardinespoke/task_scheduler.h
+++ b/include/sardinespoke/task_scheduler.h
@@ -31,6 +31,9 @@
   /// @returns Number of tasks started.
   size_t Run();
 
+  /// Notes how much of its time the control loop has worked since the last call.
+  void ReportUtilization(double aUtilization, std::chrono::nanoseconds aPeriod);
+
   /// @returns What is known of the pool of a new job and of the jobs before it.
   SubmissionLoad LoadFor(uint32_t aJob);
 
@@ -102,6 +105,9 @@
   std::vector<Servers*> serversOf_;        ///< By index of the backend server.
   std::set<std::string> unreconciled_;     ///< See RunTracker::UnreconciledServices().
   bool demandMayHaveChanged_ = true;
+  bool isLeaderBound_ = false; ///< The control loop had no time left in the last period.
+  std::map<std::string, double> startedWork_;      ///< Core-seconds in this period, by pool.
+  std::map<std::string, double> startedPerSecond_; ///< Of the last period, by pool.
   std::map<std::string, int64_t> waitingCoreMs_;
   std::map<std::string, uint32_t> unplacedContinuousTasks_; ///< By pool.
   std::map<TenantUsage::Id, Resources> demand_;             ///< Counted so far.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -262,6 +262,11 @@
   }
   using std::chrono::duration_cast;
   using std::chrono::microseconds;
+  const TimePoint now = clock_.Now();
+  const std::chrono::duration<double> busy = load.busy_ + control_->TakeBusyTime();
+  const std::chrono::duration<double> period = now - loadReportedAt_;
+  control_->ReportUtilization(busy / period, now - loadReportedAt_);
+  loadReportedAt_ = now;
   Log(LogLevel::Info,
       "leader.http",
       { { "busy_us", duration_cast<microseconds>(load.busy_).count() },
--- a/src/host_allocator.cpp
+++ b/src/host_allocator.cpp
@@ -52,11 +52,12 @@
 HostAllocator::MinHosts(const std::string& aService) const
 {
   uint32_t requiredHosts = 0;
-  for (const auto& job : jobs_.Jobs()) {
-    if (!job || job->HasEnded() || job->policy_.service_ != aService) {
+  for (const uint32_t index : jobs_.Open()) {
+    const Job& job = jobs_.At(index);
+    if (job.policy_.service_ != aService) {
       continue;
     }
-    for (const StepSpec& step : job->spec_.steps_) {
+    for (const StepSpec& step : job.spec_.steps_) {
       if (!step.continuous_ || step.maxPerServer_ == 0) {
         continue;
       }
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -539,7 +539,9 @@
     RestoreState();
   }
   ++ticks_;
+  const TimePoint begin = clock_.Now();
   phases_.Measure(LoopPhase::Total, [this] { TickLoaded(); });
+  busy_ += clock_.Now() - begin;
 }
 
 void
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -152,12 +152,14 @@
   for (const uint32_t job : jobs_.TakeTouched()) {
     progress_.Add(job);
   }
-  const bool unrecorded =
-    std::any_of(backends_.Live().begin(), backends_.Live().end(), [this](BackendHandle aBackend) {
+  const auto hasUnrecorded = [this] {
+    const auto& live = backends_.Live();
+    return std::any_of(live.begin(), live.end(), [this](BackendHandle aBackend) {
       return MustRecord(backends_.At(aBackend));
     });
+  };
   const bool dirty =
-    !progress_.IsEmpty() || unrecorded || !runs_.EndsApplied().empty() || !deletes_.empty();
+    !progress_.IsEmpty() || !deletes_.empty() || runs_.HasUnstoredEnds() || hasUnrecorded();
   if (dirty && !dirty_) {
     dirtySince_ = clock_.Now();
   }
--- a/src/overload_policy.cpp
+++ b/src/overload_policy.cpp
@@ -14,6 +14,7 @@
 // A pool may grow to about twice its size by moved hosts while a burst lasts. Durations that are
 // learned are uncertain as well, and a refusal must be certain.
 constexpr double kGrowthFactor = 2.0;
+constexpr double kLeastRateShare = 0.2;
 constexpr milliseconds kLeastRetry{ 1000 };
 // Callers that must wait for longer ask again by themselves; a burst is over by then.
 constexpr milliseconds kLongestRetry{ 30000 };
@@ -25,6 +26,15 @@
   return Seconds(aCoreSeconds / std::max(aCores, kLeastCores));
 }
 
+/// @returns Core-seconds a second that the pool works with so many cores.
+double
+WorkRate(const SubmissionLoad& aLoad, double aCores)
+{
+  // A pool that started little had little to start, or was full of long tasks.
+  const double least = aCores * kLeastRateShare;
+  return aLoad.startedPerSecond_ ? std::clamp(*aLoad.startedPerSecond_, least, aCores) : aCores;
+}
+
 }
 
 bool
@@ -35,12 +45,13 @@
     return false;
   }
   const double cores = aLoad.cores_ * kGrowthFactor;
+  const double rate = WorkRate(aLoad, cores);
   const auto path = std::max<Seconds>(aLoad.criticalPath_, TimeToWork(aLoad.work_, cores));
-  if (TimeToWork(aLoad.workAhead_, cores) + path <= Seconds(aLoad.objective_)) {
+  if (TimeToWork(aLoad.workAhead_, rate) + path <= Seconds(aLoad.objective_)) {
     return false;
   }
-  const auto finish = TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, cores) + path;
-  return finish > Seconds(aLoad.objective_ * kWorthlessFactor);
+  const auto finish = TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, rate) + path;
+  return aLoad.startedPerSecond_ || finish > Seconds(aLoad.objective_ * kWorthlessFactor);
 }
 
 milliseconds
@@ -54,13 +65,13 @@
     return milliseconds(0);
   }
   const auto wait = std::chrono::duration_cast<milliseconds>(
-    TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, aLoad.cores_) -
+    TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, WorkRate(aLoad, aLoad.cores_)) -
     Seconds(aLoad.objective_ - aLoad.criticalPath_));
   TimePoint& next = nextReturn_[{ aPool, aTenant }];
   const TimePoint earliest = aNow + std::clamp(wait, kLeastRetry, kLongestRetry);
   const TimePoint place = std::clamp(next, earliest, aNow + kLongestRetry);
   next = place + std::chrono::duration_cast<TimePoint::duration>(
-                   TimeToWork(aLoad.work_, aLoad.cores_ * aShare));
+                   TimeToWork(aLoad.work_, WorkRate(aLoad, aLoad.cores_) * aShare));
   return std::chrono::ceil<milliseconds>(place - aNow);
 }
 
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -44,27 +44,29 @@
 }
 
 bool
-RunTracker::NeedsPoll(const Backend& aBackend) const
+RunTracker::NeedsPoll(const Backend& aBackend, TimePoint aNow) const
 {
-  const bool mayStartLate = lateStarts_.count(aBackend.entry_.id_) > 0;
   const bool awaitsOwnToken = !aBackend.refusesEarlier_ && aBackend.HasOwnToken(fencingToken_);
+  if (aBackend.verified_ && !awaitsOwnToken && !aBackend.runs_.empty()) {
+    return true;
+  }
+  const bool mayStartLate = !lateStarts_.empty() && lateStarts_.count(aBackend.entry_.id_) > 0;
   if (!aBackend.verified_ || awaitsOwnToken) {
     return aBackend.registered_ || mayStartLate || !IsLeaseOver(aBackend);
   }
-  const TimePoint now = clock_.Now();
-  return (mayStartLate && now >= aBackend.nextIdlePollAt_) || !aBackend.runs_.empty() ||
-         now - aBackend.answeredPollSentAt_ >= kClockPollPeriod ||
+  return (mayStartLate && aNow >= aBackend.nextIdlePollAt_) ||
+         aNow - aBackend.answeredPollSentAt_ >= kClockPollPeriod ||
          aBackend.endsStored_ > aBackend.endsAcknowledged_ ||
          (aBackend.failedPolls_ > 0 && aBackend.registered_);
 }
 
 bool
-RunTracker::LacksLease(const Backend& aBackend) const
+RunTracker::LacksLease(const Backend& aBackend, TimePoint aNow) const
 {
   // A start is a lease of its own, but a short one. The poll in flight may have been sent before.
   return !aBackend.runs_.empty() && aBackend.verified_ && aBackend.failedPolls_ == 0 &&
          !aBackend.restartSuspectedAt_ && aBackend.pollsInFlight_ == 1 && mayExtendRuns_ &&
-         aBackend.renewedUntil_ < clock_.Now() + kStartDeadline;
+         aBackend.renewedUntil_ < aNow + kStartDeadline;
 }
 
 bool
@@ -77,16 +79,15 @@
 }
 
 bool
-RunTracker::IsAnswerOverdue(const Backend& aBackend) const
+RunTracker::IsAnswerOverdue(const Backend& aBackend, TimePoint aNow) const
 {
-  const TimePoint now = clock_.Now();
   if (aBackend.restartSuspectedAt_ || !aBackend.HasOpenPoll()) {
     return false;
   }
   if (!aBackend.verified_) {
     // Tasks wait for it; see UnreconciledServices().
     return aBackend.unreconciled_ && aBackend.pollsInFlight_ < kMaxFirstPolls &&
-           now >= aBackend.answerDueAt_ && !IsLeaseOver(aBackend);
+           aNow >= aBackend.answerDueAt_ && !IsLeaseOver(aBackend);
   }
   const milliseconds slack = AnswerSlack(aBackend);
   const TimePoint reserveEnd = aBackend.grantedUntil_ - LeaseReserve() + slack;
@@ -94,7 +95,7 @@
     std::min(aBackend.answerDueAt_,
              std::max(reserveEnd, aBackend.lastPollAt_ + kPendingCommandWait + slack));
   return !aBackend.runs_.empty() && mayExtendRuns_ && aBackend.pollsInFlight_ < kMaxOpenPolls &&
-         now >= due && now < aBackend.renewedUntil_;
+         aNow >= due && aNow < aBackend.renewedUntil_;
 }
 
 int64_t
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -130,7 +130,8 @@
   return aBackend.registered_ && aBackend.verified_ && aBackend.recorded_ && !aBackend.hasEnded_ &&
          aBackend.refusesEarlier_ && !aBackend.cordoned_ && !aBackend.entry_.draining_ &&
          aBackend.failedPolls_ == 0 && aBackend.clock_ != 0 && !aBackend.restartSuspectedAt_ &&
-         !aBackend.listedGone_ && aBackend.ejectedUntil_ <= clock_.Now();
+         !aBackend.listedGone_ &&
+         (aBackend.ejectedUntil_ == TimePoint{} || aBackend.ejectedUntil_ <= clock_.Now());
 }
 
 std::set<std::string>
@@ -478,10 +479,11 @@
       RaiseToken(backend);
       backend.nextPollAt_ = backend.HasOwnToken(fencingToken_) ? now : backend.nextPollAt_;
     }
-    const bool isDue = !backend.HasOpenPoll() && now >= backend.nextPollAt_ && NeedsPoll(backend);
-    if (isDue || LacksLease(backend)) {
+    const bool isDue =
+      !backend.HasOpenPoll() && now >= backend.nextPollAt_ && NeedsPoll(backend, now);
+    if (isDue || LacksLease(backend, now)) {
       SendPoll(handle);
-    } else if (IsAnswerOverdue(backend)) {
+    } else if (IsAnswerOverdue(backend, now)) {
       SendPoll(handle, PollKind::Repeat);
     } else if (LacksContact(backend)) {
       SendPoll(handle, PollKind::Contact);
@@ -492,10 +494,11 @@
 TimePoint
 RunTracker::NextDue() const
 {
-  TimePoint due = clock_.Now() + kPollRetryMax;
+  const TimePoint now = clock_.Now();
+  TimePoint due = now + kPollRetryMax;
   for (const BackendHandle handle : backends_.Live()) {
     const Backend& backend = backends_.At(handle);
-    if (!backend.HasOpenPoll() && NeedsPoll(backend)) {
+    if (!backend.HasOpenPoll() && NeedsPoll(backend, now)) {
       due = std::min(due, backend.nextPollAt_);
     }
   }
@@ -515,6 +518,16 @@
   return applied;
 }
 
+bool
+RunTracker::HasUnstoredEnds() const
+{
+  const auto& live = backends_.Live();
+  return std::any_of(live.begin(), live.end(), [this](BackendHandle aHandle) {
+    const Backend& backend = backends_.At(aHandle);
+    return backend.endsApplied_ > backend.endsStored_;
+  });
+}
+
 void
 RunTracker::EndsStored(const std::map<uint32_t, int64_t>& aUpTo)
 {
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// Above this part of its time, the control loop has none left for more starts.
+constexpr double kBoundUtilization = 0.9;
 // Shortest time between two log lines about the same tenant.
 constexpr std::chrono::milliseconds kCappedLogPeriod{ 1000 };
 // Period of the count of tasks that a new leader has not seen. An old count is too high, not too
@@ -65,6 +67,24 @@
   return found == unplacedContinuousTasks_.end() ? 0 : found->second;
 }
 
+void
+TaskScheduler::ReportUtilization(double aUtilization, std::chrono::nanoseconds aPeriod)
+{
+  const double seconds = std::chrono::duration<double>(aPeriod).count();
+  const bool wasBound = isLeaderBound_;
+  isLeaderBound_ = aUtilization >= kBoundUtilization;
+  startedPerSecond_.clear();
+  for (const auto& [service, work] : startedWork_) {
+    startedPerSecond_[service] = seconds > 0.0 ? work / seconds : 0.0;
+  }
+  startedWork_.clear();
+  if (isLeaderBound_ != wasBound) {
+    Log(LogLevel::Info,
+        isLeaderBound_ ? "leader.bound" : "leader.free",
+        { { "utilization", aUtilization } });
+  }
+}
+
 SubmissionLoad
 TaskScheduler::LoadFor(uint32_t aJob)
 {
@@ -80,6 +100,10 @@
   load.work_ = rank.remainingWork_;
   load.criticalPath_ = durations_.CriticalPath(job);
   load.objective_ = order_.Objective(job);
+  if (isLeaderBound_) {
+    const auto started = startedPerSecond_.find(job.policy_.service_);
+    load.startedPerSecond_ = started == startedPerSecond_.end() ? 0.0 : started->second;
+  }
   return load;
 }
 
@@ -410,6 +434,11 @@
       ? advice_.Ticket(jobs_.IdOf(aTask).StepText(), backends_.At(aBackend).entry_.id_)
       : "";
   runs_.Start(aTask, aBackend, aRun, ticket);
+  const Job& job = jobs_.At(aTask.job_);
+  const StepSpec& spec = job.spec_.steps_[aTask.step_];
+  const auto expected = durations_.ExpectedDuration(job, jobs_.StepOf(aTask), aTask.step_);
+  startedWork_[job.policy_.service_] +=
+    static_cast<double>(spec.cpuMilli_) * static_cast<double>(expected.count()) * 1e-6;
 }
 
 size_t
