Count the arrivals that come before a submission in its admission

Cause: a submission looked in time because little waited before it, although smaller jobs that go on arriving push it back until it is late.

Change: arrivals of the last second that need no more work count against the rate of the pool; a submission is refused if what is left of the rate cannot bring it behind the late jobs within three times its objective.

--- a/include/sardinespoke/arrival_rate.h
+++ b/include/sardinespoke/arrival_rate.h
@@ -21,6 +21,9 @@
   /// job, which does not determine a rate.
   int64_t CpuMilli(const std::string& aService, TimePoint aNow);
 
+  /// @returns The same of the jobs that need no more than some work, also of a single one.
+  int64_t CpuMilliUpTo(const std::string& aService, int64_t aCoreMs, TimePoint aNow);
+
 private:
   struct Arrival
   {
--- a/include/sardinespoke/overload_policy.h
+++ b/include/sardinespoke/overload_policy.h
@@ -17,6 +17,9 @@
   double cores_ = 0.0; ///< Of the pool's usable backend servers.
   /// Core-seconds of the jobs before it, as long as it can meet its objective.
   double workAhead_ = 0.0;
+  /// Core-seconds a second that were submitted lately and come before it, since they need less
+  /// work.
+  double arrivingAhead_ = 0.0;
   /// Core-seconds of the late jobs that come before it once it is late as well.
   double lateWorkAhead_ = 0.0;
   double work_ = 0.0; ///< Its own core-seconds.
@@ -32,9 +35,9 @@
 /// Load pattern: for longer than a pool can grow, a queue asks for several times its capacity.
 /// Accepted jobs that miss their objective wait behind all others; a caller who is told so at once
 /// can do something else. A job is worth nothing to its caller once it takes more than three times
-/// its objective, so only a submission that would take longer is turned away. While the leader
-/// itself is the bottleneck, each late job takes its time from jobs of all pools that can be in
-/// time, so that every submission that would be late is turned away.
+/// its objective, so only a submission that would take longer is turned away: one that has so much
+/// work ahead, or arriving ahead of it, that it becomes late and then waits behind other late jobs.
+/// Since the least work comes first, those turned away are those that need the most.
 ///
 /// The order of return follows the order of refusals, tenant by tenant: each refusal takes the next
 /// place in a queue that moves on as fast as its tenant's part of the pool can work, so that the
@@ -51,7 +54,7 @@
                                        TimePoint aNow);
 
   /// @returns True if a job would take more than three times its objective, although the pool grows
-  /// meanwhile; or more than its objective, if the leader is the bottleneck.
+  /// meanwhile.
   static bool IsHopeless(const SubmissionLoad& aLoad);
 
 private:
--- a/src/arrival_rate.cpp
+++ b/src/arrival_rate.cpp
@@ -32,4 +32,15 @@
   return work * (count - 1) / count * 1000 / kWindow.count();
 }
 
+int64_t
+ArrivalRate::CpuMilliUpTo(const std::string& aService, int64_t aCoreMs, TimePoint aNow)
+{
+  int64_t work = 0;
+  for (const Arrival& arrival : arrivals_[aService]) {
+    const bool counts = arrival.at_ + kWindow >= aNow && arrival.coreMs_ <= aCoreMs;
+    work += counts ? arrival.coreMs_ : 0;
+  }
+  return work * 1000 / kWindow.count();
+}
+
 }
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -364,9 +364,14 @@
   if (!settings_.refusesHopeless_ || job.HasContinuousSteps() || job.spec_.repeats_ > 0) {
     return std::nullopt;
   }
-  const SubmissionLoad load = scheduler_.LoadFor(aJob);
-  const auto retryAfter = overload_.RetryAfter(
-    load, job.policy_.service_, job.tenant_, scheduler_.ShareFor(aJob), clock_.Now());
+  constexpr double kMilli = 1000.0;
+  const TimePoint now = clock_.Now();
+  SubmissionLoad load = scheduler_.LoadFor(aJob);
+  const auto coreMs = static_cast<int64_t>(load.work_ * kMilli);
+  load.arrivingAhead_ =
+    static_cast<double>(arrivals_.CpuMilliUpTo(job.policy_.service_, coreMs, now)) / kMilli;
+  const auto retryAfter =
+    overload_.RetryAfter(load, job.policy_.service_, job.tenant_, scheduler_.ShareFor(aJob), now);
   if (retryAfter == std::chrono::milliseconds(0)) {
     return std::nullopt;
   }
@@ -378,7 +383,9 @@
         { "tenant", job.spec_.tenant_ },
         { "cores", load.cores_ },
         { "work_ahead", load.workAhead_ },
+        { "arriving_ahead", load.arrivingAhead_ },
         { "late_work_ahead", load.lateWorkAhead_ },
+        { "started_per_second", load.startedPerSecond_.value_or(0.0) },
         { "work", load.work_ },
         { "critical_path_ms", load.criticalPath_.count() },
         { "objective_ms", load.objective_.count() },
--- a/src/overload_policy.cpp
+++ b/src/overload_policy.cpp
@@ -47,11 +47,14 @@
   const double cores = aLoad.cores_ * kGrowthFactor;
   const double rate = WorkRate(aLoad, cores);
   const auto path = std::max<Seconds>(aLoad.criticalPath_, TimeToWork(aLoad.work_, cores));
-  if (TimeToWork(aLoad.workAhead_, rate) + path <= Seconds(aLoad.objective_)) {
+  const bool isInTime = aLoad.arrivingAhead_ <= rate &&
+                        TimeToWork(aLoad.workAhead_, rate) + path <= Seconds(aLoad.objective_);
+  if (isInTime) {
     return false;
   }
-  const auto finish = TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, rate) + path;
-  return aLoad.startedPerSecond_ || finish > Seconds(aLoad.objective_ * kWorthlessFactor);
+  const double rateLeft = std::max(rate - aLoad.arrivingAhead_, rate * kLeastRateShare);
+  const auto finish = TimeToWork(aLoad.workAhead_ + aLoad.lateWorkAhead_, rateLeft) + path;
+  return finish > Seconds(aLoad.objective_ * kWorthlessFactor);
 }
 
 milliseconds
--- a/tests/overload_policy_test.cpp
+++ b/tests/overload_policy_test.cpp
@@ -46,6 +46,34 @@
   EXPECT_TRUE(OverloadPolicy::IsHopeless(load));
 }
 
+// Load of a burst: a large job would wait behind the smaller ones that go on arriving, become late
+// and then wait behind all late ones.
+TEST(OverloadPolicy, RefusesWhatArrivalsPushBack)
+{
+  SubmissionLoad load = ShortJob();
+  load.arrivingAhead_ = 400.0;
+  EXPECT_FALSE(OverloadPolicy::IsHopeless(load)) << "nothing waits yet";
+  load.lateWorkAhead_ = 300.0;
+  EXPECT_TRUE(OverloadPolicy::IsHopeless(load));
+  load.arrivingAhead_ = 20.0;
+  EXPECT_FALSE(OverloadPolicy::IsHopeless(load));
+}
+
+// While the leader has no time to start more, a pool works more slowly than its servers could.
+TEST(OverloadPolicy, CountsWhatTheLeaderCanStart)
+{
+  SubmissionLoad load = ShortJob();
+  load.workAhead_ = 150.0;
+  load.lateWorkAhead_ = 200.0;
+  EXPECT_FALSE(OverloadPolicy::IsHopeless(load));
+  load.startedPerSecond_ = 50.0;
+  EXPECT_TRUE(OverloadPolicy::IsHopeless(load));
+  load.startedPerSecond_ = 0.0;
+  load.workAhead_ = 10.0;
+  load.lateWorkAhead_ = 0.0;
+  EXPECT_FALSE(OverloadPolicy::IsHopeless(load)) << "nothing was started as nothing waited";
+}
+
 // A pool that lost contact with its servers must not turn everybody away.
 TEST(OverloadPolicy, AdmitsIfThePoolIsNotKnown)
 {
