Keep paths of public queues from opening jobs of other queues

Cause: jobs are found by their id alone, while the key was checked by the queue of the path only. A caller without a key could read, submit again and cancel a tenant's job through the path of any public queue.

Change: a call needs no key only if the queue of the path is public and the job that it names, if it is known, is of a public queue as well.

Measured: TenantTest.APublicQueueOpensOnlyItsOwnJobs failed before (the state was given and the job cancelled without a key) and passes now, as do the other tests of tenants, job control and callers' calls (56 of 56).

--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -81,16 +81,18 @@
 
   /// @returns Services of the configuration and of open jobs; entries of others are not used.
   std::set<std::string> NamedServices();
+  /// @param aJob The job that the call names; nullptr if it is not known.
+  /// @returns True if the call needs no key. A path of a public queue may name a job of another
+  /// one.
+  bool IsPublic(const QueuePolicy& aQueue, const Job* aJob) const;
   /// Finds the tenant that a call belongs to.
   /// @param aTenant Set to its name; empty if there is none, as for a public queue without a key.
   /// @returns The response that refuses the call; empty if the call may go on.
   std::optional<JobResponse> Authenticate(const JobRequest& aRequest,
-                                          const QueuePolicy& aQueue,
+                                          bool aIsPublic,
                                           std::string& aTenant);
   /// @returns True if the caller with the key of a tenant may not use a job.
-  static bool IsOfOtherTenant(const Job& aJob,
-                              const QueuePolicy& aQueue,
-                              const std::string& aTenant);
+  static bool IsOfOtherTenant(const Job& aJob, bool aIsPublic, const std::string& aTenant);
   void Submit(const JobRequest& aRequest,
               const QueuePolicy& aQueue,
               const std::string& aTenant,
--- a/src/job_requests.cpp
+++ b/src/job_requests.cpp
@@ -159,10 +159,20 @@
   ++earlyCancels_;
 }
 
+bool
+JobControl::IsPublic(const QueuePolicy& aQueue, const Job* aJob) const
+{
+  if (!aQueue.isPublic_ || !aJob || aJob->spec_.queue_ == aQueue.name_) {
+    return aQueue.isPublic_;
+  }
+  const auto& queues = config_.queues_;
+  return std::any_of(queues.begin(), queues.end(), [aJob](const QueuePolicy& aOther) {
+    return aOther.name_ == aJob->spec_.queue_ && aOther.isPublic_;
+  });
+}
+
 std::optional<JobResponse>
-JobControl::Authenticate(const JobRequest& aRequest,
-                         const QueuePolicy& aQueue,
-                         std::string& aTenant)
+JobControl::Authenticate(const JobRequest& aRequest, bool aIsPublic, std::string& aTenant)
 {
   if (!keys_.AreRequired()) {
     return std::nullopt;
@@ -171,7 +181,7 @@
     aTenant = *tenant;
     return std::nullopt;
   }
-  if (aQueue.isPublic_) {
+  if (aIsPublic) {
     return std::nullopt;
   }
   if (ConfigAge() > settings_.denyLimit_) {
@@ -189,9 +199,9 @@
 }
 
 bool
-JobControl::IsOfOtherTenant(const Job& aJob, const QueuePolicy& aQueue, const std::string& aTenant)
+JobControl::IsOfOtherTenant(const Job& aJob, bool aIsPublic, const std::string& aTenant)
 {
-  return !aQueue.isPublic_ && !aTenant.empty() && !aJob.spec_.tenant_.empty() &&
+  return !aIsPublic && !aTenant.empty() && !aJob.spec_.tenant_.empty() &&
          aJob.spec_.tenant_ != aTenant;
 }
 
@@ -226,14 +236,15 @@
     aRespond(MakeResponse(JobResponseKind::NoQueue));
     return;
   }
+  const std::string id = aRequest.path_.substr(queue->prefix_.size());
+  Job* job = jobs_.Find(id);
+  const bool isPublic = IsPublic(*queue, job);
   std::string tenant;
-  if (const auto refusal = Authenticate(aRequest, *queue, tenant)) {
+  if (const auto refusal = Authenticate(aRequest, isPublic, tenant)) {
     aRespond(*refusal);
     return;
   }
-  const std::string id = aRequest.path_.substr(queue->prefix_.size());
-  Job* job = jobs_.Find(id);
-  if (job && IsOfOtherTenant(*job, *queue, tenant)) {
+  if (job && IsOfOtherTenant(*job, isPublic, tenant)) {
     aRespond(MakeResponse(JobResponseKind::OtherTenant, "the job belongs to another tenant"));
     return;
   }
--- a/tests/tenant_keys_test.cpp
+++ b/tests/tenant_keys_test.cpp
@@ -77,11 +77,13 @@
     return world_.Submit(aPool, JobId(aNumber), Tasks(1, seconds(20))).kind_;
   }
 
-  JobResponseKind StateAs(const std::string& aKey, unsigned int aNumber)
+  JobResponseKind StateAs(const std::string& aKey,
+                          unsigned int aNumber,
+                          const std::string& aPool = "births")
   {
     JobRequest request;
     request.host_ = "callers";
-    request.path_ = "/births/" + JobId(aNumber);
+    request.path_ = "/" + aPool + "/" + JobId(aNumber);
     request.apiKey_ = aKey;
     return world_.Call(request).kind_;
   }
@@ -121,6 +123,21 @@
   EXPECT_EQ(world_.Cancel("births", JobId(1)).kind_, JobResponseKind::Cancelled);
 }
 
+// The path of a public queue must not open the jobs of other queues to callers without their key.
+TEST_F(TenantTest, APublicQueueOpensOnlyItsOwnJobs)
+{
+  ASSERT_EQ(SubmitAs("k-a", 1), JobResponseKind::Accepted);
+  ASSERT_EQ(SubmitAs("k-a", 2, "market"), JobResponseKind::Accepted);
+  EXPECT_EQ(StateAs("", 1, "market"), JobResponseKind::UnknownKey);
+  EXPECT_EQ(StateAs("k-b", 1, "market"), JobResponseKind::OtherTenant);
+  EXPECT_EQ(StateAs("k-a", 1, "market"), JobResponseKind::State);
+  EXPECT_EQ(SubmitAs("", 1, "market"), JobResponseKind::UnknownKey);
+  world_.UseKey("");
+  EXPECT_EQ(world_.Cancel("market", JobId(1)).kind_, JobResponseKind::UnknownKey);
+  EXPECT_EQ(StateAs("", 2, "market"), JobResponseKind::State);
+  EXPECT_EQ(StateAs("", 2), JobResponseKind::UnknownKey);
+}
+
 // CONFIG: a key that was taken away went on working, and one that was added did not.
 TEST_F(TenantTest, FollowsTheKeysOfTheNewestVersion)
 {
