Count the runs of ended jobs that a new leader stops

Cause: a run of a cancelled or failed job that a new leader finds in a poll was stopped without making its task active. Usage is counted by active tasks, so the tenant's other tasks started beside the run before it had ended.

Change: RunTracker::Adopt() makes the task active until its run is gone, as after a cancellation without a change of leader.

Measured: TenantCapTest.ANewLeaderCountsTheRunsThatItStops failed before (20 tasks at a cap of 10) and passes now.

--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -414,6 +414,7 @@
   run.isSizeUnknown_ = true;
   TaskId id;
   TaskRef ref;
+  bool isTasksRun = false;
   bool wanted = false;
   if (TaskId::Parse(aRunning.run_.task_, id) && jobs_.Locate(id, ref)) {
     DescribeRun(run, ref);
@@ -422,13 +423,15 @@
     const bool isHeld = task.phase_ == TaskPhase::Active && task.run_ == run.id_.run_;
     // An earlier leader has stored that it works on.
     run.proven_ = run.isSuspect_ && !isHeld && !jobs_.IsInTrial(ref);
-    wanted = (task.phase_ == TaskPhase::Waiting || isHeld) && !jobs_.At(ref.job_).HasEnded();
+    isTasksRun = task.phase_ == TaskPhase::Waiting || isHeld;
+    wanted = isTasksRun && !jobs_.At(ref.job_).HasEnded();
   }
   Confirm(run, aRunning, aClock);
   if (LateStart* late = FindLateStart(backend.entry_.id_, run.id_)) {
     late->heldFor_ = BackendHandle{};
   }
-  if (wanted) {
+  if (isTasksRun) {
+    // One of an ended job counts for its tenant until it has stopped.
     jobs_.Activate(ref, run.id_.run_, aBackend, TimePoint{});
     if (run.proven_) {
       jobs_.EndTrial(ref);
--- a/tests/tenant_caps_test.cpp
+++ b/tests/tenant_caps_test.cpp
@@ -169,6 +169,31 @@
   }
 }
 
+// QUOTA: a new leader stopped the runs of a cancelled job, and started others before their end.
+TEST_F(TenantCapTest, ANewLeaderCountsTheRunsThatItStops)
+{
+  SubmitAs("a", "births", 1, Tasks(10, seconds(30)));
+  world_.Run(seconds(1));
+  ASSERT_EQ(Running(1), 10U);
+  for (size_t index = 0; index < 3; ++index) {
+    world_.Fleet().BehaviourOf("births", index).losesStops_ = true;
+  }
+  ASSERT_EQ(world_.Cancel("births", JobId(1)).kind_, JobResponseKind::Cancelled);
+  world_.PauseHost(0);
+  ASSERT_TRUE(world_.RunUntil([this] { return world_.IsLeader(1); }, seconds(10)));
+  SubmitAs("a", "market", 2, Tasks(10, seconds(30)));
+  const TimePoint end = world_.Clock().Now() + seconds(3);
+  while (world_.Clock().Now() < end) {
+    world_.Run(milliseconds(50));
+    ASSERT_LE(Running(1) + Running(2), 10U);
+  }
+  for (size_t index = 0; index < 3; ++index) {
+    world_.Fleet().BehaviourOf("births", index).losesStops_ = false;
+  }
+  EXPECT_TRUE(world_.RunUntil([this] { return Running(2) == 10U; }, seconds(10)));
+  EXPECT_EQ(Running(1), 0U);
+}
+
 // QUOTA: a start without an answer may run; its task must count until the outcome is known.
 TEST_F(TenantCapTest, CountsStartsWithoutAnAnswer)
 {
