Let parameters of the path win over those of the query

Cause: the parameters of a route were inserted beside those of the query, so that PUT /v1/profiles/a?name=b changed the profile b.

Change: a parameter of the path replaces one of the query with the same name.

Measured: AdminServerTest.TakesAParameterOfThePathBeforeOneOfTheQuery failed before and passes.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -69,7 +69,8 @@
   return segments;
 }
 
-/// @returns True if the path has the form of the pattern; its parameters are added then.
+/// @returns True if the path has the form of the pattern; its parameters are added then, in place
+/// of those of the query with the same name.
 bool
 Match(const std::vector<std::string>& aPattern,
       const std::vector<std::string>& aPath,
@@ -86,7 +87,9 @@
       return false;
     }
   }
-  aParameters.insert(parameters.begin(), parameters.end());
+  for (auto& [name, value] : parameters) {
+    aParameters[name] = std::move(value);
+  }
   return true;
 }
 
--- a/tests/admin_server_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -145,6 +145,14 @@
   AdminServer server_;
 };
 
+// A parameter of the query must not replace the one of the path, which names what is changed.
+TEST_F(AdminServerTest, TakesAParameterOfThePathBeforeOneOfTheQuery)
+{
+  StartWithBudget();
+  const auto response = RawCall(Address(), Head("GET /things/a%20b?name=c&other=d+e%26"));
+  EXPECT_NE(response.find(R"({"name":"a b","other":"d e&"})"), std::string::npos) << response;
+}
+
 // A connection that is not counted back would use up the budget for good.
 TEST_F(AdminServerTest, CountsBackWhateverClientsDo)
 {
