Take profile documents above 1 MiB at the admin address again

Cause: the default limit of a body became 1 MiB. The store takes a profile document of up to 1 MB without indentation; an indented one is larger and was refused with 413.

Change: a server without a shared budget takes bodies of up to 2 MiB.

Measured: AdminServerTest.TakesTheLargestDocumentWithIndentation (1.5 MiB) failed before with 413 and passes.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -29,6 +29,9 @@
 // read the refusal.
 constexpr uint64_t kMaxDiscardedBodies = 2;
 constexpr std::chrono::milliseconds kBusyRetryAfter{ 1000 };
+// Of a server without a shared budget. The largest body is a profile document, which the store
+// limits to 1 MB without indentation.
+constexpr uint64_t kMaxOwnBodyBytes = 2U << 20U;
 
 constexpr unsigned int kNotFound = 404;
 constexpr unsigned int kTooLarge = 413;
@@ -414,7 +417,9 @@
 AdminServer::AdminServer()
   : state_(std::make_unique<State>())
 {
-  state_->ownBudget_ = std::make_unique<IntakeBudget>(IntakeLimits(), state_->clock_);
+  IntakeLimits limits;
+  limits.maxBodyBytes_ = kMaxOwnBodyBytes;
+  state_->ownBudget_ = std::make_unique<IntakeBudget>(limits, state_->clock_);
   state_->budget_ = state_->ownBudget_.get();
 }
 
--- a/tests/admin_server_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -153,6 +153,17 @@
   EXPECT_NE(response.find(R"({"name":"a b","other":"d e&"})"), std::string::npos) << response;
 }
 
+// A profile document of nearly 1 MB exceeds 1 MiB if it is indented.
+TEST_F(AdminServerTest, TakesTheLargestDocumentWithIndentation)
+{
+  Start();
+  const std::string body(kMegabyte + kMegabyte / 2, ' ');
+  Client client(Address());
+  client.Send(Head("PUT /size", "Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
+  const auto response = client.ReadUntil("}");
+  EXPECT_NE(response.find(R"({"size":1572864})"), std::string::npos) << response;
+}
+
 // A connection that is not counted back would use up the budget for good.
 TEST_F(AdminServerTest, CountsBackWhateverClientsDo)
 {
