Start the entry process again

Cause: the schema of the settings object "intake" gave null where a list of required fields is expected. valijson ends the process on such a schema, so that each entry process ended at its start.

Change: the list is an empty array.

Measured: NodeSettings.AddressesOutOfRangeAreErrors ended the test program with "JSON value is not an array." before; NodeSettings, 3 of 3 pass. The crowd "whole" could not start its entry process before.

--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -56,7 +56,7 @@
       { "idle_timeout_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "transfer_timeout_ms", JsonSchema::Integer(1, kMaxMilliseconds, "milliseconds") },
       { "least_bytes_per_second", JsonSchema::Integer(1, kMaxBudgetBytes, "bytes") } },
-    {});
+    json::array());
 }
 
 const JsonSchema&
