Count the buffers of idle connections in the budget

Cause: each connection counted 32 KiB, but libmicrohttpd writes to its whole buffer of 64 KiB when it ends a request and keeps it. In a trial, 900 idle connections to an entry process with memory_mb 160 (budget 40 MB) took it from 17 to 97 MB, and 900 complete heads of 35 kB without a body to 108 MB.

Change: a connection counts 32 KiB and the limit of a head; further ones close the idle connection that is unused for longest.

Measured: IntakeBudgetTest.CountsTheBufferOfAnIdleConnection failed before; IntakeBudgetTest, 8 of 8.

--- a/include/sardinespoke/intake_budget.h
+++ b/include/sardinespoke/intake_budget.h
@@ -123,6 +123,9 @@
   bool IsOverdue(const Connection& aConnection, TimePoint aNow) const;
 
   const IntakeLimits limits_;
+  /// Of a connection without a body. libmicrohttpd writes to its whole buffer for a head when it
+  /// ends a request, and keeps it while the connection is idle.
+  const uint64_t connectionBytes_;
   const ClockI& clock_;
   mutable std::mutex mutex_;
   Connections connections_;
--- a/src/intake_budget.cpp
+++ b/src/intake_budget.cpp
@@ -7,13 +7,14 @@
 
 namespace {
 
-// Of the thread of a connection, its buffers and the kernel's accounting of it.
-constexpr uint64_t kConnectionBytes = 32U << 10U;
+// Of the thread of a connection and the kernel's accounting of it.
+constexpr uint64_t kThreadBytes = 32U << 10U;
 
 }
 
 IntakeBudget::IntakeBudget(IntakeLimits aLimits, const ClockI& aClock)
   : limits_(aLimits)
+  , connectionBytes_(kThreadBytes + aLimits.maxHeadBytes_)
   , clock_(aClock)
 {
 }
@@ -28,7 +29,7 @@
   connection.address_ = aAddress;
   connection.close_ = std::move(aClose);
   SetPhase(connection, Phase::Idle);
-  SetBytes(connection, kConnectionBytes);
+  SetBytes(connection, connectionBytes_);
   counters_.connections_ = connections_.size();
   if (connections_.size() - closing_ > limits_.maxConnections_) {
     const auto victim = FindVictim();
@@ -77,7 +78,7 @@
   const std::lock_guard lock(mutex_);
   Connection& connection = connections_.at(aConnection);
   SetPhase(connection, Phase::Work);
-  const uint64_t needed = kConnectionBytes + aBytes;
+  const uint64_t needed = connectionBytes_ + aBytes;
   const uint64_t more = needed > connection.bytes_ ? needed - connection.bytes_ : 0;
   if (!MakeRoom(aConnection, more)) {
     ++counters_.refused_;
@@ -93,7 +94,7 @@
   const std::lock_guard lock(mutex_);
   Connection& connection = connections_.at(aConnection);
   SetPhase(connection, Phase::Response);
-  SetBytes(connection, kConnectionBytes + aBytes);
+  SetBytes(connection, connectionBytes_ + aBytes);
 }
 
 void
@@ -105,7 +106,7 @@
     return;
   }
   SetPhase(found->second, Phase::Idle);
-  SetBytes(found->second, kConnectionBytes);
+  SetBytes(found->second, connectionBytes_);
 }
 
 void
@@ -205,7 +206,7 @@
 IntakeBudget::IsOverdue(const Connection& aConnection, TimePoint aNow) const
 {
   const auto age = aNow - aConnection.phaseBegin_;
-  const std::chrono::milliseconds transfer((aConnection.bytes_ - kConnectionBytes) * 1000 /
+  const std::chrono::milliseconds transfer((aConnection.bytes_ - connectionBytes_) * 1000 /
                                            limits_.leastBytesPerSecond_);
   switch (aConnection.phase_) {
     case Phase::Idle:
--- a/tests/intake_budget_test.cpp
+++ b/tests/intake_budget_test.cpp
@@ -125,6 +125,16 @@
   EXPECT_EQ(closed_, (std::set<uint32_t>{ 0, 1 }));
 }
 
+// Each idle connection keeps the buffer of its last head: 900 of them took 80 MB of a process.
+TEST_F(IntakeBudgetTest, CountsTheBufferOfAnIdleConnection)
+{
+  const auto idle = Open("10.0.0.1");
+  EXPECT_GE(budget_.Counters().bytes_, Limits().maxHeadBytes_ + (16U << 10U));
+  EXPECT_TRUE(budget_.Receive(idle, 1000));
+  budget_.EndRequest(idle);
+  EXPECT_GE(budget_.Counters().bytes_, Limits().maxHeadBytes_ + (16U << 10U));
+}
+
 // All bytes must be given back, or the budget would shrink with each client.
 TEST_F(IntakeBudgetTest, GivesBackWhatAConnectionHeld)
 {
