End connections before libmicrohttpd is stopped

Cause: after the begin of MHD_stop_daemon(), MHD_queue_response() of libmicrohttpd 0.9.75 takes no response. The library's own refusal of a malformed request (400, 413, 414, 431) then reads a null pointer, so that a client could end the process with a segmentation fault during its stop.

Change: a stop first closes the listener and all connections, and waits up to 5 s until they have ended.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -6,12 +6,16 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <condition_variable>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -29,6 +33,8 @@
 // read the refusal.
 constexpr uint64_t kMaxDiscardedBodies = 2;
 constexpr std::chrono::milliseconds kBusyRetryAfter{ 1000 };
+// Time for connections to end before libmicrohttpd is stopped; requests in work may take longer.
+constexpr std::chrono::seconds kCloseTimeout{ 5 };
 // Of a server without a shared budget. The largest body is a profile document, which the store
 // limits to 1 MB without indentation.
 constexpr uint64_t kMaxOwnBodyBytes = 2U << 20U;
@@ -177,6 +183,10 @@
   std::optional<AdminResponse> CheckHead(const Exchange& aExchange) const;
   MHD_Result TakeBody(Exchange& aExchange, const char* aData, size_t* aDataSize);
   AdminResponse Dispatch(AdminRequest& aRequest) const;
+  void AddSocket(int aSocket);
+  void RemoveSocket(int aSocket);
+  /// Ends all connections and waits for those without a request in work.
+  void CloseConnections();
   MHD_Result Send(MHD_Connection* aConnection, Exchange& aExchange, AdminResponse aResponse);
 
   std::vector<BoundRoute> routes_;
@@ -185,6 +195,10 @@
   std::unique_ptr<IntakeBudget> ownBudget_;
   IntakeBudget* budget_ = nullptr;
   MHD_Daemon* daemon_ = nullptr;
+  std::mutex mutex_;
+  std::condition_variable socketRemoved_;
+  std::set<int> sockets_; ///< Of the open connections.
+  bool stopping_ = false;
 };
 
 std::string
@@ -247,13 +261,15 @@
                                  void** aContext,
                                  MHD_ConnectionNotificationCode aCode)
 {
-  IntakeBudget& budget = *static_cast<State*>(aSelf)->budget_;
+  auto* self = static_cast<State*>(aSelf);
+  IntakeBudget& budget = *self->budget_;
+  const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
   if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
-    const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
     // libmicrohttpd closes the descriptor after the notification of the end.
     const IntakeBudget::ConnectionId id = budget.Open(
       ClientAddress(aConnection), [socket = info->connect_fd] { shutdown(socket, SHUT_RDWR); });
     *aContext = std::make_unique<IntakeBudget::ConnectionId>(id).release();
+    self->AddSocket(info->connect_fd);
     return;
   }
   const std::unique_ptr<IntakeBudget::ConnectionId> id(
@@ -262,6 +278,36 @@
   if (id) {
     budget.Close(*id);
   }
+  self->RemoveSocket(info->connect_fd);
+}
+
+void
+AdminServer::State::AddSocket(int aSocket)
+{
+  const std::lock_guard lock(mutex_);
+  sockets_.insert(aSocket);
+  if (stopping_) {
+    shutdown(aSocket, SHUT_RDWR);
+  }
+}
+
+void
+AdminServer::State::RemoveSocket(int aSocket)
+{
+  const std::lock_guard lock(mutex_);
+  sockets_.erase(aSocket);
+  socketRemoved_.notify_all();
+}
+
+void
+AdminServer::State::CloseConnections()
+{
+  std::unique_lock lock(mutex_);
+  stopping_ = true;
+  for (const int socket : sockets_) {
+    shutdown(socket, SHUT_RDWR);
+  }
+  socketRemoved_.wait_for(lock, kCloseTimeout, [this] { return sockets_.empty(); });
 }
 
 MHD_Result
@@ -496,9 +542,17 @@
 void
 AdminServer::Shutdown()
 {
-  if (state_->daemon_) {
-    MHD_stop_daemon(state_->daemon_);
-    state_->daemon_ = nullptr;
+  if (!state_->daemon_) {
+    return;
+  }
+  // libmicrohttpd 0.9.75 reads a null pointer when it refuses a malformed request after the begin
+  // of MHD_stop_daemon(), so connections end before.
+  const int listener = MHD_quiesce_daemon(state_->daemon_);
+  state_->CloseConnections();
+  MHD_stop_daemon(state_->daemon_);
+  state_->daemon_ = nullptr;
+  if (listener >= 0) {
+    close(listener);
   }
 }
 
--- a/tests/admin_server_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -280,6 +280,27 @@
   EXPECT_EQ(budget_->Counters().bytes_, 0U);
 }
 
+// libmicrohttpd 0.9.75 reads a null pointer if it refuses a request after the begin of its stop.
+TEST_F(AdminServerTest, StopsBesideMalformedRequests)
+{
+  for (int round = 0; round < 100; ++round) {
+    AdminServer server;
+    const bool started = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(server.Init(Endpoint{ Host(), kPort }));
+        return true;
+      },
+      [] { return false; });
+    ASSERT_TRUE(started);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int count = 0; count < 30; ++count) {
+      clients.push_back(std::make_unique<Client>(Address()));
+      clients.back()->Send("no request\r\n\r\n");
+    }
+    server.Shutdown();
+  }
+}
+
 // Callers keep connections open, and monitoring systems send HEAD.
 TEST_F(AdminServerTest, KeepsConnectionsOpenAndAnswersHead)
 {
