Refuse work on a connection that was told to close

Cause: a request whose body was whole when its connection was closed for the budget still began its work. Its bytes were given away already, so that the process exceeded the budget, and its client could not get the response.

Change: BeginWork() fails for a connection that was told to close.

--- a/src/intake_budget.cpp
+++ b/src/intake_budget.cpp
@@ -77,6 +77,9 @@
 {
   const std::lock_guard lock(mutex_);
   Connection& connection = connections_.at(aConnection);
+  if (connection.isClosing_) {
+    return false;
+  }
   SetPhase(connection, Phase::Work);
   const uint64_t needed = connectionBytes_ + aBytes;
   const uint64_t more = needed > connection.bytes_ ? needed - connection.bytes_ : 0;
--- a/tests/intake_budget_test.cpp
+++ b/tests/intake_budget_test.cpp
@@ -125,6 +125,18 @@
   EXPECT_EQ(closed_, (std::set<uint32_t>{ 0, 1 }));
 }
 
+// A request that was told to close has lost its connection, and its bytes are given away already.
+TEST_F(IntakeBudgetTest, RefusesWorkOnAConnectionThatIsClosing)
+{
+  const auto first = Open("10.0.0.1");
+  EXPECT_TRUE(budget_.Receive(first, 2 * kMegabyte));
+  clock_.Advance(seconds(1));
+  const auto second = Open("10.0.0.2");
+  EXPECT_TRUE(budget_.Receive(second, 3 * kMegabyte));
+  ASSERT_EQ(closed_, std::set<uint32_t>{ 0 });
+  EXPECT_FALSE(budget_.BeginWork(first, 2 * kMegabyte));
+}
+
 // Each idle connection keeps the buffer of its last head: 900 of them took 80 MB of a process.
 TEST_F(IntakeBudgetTest, CountsTheBufferOfAnIdleConnection)
 {
