Close nobody for a request that cannot fit

Cause: a request that did not fit beside those in work first closed all other requests and idle connections, and was refused nevertheless.

Change: room is only made if closing others can make enough of it.

Measured: IntakeBudgetTest.ClosesNobodyForARequestThatCannotFit failed before; IntakeBudgetTest and AdminServerTest, 21 of 21.

--- a/include/sardinespoke/intake_budget.h
+++ b/include/sardinespoke/intake_budget.h
@@ -114,7 +114,8 @@
   void SetBytes(Connection& aConnection, uint64_t aBytes);
   void SetPhase(Connection& aConnection, Phase aPhase);
   /// Closes others until so many bytes are left.
-  /// @returns False if the connection itself has made no progress for the longest time.
+  /// @returns False if closing all others would not suffice, or if the connection itself has made
+  /// no progress for the longest time.
   bool MakeRoom(ConnectionId aFor, uint64_t aBytes);
   /// @returns The connection to close next; the end if there is none.
   Connections::iterator FindVictim();
--- a/src/intake_budget.cpp
+++ b/src/intake_budget.cpp
@@ -159,8 +159,14 @@
   }
   // The bytes of a connection that was told to close are freed as soon as its thread has seen it.
   uint64_t freed = 0;
+  uint64_t closable = 0;
   for (const auto& [id, connection] : connections_) {
+    const bool isInWork = connection.phase_ == Phase::Work;
     freed += connection.isClosing_ ? connection.bytes_ : 0;
+    closable += connection.isClosing_ || isInWork || id == aFor ? 0 : connection.bytes_;
+  }
+  if (aBytes > 0 && counters_.bytes_ + aBytes > limits_.budgetBytes_ + freed + closable) {
+    return false; // Closing all others would not make enough room.
   }
   while (counters_.bytes_ + aBytes > limits_.budgetBytes_ + freed) {
     const auto victim = FindVictim();
--- a/tests/intake_budget_test.cpp
+++ b/tests/intake_budget_test.cpp
@@ -137,6 +137,19 @@
   EXPECT_FALSE(budget_.BeginWork(first, 2 * kMegabyte));
 }
 
+// A request that does not fit beside those in work must not cost others their connections.
+TEST_F(IntakeBudgetTest, ClosesNobodyForARequestThatCannotFit)
+{
+  const auto working = Open("10.0.0.1");
+  EXPECT_TRUE(budget_.BeginWork(working, 3 * kMegabyte));
+  const auto unfinished = Open("10.0.0.2");
+  EXPECT_TRUE(budget_.Receive(unfinished, kMegabyte / 4));
+  const auto next = Open("10.0.0.3");
+  EXPECT_FALSE(budget_.BeginWork(next, 2 * kMegabyte));
+  EXPECT_TRUE(closed_.empty());
+  EXPECT_TRUE(budget_.Receive(unfinished, 1));
+}
+
 // Each idle connection keeps the buffer of its last head: 900 of them took 80 MB of a process.
 TEST_F(IntakeBudgetTest, CountsTheBufferOfAnIdleConnection)
 {
