--- a/include/sardinespoke/intake_budget.h
+++ b/include/sardinespoke/intake_budget.h
@@ -114,7 +114,8 @@
   void SetBytes(Connection& aConnection, uint64_t aBytes);
   void SetPhase(Connection& aConnection, Phase aPhase);
   /// Closes others until so many bytes are left.
-  /// @returns False if the connection itself has made no progress for the longest time.
+  /// @returns False if closing all others would not suffice, or if the connection itself has made
+  /// no progress for the longest time.
   bool MakeRoom(ConnectionId aFor, uint64_t aBytes);
   /// @returns The connection to close next; the end if there is none.
   Connections::iterator FindVictim();
@@ -123,6 +124,9 @@
   bool IsOverdue(const Connection& aConnection, TimePoint aNow) const;
 
   const IntakeLimits limits_;
+  /// Of a connection without a body. libmicrohttpd writes to its whole buffer for a head when it
+  /// ends a request, and keeps it while the connection is idle.
+  const uint64_t connectionBytes_;
   const ClockI& clock_;
   mutable std::mutex mutex_;
   Connections connections_;
--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -6,12 +6,16 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <condition_variable>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -25,10 +29,17 @@
 constexpr unsigned int kConnectionMargin = 64;
 // Copies of a body that exist while it is forwarded: the request, its message and the encoded one.
 constexpr uint64_t kCopiesInWork = 4;
+// Memory that a header field or a parameter takes in a map beside its text.
+constexpr uint64_t kFieldBytes = 128;
 // A chunked body above the limit is discarded up to this multiple of it, so that the client can
 // read the refusal.
 constexpr uint64_t kMaxDiscardedBodies = 2;
 constexpr std::chrono::milliseconds kBusyRetryAfter{ 1000 };
+// Time for connections to end before libmicrohttpd is stopped; requests in work may take longer.
+constexpr std::chrono::seconds kCloseTimeout{ 5 };
+// Of a server without a shared budget. The largest body is a profile document, which the store
+// limits to 1 MB without indentation.
+constexpr uint64_t kMaxOwnBodyBytes = 2U << 20U;
 
 constexpr unsigned int kNotFound = 404;
 constexpr unsigned int kTooLarge = 413;
@@ -50,6 +61,7 @@
   AdminRequest request_;
   AdminResponse response_; ///< Owns the bytes that libmicrohttpd sends.
   uint32_t headerFields_ = 0;
+  uint64_t headBytes_ = 0; ///< Of the copies of header fields and parameters.
   bool headersRead_ = false;
   bool bodyTooLarge_ = false;
   uint64_t discardedBytes_ = 0;
@@ -69,7 +81,8 @@
   return segments;
 }
 
-/// @returns True if the path has the form of the pattern; its parameters are added then.
+/// @returns True if the path has the form of the pattern; its parameters are added then, in place
+/// of those of the query with the same name.
 bool
 Match(const std::vector<std::string>& aPattern,
       const std::vector<std::string>& aPath,
@@ -86,7 +99,9 @@
       return false;
     }
   }
-  aParameters.insert(parameters.begin(), parameters.end());
+  for (auto& [name, value] : parameters) {
+    aParameters[name] = std::move(value);
+  }
   return true;
 }
 
@@ -104,6 +119,7 @@
     return static_cast<char>(std::tolower(aCharacter));
   });
   ++exchange->headerFields_;
+  exchange->headBytes_ += kFieldBytes + aNameSize + aValueSize;
   exchange->request_.headers_[name] = aValue ? std::string(aValue, aValueSize) : std::string();
   return MHD_YES;
 }
@@ -116,7 +132,9 @@
             const char* aValue,
             size_t aValueSize)
 {
-  static_cast<Exchange*>(aExchange)->request_.parameters_[std::string(aName, aNameSize)] =
+  auto* exchange = static_cast<Exchange*>(aExchange);
+  exchange->headBytes_ += kFieldBytes + aNameSize + aValueSize;
+  exchange->request_.parameters_[std::string(aName, aNameSize)] =
     aValue ? std::string(aValue, aValueSize) : std::string();
   return MHD_YES;
 }
@@ -141,6 +159,14 @@
   return response;
 }
 
+AdminResponse
+Busy()
+{
+  AdminResponse response = Refusal(kUnavailable, "", "too many requests at a time");
+  response.retryAfter_ = kBusyRetryAfter;
+  return response;
+}
+
 }
 
 struct AdminServer::State
@@ -171,6 +197,10 @@
   std::optional<AdminResponse> CheckHead(const Exchange& aExchange) const;
   MHD_Result TakeBody(Exchange& aExchange, const char* aData, size_t* aDataSize);
   AdminResponse Dispatch(AdminRequest& aRequest) const;
+  void AddSocket(int aSocket);
+  void RemoveSocket(int aSocket);
+  /// Ends all connections and waits for those without a request in work.
+  void CloseConnections();
   MHD_Result Send(MHD_Connection* aConnection, Exchange& aExchange, AdminResponse aResponse);
 
   std::vector<BoundRoute> routes_;
@@ -179,6 +209,10 @@
   std::unique_ptr<IntakeBudget> ownBudget_;
   IntakeBudget* budget_ = nullptr;
   MHD_Daemon* daemon_ = nullptr;
+  std::mutex mutex_;
+  std::condition_variable socketRemoved_;
+  std::set<int> sockets_; ///< Of the open connections.
+  bool stopping_ = false;
 };
 
 std::string
@@ -241,13 +275,15 @@
                                  void** aContext,
                                  MHD_ConnectionNotificationCode aCode)
 {
-  IntakeBudget& budget = *static_cast<State*>(aSelf)->budget_;
+  auto* self = static_cast<State*>(aSelf);
+  IntakeBudget& budget = *self->budget_;
+  const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
   if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
-    const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
     // libmicrohttpd closes the descriptor after the notification of the end.
     const IntakeBudget::ConnectionId id = budget.Open(
       ClientAddress(aConnection), [socket = info->connect_fd] { shutdown(socket, SHUT_RDWR); });
     *aContext = std::make_unique<IntakeBudget::ConnectionId>(id).release();
+    self->AddSocket(info->connect_fd);
     return;
   }
   const std::unique_ptr<IntakeBudget::ConnectionId> id(
@@ -256,6 +292,36 @@
   if (id) {
     budget.Close(*id);
   }
+  self->RemoveSocket(info->connect_fd);
+}
+
+void
+AdminServer::State::AddSocket(int aSocket)
+{
+  const std::lock_guard lock(mutex_);
+  sockets_.insert(aSocket);
+  if (stopping_) {
+    shutdown(aSocket, SHUT_RDWR);
+  }
+}
+
+void
+AdminServer::State::RemoveSocket(int aSocket)
+{
+  const std::lock_guard lock(mutex_);
+  sockets_.erase(aSocket);
+  socketRemoved_.notify_all();
+}
+
+void
+AdminServer::State::CloseConnections()
+{
+  std::unique_lock lock(mutex_);
+  stopping_ = true;
+  for (const int socket : sockets_) {
+    shutdown(socket, SHUT_RDWR);
+  }
+  socketRemoved_.wait_for(lock, kCloseTimeout, [this] { return sockets_.empty(); });
 }
 
 MHD_Result
@@ -295,7 +361,9 @@
     if (auto refusal = CheckHead(aExchange)) {
       return Send(aConnection, aExchange, std::move(*refusal));
     }
-    return budget_->Receive(aExchange.connection_, 0) ? MHD_YES : MHD_NO;
+    return budget_->Receive(aExchange.connection_, aExchange.headBytes_)
+             ? MHD_YES
+             : Send(aConnection, aExchange, Busy());
   }
   if (*aDataSize > 0) {
     return TakeBody(aExchange, aData, aDataSize);
@@ -303,10 +371,9 @@
   if (aExchange.bodyTooLarge_) {
     return Send(aConnection, aExchange, Refusal(kTooLarge, "body", "the body is too large"));
   }
-  if (!budget_->BeginWork(aExchange.connection_, aExchange.request_.body_.size() * kCopiesInWork)) {
-    AdminResponse busy = Refusal(kUnavailable, "", "too many requests at a time");
-    busy.retryAfter_ = kBusyRetryAfter;
-    return Send(aConnection, aExchange, std::move(busy));
+  const uint64_t bytes = aExchange.headBytes_ + aExchange.request_.body_.size() * kCopiesInWork;
+  if (!budget_->BeginWork(aExchange.connection_, bytes)) {
+    return Send(aConnection, aExchange, Busy());
   }
   // Suspends the idle timeout, which would otherwise include the work on the request.
   MHD_set_connection_option(aConnection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
@@ -411,7 +478,9 @@
 AdminServer::AdminServer()
   : state_(std::make_unique<State>())
 {
-  state_->ownBudget_ = std::make_unique<IntakeBudget>(IntakeLimits(), state_->clock_);
+  IntakeLimits limits;
+  limits.maxBodyBytes_ = kMaxOwnBodyBytes;
+  state_->ownBudget_ = std::make_unique<IntakeBudget>(limits, state_->clock_);
   state_->budget_ = state_->ownBudget_.get();
 }
 
@@ -488,9 +557,17 @@
 void
 AdminServer::Shutdown()
 {
-  if (state_->daemon_) {
-    MHD_stop_daemon(state_->daemon_);
-    state_->daemon_ = nullptr;
+  if (!state_->daemon_) {
+    return;
+  }
+  // libmicrohttpd 0.9.75 reads a null pointer when it refuses a malformed request after the begin
+  // of MHD_stop_daemon(), so connections end before.
+  const int listener = MHD_quiesce_daemon(state_->daemon_);
+  state_->CloseConnections();
+  MHD_stop_daemon(state_->daemon_);
+  state_->daemon_ = nullptr;
+  if (listener >= 0) {
+    close(listener);
   }
 }
 
--- a/src/intake_budget.cpp
+++ b/src/intake_budget.cpp
@@ -7,13 +7,14 @@
 
 namespace {
 
-// Of the thread of a connection, its buffers and the kernel's accounting of it.
-constexpr uint64_t kConnectionBytes = 32U << 10U;
+// Of the thread of a connection and the kernel's accounting of it.
+constexpr uint64_t kThreadBytes = 32U << 10U;
 
 }
 
 IntakeBudget::IntakeBudget(IntakeLimits aLimits, const ClockI& aClock)
   : limits_(aLimits)
+  , connectionBytes_(kThreadBytes + aLimits.maxHeadBytes_)
   , clock_(aClock)
 {
 }
@@ -28,7 +29,7 @@
   connection.address_ = aAddress;
   connection.close_ = std::move(aClose);
   SetPhase(connection, Phase::Idle);
-  SetBytes(connection, kConnectionBytes);
+  SetBytes(connection, connectionBytes_);
   counters_.connections_ = connections_.size();
   if (connections_.size() - closing_ > limits_.maxConnections_) {
     const auto victim = FindVictim();
@@ -76,8 +77,11 @@
 {
   const std::lock_guard lock(mutex_);
   Connection& connection = connections_.at(aConnection);
+  if (connection.isClosing_) {
+    return false;
+  }
   SetPhase(connection, Phase::Work);
-  const uint64_t needed = kConnectionBytes + aBytes;
+  const uint64_t needed = connectionBytes_ + aBytes;
   const uint64_t more = needed > connection.bytes_ ? needed - connection.bytes_ : 0;
   if (!MakeRoom(aConnection, more)) {
     ++counters_.refused_;
@@ -93,7 +97,7 @@
   const std::lock_guard lock(mutex_);
   Connection& connection = connections_.at(aConnection);
   SetPhase(connection, Phase::Response);
-  SetBytes(connection, kConnectionBytes + aBytes);
+  SetBytes(connection, connectionBytes_ + aBytes);
 }
 
 void
@@ -105,7 +109,7 @@
     return;
   }
   SetPhase(found->second, Phase::Idle);
-  SetBytes(found->second, kConnectionBytes);
+  SetBytes(found->second, connectionBytes_);
 }
 
 void
@@ -155,8 +159,14 @@
   }
   // The bytes of a connection that was told to close are freed as soon as its thread has seen it.
   uint64_t freed = 0;
+  uint64_t closable = 0;
   for (const auto& [id, connection] : connections_) {
+    const bool isInWork = connection.phase_ == Phase::Work;
     freed += connection.isClosing_ ? connection.bytes_ : 0;
+    closable += connection.isClosing_ || isInWork || id == aFor ? 0 : connection.bytes_;
+  }
+  if (aBytes > 0 && counters_.bytes_ + aBytes > limits_.budgetBytes_ + freed + closable) {
+    return false; // Closing all others would not make enough room.
   }
   while (counters_.bytes_ + aBytes > limits_.budgetBytes_ + freed) {
     const auto victim = FindVictim();
@@ -205,7 +215,7 @@
 IntakeBudget::IsOverdue(const Connection& aConnection, TimePoint aNow) const
 {
   const auto age = aNow - aConnection.phaseBegin_;
-  const std::chrono::milliseconds transfer((aConnection.bytes_ - kConnectionBytes) * 1000 /
+  const std::chrono::milliseconds transfer((aConnection.bytes_ - connectionBytes_) * 1000 /
                                            limits_.leastBytesPerSecond_);
   switch (aConnection.phase_) {
     case Phase::Idle:
--- a/tests/intake_budget_test.cpp
+++ b/tests/intake_budget_test.cpp
@@ -125,6 +125,41 @@
   EXPECT_EQ(closed_, (std::set<uint32_t>{ 0, 1 }));
 }
 
+// A request that was told to close has lost its connection, and its bytes are given away already.
+TEST_F(IntakeBudgetTest, RefusesWorkOnAConnectionThatIsClosing)
+{
+  const auto first = Open("10.0.0.1");
+  EXPECT_TRUE(budget_.Receive(first, 2 * kMegabyte));
+  clock_.Advance(seconds(1));
+  const auto second = Open("10.0.0.2");
+  EXPECT_TRUE(budget_.Receive(second, 3 * kMegabyte));
+  ASSERT_EQ(closed_, std::set<uint32_t>{ 0 });
+  EXPECT_FALSE(budget_.BeginWork(first, 2 * kMegabyte));
+}
+
+// A request that does not fit beside those in work must not cost others their connections.
+TEST_F(IntakeBudgetTest, ClosesNobodyForARequestThatCannotFit)
+{
+  const auto working = Open("10.0.0.1");
+  EXPECT_TRUE(budget_.BeginWork(working, 3 * kMegabyte));
+  const auto unfinished = Open("10.0.0.2");
+  EXPECT_TRUE(budget_.Receive(unfinished, kMegabyte / 4));
+  const auto next = Open("10.0.0.3");
+  EXPECT_FALSE(budget_.BeginWork(next, 2 * kMegabyte));
+  EXPECT_TRUE(closed_.empty());
+  EXPECT_TRUE(budget_.Receive(unfinished, 1));
+}
+
+// Each idle connection keeps the buffer of its last head: 900 of them took 80 MB of a process.
+TEST_F(IntakeBudgetTest, CountsTheBufferOfAnIdleConnection)
+{
+  const auto idle = Open("10.0.0.1");
+  EXPECT_GE(budget_.Counters().bytes_, Limits().maxHeadBytes_ + (16U << 10U));
+  EXPECT_TRUE(budget_.Receive(idle, 1000));
+  budget_.EndRequest(idle);
+  EXPECT_GE(budget_.Counters().bytes_, Limits().maxHeadBytes_ + (16U << 10U));
+}
+
 // All bytes must be given back, or the budget would shrink with each client.
 TEST_F(IntakeBudgetTest, GivesBackWhatAConnectionHeld)
 {
