--- a/tools/sardinespoke-slopes/main.cpp
+++ b/tools/sardinespoke-slopes/main.cpp
@@ -17,6 +17,7 @@
   static const std::vector<SlopeGroup> groups{
     { "documents", "bytes, processor time and memory of the documents", &MeasureDocuments },
     { "scheduling", "processor time of the scheduler core and of shares", &MeasureScheduling },
+    { "job-scheduling", "time of the leader's rounds while jobs wait", &MeasureJobScheduling },
     { "planner", "processor time of a planner step", &MeasurePlanner },
     { "exchange", "bytes of demand reports", &MeasureExchange },
     { "request-ids", "processor time and memory of request ids", &MeasureRequestIds },
--- a/tools/sardinespoke-slopes/slope.cpp
+++ b/tools/sardinespoke-slopes/slope.cpp
@@ -71,16 +71,18 @@
     residuals.push_back(y - (fit.intercept_ + fit.slope_ * x));
     greatest = std::max(greatest, x);
   }
-  const nlohmann::ordered_json line{ { "measure", aSeries.name_ },
-                                     { "size", aSeries.size_ },
-                                     { "unit", aSeries.unit_ },
-                                     { "slope", fit.slope_ },
-                                     { "intercept", fit.intercept_ },
-                                     { "greatest_size", greatest },
-                                     { "fitted_at_greatest",
-                                       fit.intercept_ + fit.slope_ * greatest },
-                                     { "points", points },
-                                     { "residuals", residuals } };
+  nlohmann::ordered_json line{ { "measure", aSeries.name_ },
+                               { "size", aSeries.size_ },
+                               { "unit", aSeries.unit_ },
+                               { "slope", fit.slope_ },
+                               { "intercept", fit.intercept_ },
+                               { "greatest_size", greatest },
+                               { "fitted_at_greatest", fit.intercept_ + fit.slope_ * greatest },
+                               { "points", points },
+                               { "residuals", residuals } };
+  if (aSeries.goal_ > 0) {
+    line["goal"] = aSeries.goal_;
+  }
   aOut << line.dump() << '\n' << std::flush;
 }
 
@@ -98,6 +100,12 @@
   return least;
 }
 
+double
+ThreadMicrosecondsOf(const std::function<void()>& aCall)
+{
+  return Measure(aCall, 1);
+}
+
 double
 HeapBytes(const std::function<void()>& aCall)
 {
--- a/tools/sardinespoke-slopes/slope.h
+++ b/tools/sardinespoke-slopes/slope.h
@@ -15,6 +15,7 @@
   std::string size_;                              ///< What is varied, such as "hosts".
   std::string unit_;                              ///< Unit of the measured value.
   std::vector<std::pair<double, double>> points_; ///< Size and value; at least four.
+  double goal_ = 0; ///< Most that the value may be at the greatest size; 0: none.
 };
 
 /// Straight line through points by least squares.
@@ -39,6 +40,10 @@
 double
 CpuMicroseconds(const std::function<void()>& aCall);
 
+/// @returns Processor time of this thread in microseconds for this call.
+double
+ThreadMicrosecondsOf(const std::function<void()>& aCall);
+
 /// @returns Bytes that the heap holds more after the call than before it.
 double
 HeapBytes(const std::function<void()>& aCall);
--- a/tools/sardinespoke-slopes/slope_groups.h
+++ b/tools/sardinespoke-slopes/slope_groups.h
@@ -21,6 +21,10 @@
 void
 MeasureScheduling(std::ostream& aOut);
 
+/// Processor time of the leader's rounds, checks of submissions and ticks while jobs wait.
+void
+MeasureJobScheduling(std::ostream& aOut);
+
 /// Processor time of one step of the planner core.
 void
 MeasurePlanner(std::ostream& aOut);
