Leave out waiting jobs that are a little larger than what is free

Cause: size classes were powers of two. Tasks of 3.3 cores leave 2.8 cores of a backend server with 16 free, which is the same class, so that each round walked over all waiting jobs of a full pool.

Change: eight classes for each power of two, and the cursor compares the exact need of a job in the class of what is free. Empty classes are not kept.

--- a/include/sardinespoke/wait_index.h
+++ b/include/sardinespoke/wait_index.h
@@ -2,7 +2,6 @@
 
 #include "sardinespoke/wait_order.h"
 
-#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -21,7 +20,8 @@
 {
 public:
   /// The waiting jobs of one pool. Jobs are kept apart by the size class of their smallest waiting
-  /// task: class 0 is always visited, class n needs 2^(n-1) thousandths of a core or more.
+  /// task, in steps of an eighth of a power of two. Wider classes would hold jobs that are a little
+  /// larger than what is free, all of which each round would walk over.
   class Pool
   {
   public:
@@ -33,9 +33,8 @@
 
   private:
     friend class WaitIndex;
-    static constexpr size_t kClasses = 33;
 
-    std::array<std::set<WaitRank>, kClasses> classes_;
+    std::map<size_t, std::set<WaitRank>> classes_; ///< None is empty.
     std::map<TenantUsage::Id, uint32_t> tenants_;
     size_t size_ = 0;
   };
@@ -54,10 +53,17 @@
     void Limit(int64_t aFreeCpuMilli);
 
   private:
-    using Position = std::set<WaitRank>::const_iterator;
-
-    std::array<std::pair<Position, Position>, Pool::kClasses> positions_;
-    size_t classes_ = 0; ///< Number of size classes that may fit.
+    struct Position
+    {
+      size_t class_ = 0;
+      std::set<WaitRank>::const_iterator next_;
+      std::set<WaitRank>::const_iterator end_;
+    };
+    /// Moves on to the next job that may fit.
+    void SkipLarge(Position& aPosition) const;
+
+    int64_t freeCpuMilli_ = 0;
+    std::vector<Position> positions_; ///< Of the size classes that may fit, in ascending order.
   };
 
   WaitIndex(JobTable& aJobs, const WaitOrder& aOrder);
@@ -82,17 +88,17 @@
   struct Entry
   {
     Pool* pool_ = nullptr; ///< nullptr: not in the index.
-    size_t class_ = 0;
     TenantUsage::Id tenant_ = TenantUsage::kNoTenant;
     WaitRank rank_;
     TimePoint rankedAt_{};
   };
 
   void Refresh(uint32_t aJob, TimePoint aNow);
-  void Insert(uint32_t aJob, size_t aClass, TimePoint aNow);
+  void Insert(uint32_t aJob, int64_t aCpuMilli, TimePoint aNow);
   void Erase(uint32_t aJob);
-  /// @returns Size class of the smallest task that is ready and waits; empty if there is none.
-  std::optional<size_t> ClassOf(const Job& aJob) const;
+  /// @returns Need of the smallest task that is ready and waits, 0 if the job must always be
+  /// visited; empty if there is none.
+  std::optional<int64_t> SmallestNeed(const Job& aJob) const;
 
   JobTable& jobs_;
   const WaitOrder& order_;
--- a/include/sardinespoke/wait_order.h
+++ b/include/sardinespoke/wait_order.h
@@ -23,6 +23,8 @@
   WaitTier tier_ = WaitTier::InTime;
   double remainingWork_ = 0.0; ///< Core-seconds.
   TimePoint lateFrom_{};       ///< A job that has not gone on by then is late.
+  /// Need of its smallest waiting task, set by WaitIndex; no part of the order.
+  int64_t cpuMilli_ = 0;
 
   bool operator<(const WaitRank& aOther) const;
 };
--- a/src/wait_index.cpp
+++ b/src/wait_index.cpp
@@ -12,41 +12,68 @@
 // Bounds the time of an update while thousands of jobs wait.
 constexpr size_t kAgedRanksPerUpdate = 64;
 
-/// @returns Number of size classes whose smallest tasks fit.
+/// @returns The size class of a need, which grows with it.
 size_t
-FittingClasses(int64_t aFreeCpuMilli)
+ClassOf(int64_t aCpuMilli)
 {
-  return 1 + static_cast<size_t>(std::bit_width(static_cast<uint32_t>(
-               std::clamp<int64_t>(aFreeCpuMilli, 0, std::numeric_limits<uint32_t>::max()))));
+  constexpr uint32_t kStepBits = 3; // Eight classes for each power of two.
+  const auto cpu =
+    static_cast<uint32_t>(std::clamp<int64_t>(aCpuMilli, 0, std::numeric_limits<uint32_t>::max()));
+  const auto width = static_cast<uint32_t>(std::bit_width(cpu));
+  const uint32_t shift = width > kStepBits ? width - kStepBits - 1 : 0;
+  return (static_cast<size_t>(shift) << kStepBits) + (cpu >> shift);
 }
 
 }
 
 WaitIndex::Cursor::Cursor(const Pool& aPool, int64_t aFreeCpuMilli)
-  : classes_(FittingClasses(aFreeCpuMilli))
+  : freeCpuMilli_(std::max<int64_t>(aFreeCpuMilli, 0))
 {
-  for (size_t index = 0; index < Pool::kClasses; ++index) {
-    positions_[index] = { aPool.classes_[index].begin(), aPool.classes_[index].end() };
+  const auto end = aPool.classes_.upper_bound(ClassOf(freeCpuMilli_));
+  for (auto found = aPool.classes_.begin(); found != end; ++found) {
+    positions_.push_back({ found->first, found->second.begin(), found->second.end() });
+    SkipLarge(positions_.back());
+  }
+}
+
+void
+WaitIndex::Cursor::SkipLarge(Position& aPosition) const
+{
+  while (aPosition.next_ != aPosition.end_ && aPosition.next_->cpuMilli_ > freeCpuMilli_) {
+    ++aPosition.next_;
   }
 }
 
 const WaitRank*
 WaitIndex::Cursor::Next()
 {
-  std::pair<Position, Position>* first = nullptr;
-  for (size_t index = 0; index < classes_; ++index) {
-    auto& [next, end] = positions_[index];
-    if (next != end && (!first || *next < *first->first)) {
-      first = &positions_[index];
+  Position* first = nullptr;
+  for (Position& position : positions_) {
+    if (position.next_ != position.end_ && (!first || *position.next_ < *first->next_)) {
+      first = &position;
     }
   }
-  return first ? &*first->first++ : nullptr;
+  if (!first) {
+    return nullptr;
+  }
+  const WaitRank* rank = &*first->next_++;
+  SkipLarge(*first);
+  return rank;
 }
 
 void
 WaitIndex::Cursor::Limit(int64_t aFreeCpuMilli)
 {
-  classes_ = std::min(classes_, FittingClasses(aFreeCpuMilli));
+  if (aFreeCpuMilli >= freeCpuMilli_) {
+    return;
+  }
+  freeCpuMilli_ = std::max<int64_t>(aFreeCpuMilli, 0);
+  while (!positions_.empty() && positions_.back().class_ > ClassOf(freeCpuMilli_)) {
+    positions_.pop_back();
+  }
+  if (!positions_.empty()) {
+    SkipLarge(positions_.back()); // Jobs of smaller classes fit as before.
+  }
 }
 
 WaitIndex::WaitIndex(JobTable& aJobs, const WaitOrder& aOrder)
@@ -90,7 +117,7 @@
   WaitRank firstLate = late;
   firstLate.remainingWork_ = 0.0;
   firstLate.job_ = 0;
-  for (const auto& ranks : pool->second.classes_) {
+  for (const auto& [size, ranks] : pool->second.classes_) {
     for (auto rank = ranks.begin(); rank != ranks.end() && *rank < aRank; ++rank) {
       backlog.ahead_ += rank->remainingWork_;
     }
@@ -112,21 +139,21 @@
   if (!job || !job->stored_ || job->HasEnded()) {
     return;
   }
-  if (const auto size = ClassOf(*job)) {
-    Insert(aJob, *size, aNow);
+  if (const auto need = SmallestNeed(*job)) {
+    Insert(aJob, *need, aNow);
   }
 }
 
 void
-WaitIndex::Insert(uint32_t aJob, size_t aClass, TimePoint aNow)
+WaitIndex::Insert(uint32_t aJob, int64_t aCpuMilli, TimePoint aNow)
 {
   const Job& job = jobs_.At(aJob);
   Entry& entry = entries_[aJob];
   entry.pool_ = &pools_[job.policy_.service_];
-  entry.class_ = aClass;
   entry.tenant_ = job.tenant_;
   entry.rank_ = order_.RankOf(jobs_, aJob, aNow);
-  entry.pool_->classes_[aClass].insert(entry.rank_);
+  entry.rank_.cpuMilli_ = aCpuMilli;
+  entry.pool_->classes_[ClassOf(aCpuMilli)].insert(entry.rank_);
   ++entry.pool_->size_;
   ++entry.pool_->tenants_[entry.tenant_];
   if (entry.rank_.tier_ == WaitTier::InTime) {
@@ -145,7 +172,11 @@
   if (!entry.pool_) {
     return;
   }
-  entry.pool_->classes_[entry.class_].erase(entry.rank_);
+  const auto ranks = entry.pool_->classes_.find(ClassOf(entry.rank_.cpuMilli_));
+  ranks->second.erase(entry.rank_);
+  if (ranks->second.empty()) {
+    entry.pool_->classes_.erase(ranks);
+  }
   --entry.pool_->size_;
   const auto tenant = entry.pool_->tenants_.find(entry.tenant_);
   if (--tenant->second == 0) {
@@ -155,10 +186,10 @@
   entry.pool_ = nullptr;
 }
 
-std::optional<size_t>
-WaitIndex::ClassOf(const Job& aJob) const
+std::optional<int64_t>
+WaitIndex::SmallestNeed(const Job& aJob) const
 {
-  std::optional<size_t> smallest;
+  std::optional<int64_t> smallest;
   for (uint32_t occurrence = 0; occurrence < aJob.dueOccurrences_; ++occurrence) {
     const auto& steps = aJob.occurrences_[occurrence].steps_;
     for (uint32_t step = 0; step < steps.size(); ++step) {
@@ -175,8 +206,7 @@
         return 0;
       }
       const int64_t cpu = aJob.spec_.steps_[step].Need().cpuMilli_;
-      const size_t size = FittingClasses(cpu) - 1;
-      smallest = std::min(smallest.value_or(size), size);
+      smallest = std::min(smallest.value_or(cpu), cpu);
     }
   }
   return smallest;
--- a/tests/wait_index_test.cpp
+++ b/tests/wait_index_test.cpp
@@ -111,6 +111,33 @@
   EXPECT_TRUE(Visit("p", 0).empty());
 }
 
+// Tasks of 3.3 cores leave 2.8 cores of each server free. Rounds must not walk over all that wait.
+TEST_F(WaitIndexTest, LeavesOutJobsThatAreALittleTooLarge)
+{
+  const uint32_t first = Add("p", { Step(1, 3300) });
+  const uint32_t second = Add("p", { Step(2, 3301) });
+  EXPECT_TRUE(Visit("p", 2800).empty());
+  EXPECT_TRUE(Visit("p", 3299).empty());
+  EXPECT_EQ(Visit("p", 3300), std::vector<uint32_t>{ first });
+  EXPECT_EQ(Visit("p", 3301), (std::vector<uint32_t>{ first, second }));
+}
+
+// What a start leaves free must hold for the rest of the round, also within a size class.
+TEST_F(WaitIndexTest, LeavesOutWhatNoLongerFits)
+{
+  const uint32_t first = Add("p", { Step(1, 3300) });
+  Add("p", { Step(2, 3301) });
+  const uint32_t third = Add("p", { Step(3, 3300) });
+  const uint32_t small = Add("p", { Step(400, 100) });
+  index_.Update(clock_.Now());
+  WaitIndex::Cursor cursor(index_.Pools().at("p"), 3301);
+  EXPECT_EQ(cursor.Next()->job_, first);
+  cursor.Limit(3300);
+  EXPECT_EQ(cursor.Next()->job_, third);
+  EXPECT_EQ(cursor.Next()->job_, small);
+  EXPECT_EQ(cursor.Next(), nullptr);
+}
+
 // Places for suspects are reserved, and the advice service is asked, while a pool is full.
 TEST_F(WaitIndexTest, AlwaysVisitsSuspects)
 {
