--- a/include/sardinespoke/overload_policy.h
+++ b/include/sardinespoke/overload_policy.h
@@ -15,7 +15,8 @@
 struct SubmissionLoad
 {
   double cores_ = 0.0; ///< Of the pool's usable backend servers.
-  /// Core-seconds of the jobs before it, as long as it can meet its objective.
+  /// Core-seconds of the jobs before it, as long as it can meet its objective; at most those of its
+  /// tenant divided by the tenant's share of the pool.
   double workAhead_ = 0.0;
   /// Core-seconds a second that were submitted lately and come before it, since they need less
   /// work.
