Let a tenant that uses its whole share wait for the others

Cause: a tenant was beyond its share only once it used more than that. One that used exactly its share could start a further job before others within theirs, and held their capacity for the length of its tasks.

Change: TenantShares::IsBeyondShare() holds from the whole share on. Capacity that nobody else needs is used as before.

--- a/include/sardinespoke/tenant_shares.h
+++ b/include/sardinespoke/tenant_shares.h
@@ -9,9 +9,9 @@
 /// Weighted shares of one pool among the tenants that wait or run there.
 ///
 /// Load pattern: one tenant sends many times its usual load to a pool that is full. A tenant is
-/// beyond its share while its dominant resource there exceeds its weight's part of all their
-/// weights. Since usage is measured by what runs, work that has ended counts no more, and a tenant
-/// that used idle capacity owes nothing.
+/// beyond its share while its dominant resource there is its weight's part of all their weights or
+/// more, so that a further task would exceed it. Since usage is measured by what runs, work that
+/// has ended counts no more, and a tenant that used idle capacity owes nothing.
 class TenantShares
 {
 public:
@@ -24,7 +24,7 @@
   /// @returns Part of the pool that the tenant is entitled to, above 0 and up to 1.
   double ShareOf(TenantUsage::Id aTenant) const;
 
-  /// @returns True if the tenant uses more than its share now.
+  /// @returns True if the tenant uses its share or more now.
   bool IsBeyondShare(TenantUsage::Id aTenant) const;
 
 private:
--- a/src/tenant_shares.cpp
+++ b/src/tenant_shares.cpp
@@ -32,7 +32,7 @@
 TenantShares::IsBeyondShare(TenantUsage::Id aTenant) const
 {
   return aTenant != TenantUsage::kNoTenant &&
-         tenants_.ShareInUse(aTenant, pool_, capacity_) > sharePerWeight_;
+         tenants_.ShareInUse(aTenant, pool_, capacity_) >= sharePerWeight_;
 }
 
 }
