Count the late jobs before a late submission once

Cause: the backlog before a job sums up what comes before it in time and, apart from that, the late jobs that come before it once it is late. For a submission whose objective is shorter than its critical path, which is late from the start, both sums contain the late jobs, so that it could be refused as hopeless at half the backlog.

Change: WaitIndex::BacklogBefore() counts no late jobs apart for a late job.

Measured: WaitIndexTest.SumsUpTheWorkBeforeALateJobOnce failed before (4 core-seconds instead of 2) and passes now.

--- a/include/sardinespoke/wait_index.h
+++ b/include/sardinespoke/wait_index.h
@@ -72,7 +72,7 @@
     double lateAhead_ = 0.0; ///< Of late jobs of its priority that come before it once it is late.
   };
 
-  /// @param aRank Position of a job in time, which need not be in the index.
+  /// @param aRank Position of a job, which need not be in the index.
   Backlog BacklogBefore(const std::string& aPool, const WaitRank& aRank) const;
 
   /// By name. Pools without waiting jobs may be missing or empty.
--- a/src/wait_index.cpp
+++ b/src/wait_index.cpp
@@ -94,6 +94,9 @@
     for (auto rank = ranks.begin(); rank != ranks.end() && *rank < aRank; ++rank) {
       backlog.ahead_ += rank->remainingWork_;
     }
+    if (aRank.tier_ == WaitTier::Late) {
+      continue; // The late jobs before it are counted above.
+    }
     for (auto rank = ranks.lower_bound(firstLate); rank != ranks.end() && *rank < late; ++rank) {
       backlog.lateAhead_ += rank->remainingWork_;
     }
--- a/tests/wait_index_test.cpp
+++ b/tests/wait_index_test.cpp
@@ -169,6 +169,19 @@
   EXPECT_DOUBLE_EQ(backlog.lateAhead_, 2.0);
 }
 
+// The work of late jobs must not count twice before a job that is late from the start.
+TEST_F(WaitIndexTest, SumsUpTheWorkBeforeALateJobOnce)
+{
+  Add("p", { Step(2, 1000) });
+  const uint32_t job = Add("p", { Step(4, 1000) });
+  clock_.Advance(seconds(3));
+  const WaitRank rank = order_.RankOf(jobs_, job, clock_.Now());
+  ASSERT_EQ(rank.tier_, WaitTier::Late);
+  index_.Update(clock_.Now());
+  const WaitIndex::Backlog backlog = index_.BacklogBefore("p", rank);
+  EXPECT_DOUBLE_EQ(backlog.ahead_ + backlog.lateAhead_, 2.0);
+}
+
 // Whatever happens to jobs, the index must show them as if it had been made anew.
 TEST_F(WaitIndexTest, EqualsAnOrderMadeAnew)
 {
