Refuse no submission for the backlog of other tenants' excess

Cause: the work before a submission was that of all waiting jobs before it in the order of the queue. That counts work that waits for its tenant's cap, and work of tenants beyond their share, which does not come first. A tenant at its cap, or a hot one, had the submissions of all others refused as hopeless; in the first case with most servers idle.

Change: the work before a submission is at most that of its own tenant divided by the tenant's share of the pool. Without tenants nothing changes. Where queues of one pool differ in priority, this admits more than before.

Measured: TenantRefusalTest.WorkThatWaitsForACapRefusesNobodyElse and AHotTenantHasNobodyElseRefused failed before (503) and pass now.

--- a/include/sardinespoke/overload_policy.h
+++ b/include/sardinespoke/overload_policy.h
@@ -14,7 +14,8 @@
 struct SubmissionLoad
 {
   double cores_ = 0.0; ///< Of the pool's usable backend servers.
-  /// Core-seconds of the jobs before it, as long as it can meet its objective.
+  /// Core-seconds of the jobs before it, as long as it can meet its objective; at most those of its
+  /// tenant divided by the tenant's share of the pool.
   double workAhead_ = 0.0;
   /// Core-seconds of the late jobs that come before it once it is late as well.
   double lateWorkAhead_ = 0.0;
--- a/include/sardinespoke/wait_index.h
+++ b/include/sardinespoke/wait_index.h
@@ -69,6 +69,7 @@
   struct Backlog
   {
     double ahead_ = 0.0;
+    double ownAhead_ = 0.0;  ///< The part of it that is of the job's tenant.
     double lateAhead_ = 0.0; ///< Of late jobs of its priority that come before it once it is late.
   };
 
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -75,7 +75,8 @@
   const WaitIndex::Backlog backlog = index_.BacklogBefore(job.policy_.service_, rank);
   SubmissionLoad load;
   load.cores_ = static_cast<double>(servers_[job.policy_.service_].capacity_.cpuMilli_) / kMilli;
-  load.workAhead_ = backlog.ahead_;
+  // Whatever others wait for, possibly for their caps, the tenant can use its share of the pool.
+  load.workAhead_ = std::min(backlog.ahead_, backlog.ownAhead_ / ShareFor(aJob));
   load.lateWorkAhead_ = backlog.lateAhead_;
   load.work_ = rank.remainingWork_;
   load.criticalPath_ = durations_.CriticalPath(job);
--- a/src/wait_index.cpp
+++ b/src/wait_index.cpp
@@ -85,6 +85,7 @@
   if (pool == pools_.end()) {
     return backlog;
   }
+  const TenantUsage::Id tenant = jobs_.At(aRank.job_).tenant_;
   WaitRank late = aRank;
   late.tier_ = WaitTier::Late;
   WaitRank firstLate = late;
@@ -93,6 +94,7 @@
   for (const auto& ranks : pool->second.classes_) {
     for (auto rank = ranks.begin(); rank != ranks.end() && *rank < aRank; ++rank) {
       backlog.ahead_ += rank->remainingWork_;
+      backlog.ownAhead_ += entries_[rank->job_].tenant_ == tenant ? rank->remainingWork_ : 0.0;
     }
     if (aRank.tier_ == WaitTier::Late) {
       continue; // The late jobs before it are counted above.
--- a/tests/tenant_caps_test.cpp
+++ b/tests/tenant_caps_test.cpp
@@ -226,5 +226,47 @@
     [this] { return world_.StateOf("births", JobId(2)) == JobState::Done; }, seconds(20)));
 }
 
+/// The same with a leader that refuses hopeless submissions.
+class TenantRefusalTest : public TenantCapTest
+{
+protected:
+  TenantRefusalTest() { world_.Settings().refusesHopeless_ = true; }
+
+  /// Submits jobs of one task, each with 3.9 core-seconds.
+  void SendJobs(const std::string& aTenant, unsigned int aCount)
+  {
+    world_.UseKey("k-" + aTenant);
+    for (unsigned int job = 1; job <= aCount; ++job) {
+      const StepSpec step = Tasks(1, milliseconds(3900));
+      world_.SendSubmit("births", JobId(job), { step }, [](const JobResponse&) {});
+    }
+    world_.Run(milliseconds(300));
+  }
+
+  /// @returns The answer to a job that needs little more work than one of SendJobs().
+  JobResponseKind SubmitShort(const std::string& aTenant)
+  {
+    world_.UseKey("k-" + aTenant);
+    return world_.Submit("births", JobId(1000), Tasks(4, seconds(1))).kind_;
+  }
+};
+
+// The jobs of a tenant at its cap made others' submissions hopeless, although most servers idled.
+TEST_F(TenantRefusalTest, WorkThatWaitsForACapRefusesNobodyElse)
+{
+  SendJobs("a", 150);
+  EXPECT_EQ(SubmitShort("b"), JobResponseKind::Accepted);
+  world_.Run(seconds(2));
+  EXPECT_EQ(world_.StateOf("births", JobId(1000)), JobState::Done);
+}
+
+// Hot tenant: its backlog had submissions of another tenant refused that was within its share.
+TEST_F(TenantRefusalTest, AHotTenantHasNobodyElseRefused)
+{
+  SendJobs("b", 300);
+  EXPECT_EQ(SubmitShort("b"), JobResponseKind::Refused);
+  EXPECT_EQ(SubmitShort("a"), JobResponseKind::Accepted);
+}
+
 }
 }
