--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -114,6 +114,22 @@
   EXPECT_GT(config.tenants_->back().weight_, 0.0);
 }
 
+// A mistake in one resource of a cap must not lift the bounds of the others.
+TEST(FleetFormat, KeepsWhatIsReadableInACap)
+{
+  FleetConfig config;
+  ASSERT_TRUE(
+    FleetFormat().ReadConfig(Config(R"([{"name":"a","cap":{"cpu":5000,"mem-mb":-1,"gpu":2}},
+               {"name":"b","cap":{"cpu":"all","mem-mb":100,"gpu":1.5}}])"),
+                             config));
+  ASSERT_EQ(config.tenants_->size(), 2U);
+  const Resources first = config.tenants_->front().cap_;
+  EXPECT_EQ(first.cpuMilli_, 5000);
+  EXPECT_EQ(first.memoryMb_, 0);
+  EXPECT_EQ(first.accelerators_, 2);
+  EXPECT_EQ(config.tenants_->back().cap_.memoryMb_, 100);
+}
+
 // Text in place of the list must not open all queues to everybody.
 TEST(FleetFormat, KnowsNoKeyIfTheListOfTenantsIsUnreadable)
 {
