Count no demand for a gang that waits for its cap

Cause: the demand of a step was limited to the tasks that its tenant's cap lets run. A gang starts whole or waits, so that a part of it is no demand, but it moved hosts to its pool that could not be used.

Change: TaskScheduler::AddDemand() counts a gang whole or not at all.

Measured: TenantDemand.AGangThatWaitsForItsCapIsNoDemand failed before (a host of the spare pool moved) and passes now. 356 other tests of tenants, jobs, leaders, restarts, crashes, moves and scheduling pass.

--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -290,7 +290,9 @@
   const StepSpec& spec = aJob.spec_.steps_[aStepIndex];
   Resources& planned = demand_[aJob.tenant_];
   const uint32_t headroom = jobs_.Tenants().Headroom(aJob.tenant_, spec.Declared(), planned);
-  const auto tasks = static_cast<int64_t>(std::min<size_t>(aTasks, headroom));
+  // A gang starts whole or not at all.
+  const bool isCapped = spec.gang_ && headroom < spec.taskCount_;
+  const auto tasks = static_cast<int64_t>(isCapped ? 0 : std::min<size_t>(aTasks, headroom));
   planned.cpuMilli_ += tasks * spec.cpuMilli_;
   planned.memoryMb_ += tasks * spec.memoryMb_;
   planned.accelerators_ += tasks * spec.accelerators_;
--- a/tests/tenant_caps_test.cpp
+++ b/tests/tenant_caps_test.cpp
@@ -226,7 +226,37 @@
     [this] { return world_.StateOf("births", JobId(2)) == JobState::Done; }, seconds(20)));
 }
 
-/// The same with a leader that refuses hopeless submissions.
+// A gang that waits for its tenant's cap must not move hosts to its pool: it could not use them.
+TEST(TenantDemand, AGangThatWaitsForItsCapIsNoDemand)
+{
+  JobWorld world;
+  world.AddPool("births", 1, kHost);
+  world.AddPool("rest", 2, kHost, 3, true);
+  world.Config().tenants_ = { Tenant("a", { 10000, 0, 0 }), Tenant("b", {}) };
+  world.Configure();
+  world.Run(seconds(1));
+  StepSpec step = Tasks(10, seconds(60));
+  step.continuous_ = true;
+  world.UseKey("k-b");
+  ASSERT_EQ(world.Submit("births", JobId(1), step).kind_, JobResponseKind::Accepted);
+  world.UseKey("k-a");
+  step.taskCount_ = 6;
+  ASSERT_EQ(world.Submit("births", JobId(2), step).kind_, JobResponseKind::Accepted);
+  world.Run(seconds(1));
+  ASSERT_EQ(world.Starts(), 16U);
+  const size_t before = world.Fleet().CountHostsOutside("rest");
+  step.gang_ = true;
+  ASSERT_EQ(world.Submit("births", JobId(3), step).kind_, JobResponseKind::Accepted);
+  world.Run(seconds(8));
+  EXPECT_EQ(world.Fleet().CountHostsOutside("rest"), before);
+  world.UseKey("k-b");
+  step.taskCount_ = 20;
+  ASSERT_EQ(world.Submit("births", JobId(4), step).kind_, JobResponseKind::Accepted);
+  world.Run(seconds(8));
+  EXPECT_GT(world.Fleet().CountHostsOutside("rest"), before) << "a gang within its cap is demand";
+}
+
+/// As TenantCapTest, with a leader that refuses hopeless submissions.
 class TenantRefusalTest : public TenantCapTest
 {
 protected:
