Count connections that are closed because their body finds no room

Cause: a connection whose own body did not fit was closed without being counted, so that neither the log line intake.limited nor the counters showed it.

Change: it counts as closed because the budget was used up.

--- a/src/intake_budget.cpp
+++ b/src/intake_budget.cpp
@@ -65,7 +65,11 @@
     SetPhase(connection, Phase::Body);
   }
   connection.progressAt_ = clock_.Now();
-  if (connection.isClosing_ || !MakeRoom(aConnection, aBytes)) {
+  if (connection.isClosing_) {
+    return false;
+  }
+  if (!MakeRoom(aConnection, aBytes)) {
+    ++counters_.closedForBytes_;
     return false;
   }
   SetBytes(connection, connection.bytes_ + aBytes);
--- a/tests/intake_budget_test.cpp
+++ b/tests/intake_budget_test.cpp
@@ -89,6 +89,7 @@
   const auto only = Open("10.0.0.1");
   EXPECT_FALSE(budget_.Receive(only, 5 * kMegabyte));
   EXPECT_TRUE(closed_.empty());
+  EXPECT_EQ(budget_.Counters().closedForBytes_, 1U) << "operators must see it";
 }
 
 // Stalled connections must not use up the descriptors.
