Keep exceptions of any type out of libmicrohttpd

Cause: an exception that is not derived from std::exception went through the C library and ended the process.

Change: the request gets 500, or its connection is closed.

Measured: AdminServerTest.AnswersWhenAHandlerThrows ended the test program before and passes.

--- a/src/admin_server.cpp
+++ b/src/admin_server.cpp
@@ -344,6 +344,8 @@
   } catch (const std::exception& failure) {
     // Exceptions must not propagate into the C library.
     Log(LogLevel::Error, "admin.internal_error", { { "error", failure.what() } });
+  } catch (...) {
+    Log(LogLevel::Error, "admin.internal_error", { { "error", "unknown" } });
   }
   return MHD_NO;
 }
@@ -382,6 +384,8 @@
     response = Dispatch(aExchange.request_);
   } catch (const std::exception& failure) {
     response = AdminResponse::Error(kInternal, "internal", "", failure.what());
+  } catch (...) {
+    response = AdminResponse::Error(kInternal, "internal", "", "an exception of unknown type");
   }
   const auto idle = std::chrono::ceil<std::chrono::seconds>(budget_->Limits().idleTimeout_).count();
   MHD_set_connection_option(
--- a/tests/admin_server_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -98,6 +98,7 @@
       std::this_thread::sleep_for(milliseconds(2500));
       return AdminResponse::Json(200, { { "slow", true } });
     });
+    server_.AddRoute("GET", "/number", [](const AdminRequest&) -> AdminResponse { throw 1; });
     const bool started = leaf::try_handle_all(
       [&]() -> leaf::result<bool> {
         BOOST_LEAF_CHECK(server_.Init(Endpoint{ Host(), kPort }));
@@ -192,6 +193,14 @@
   EXPECT_NE(RawCall(Address(), Head("GET /things/a")).find("200 OK"), std::string::npos);
 }
 
+// An exception of any type must not propagate into the C library, which would end the process.
+TEST_F(AdminServerTest, AnswersWhenAHandlerThrows)
+{
+  StartWithBudget();
+  const auto response = RawCall(Address(), Head("GET /number"));
+  EXPECT_NE(response.find(" 500 "), std::string::npos) << response;
+}
+
 // A connection that is not counted back would use up the budget for good.
 TEST_F(AdminServerTest, CountsBackWhateverClientsDo)
 {
