End the gateway's connections before libmicrohttpd is stopped

Cause: as in the server of the admin address, a malformed request after the begin of MHD_stop_daemon() ended the process with a segmentation fault, here on connections that had sent a request before.

Change: after the wait for unused connections, all connections are closed and awaited for up to 5 s.

Measured: GatewayTest.StopsBesideMalformedRequests ended the test program with a segmentation fault in 4 of 4 runs before; 4 of 4 pass.

--- a/src/gateway_impl.cpp
+++ b/src/gateway_impl.cpp
@@ -32,6 +32,8 @@
 // libmicrohttpd reports a connection some time after accepting it, so the count of connections
 // without a request may still rise.
 constexpr std::chrono::milliseconds kAcceptSettleTime{ 50 };
+// Time for connections to end before libmicrohttpd is stopped.
+constexpr std::chrono::seconds kCloseTimeout{ 5 };
 constexpr std::string_view kIdsPath = "/v1/request-ids";
 constexpr std::string_view kHealthPath = "/healthz";
 constexpr int kOkStatus = 200;
@@ -217,6 +219,7 @@
   }
   const int listener = StopListening();
   WaitForUnusedConnections();
+  CloseConnections();
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
   if (listener >= 0) {
@@ -264,6 +267,19 @@
   } while (!idle() && std::chrono::steady_clock::now() < deadline);
 }
 
+/// Ends all connections. libmicrohttpd 0.9.75 reads a null pointer when it refuses a malformed
+/// request after the begin of MHD_stop_daemon().
+void
+Gateway::Impl::CloseConnections()
+{
+  std::unique_lock lock(idleMutex_);
+  closing_ = true;
+  for (const int socket : sockets_) {
+    shutdown(socket, SHUT_RDWR);
+  }
+  idle_.wait_for(lock, kCloseTimeout, [this] { return sockets_.empty(); });
+}
+
 GatewayCounters
 Gateway::Impl::Counters() const
 {
@@ -320,18 +336,25 @@
 
 void
 Gateway::Impl::OnConnection(void* aSelf,
-                            MHD_Connection*,
+                            MHD_Connection* aConnection,
                             void** aContext,
                             MHD_ConnectionNotificationCode aCode)
 {
   auto* self = static_cast<Impl*>(aSelf);
+  const int socket =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
   const std::lock_guard lock(self->idleMutex_);
   if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+    self->sockets_.insert(socket);
+    if (self->closing_) {
+      shutdown(socket, SHUT_RDWR);
+    }
     ++self->connections_;
     ++self->awaitingFirstRequest_;
     *aContext = std::make_unique<ConnectionState>().release();
     return;
   }
+  self->sockets_.erase(socket);
   const std::unique_ptr<ConnectionState> state(static_cast<ConnectionState*>(*aContext));
   *aContext = nullptr;
   if (state && state->awaitingFirstRequest_) {
--- a/src/gateway_impl_p.h
+++ b/src/gateway_impl_p.h
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace sardinespoke {
@@ -97,6 +98,7 @@
   void Count(Outcome aOutcome);
   int StopListening();
   void WaitForUnusedConnections();
+  void CloseConnections();
 
   const GatewaySettings settings_;
   RequestClaimsI& claims_;
@@ -113,6 +115,8 @@
   std::condition_variable idle_;
   uint64_t inFlight_ = 0;
   uint64_t awaitingFirstRequest_ = 0; ///< Connections without a request so far.
+  std::set<int> sockets_;             ///< Of the open connections.
+  bool closing_ = false;              ///< Connections that are reported from now on are closed.
 };
 
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -279,6 +279,33 @@
   EXPECT_TRUE(Contains(response, "finished"));
 }
 
+// Guards against a stop that ends the process: libmicrohttpd 0.9.75 reads a null pointer if it
+// refuses a request after the begin of MHD_stop_daemon().
+TEST_F(GatewayTest, StopsBesideMalformedRequests)
+{
+  for (int round = 0; round < 20; ++round) {
+    Start(backends_);
+    std::vector<int> clients;
+    for (int count = 0; count < 200; ++count) {
+      clients.push_back(RawConnect(address_));
+      const std::string first = Request("GET /healthz");
+      send(clients.back(), first.data(), first.size(), MSG_NOSIGNAL);
+    }
+    std::thread sender([&] {
+      const std::string malformed = "no request\r\n\r\n";
+      for (const int client : clients) {
+        std::this_thread::sleep_for(std::chrono::microseconds(400));
+        send(client, malformed.data(), malformed.size(), MSG_NOSIGNAL);
+      }
+    });
+    gateway_->Shutdown();
+    sender.join();
+    for (const int client : clients) {
+      close(client);
+    }
+  }
+}
+
 // Guards against listening on all addresses, and against sharing a port with another process.
 TEST_F(GatewayTest, BindsOnlyToConfiguredAddress)
 {
