--- a/tests/overload_policy_test.cpp
+++ b/tests/overload_policy_test.cpp
@@ -90,6 +90,7 @@
   SubmissionLoad load = ShortJob();
   load.workAhead_ = 1400.0;
   std::vector<milliseconds> returns;
+  returns.reserve(100);
   for (int job = 0; job < 100; ++job) {
     returns.push_back(policy.RetryAfter(load, "p", TenantUsage::kNoTenant, 1.0, kNow));
   }
