--- a/tests/tenant_caps_test.cpp
+++ b/tests/tenant_caps_test.cpp
@@ -81,7 +81,7 @@
   void SubmitAs(const std::string& aTenant,
                 const std::string& aPool,
                 unsigned int aNumber,
-                StepSpec aStep)
+                const StepSpec& aStep)
   {
     world_.UseKey("k-" + aTenant);
     tasks_[aNumber] = aStep.taskCount_;
