review: each case names the record that it writes

record.txt was written by the shared stand-ins only, so that no file of a case's folder told of it. The case now passes the path.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,6 +6,8 @@
 sys.path.insert(0, "../lib2")
 import world
 
+RECORD = "record.txt"  # In this folder, where run.sh starts the case.
+
 TASKS = 4
 LASTING = {
     "spec": "x",
@@ -33,4 +35,4 @@
     return running > 0
 
 
-world.main(".", case)
+world.main(RECORD, case)
--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -40,10 +40,10 @@
 
 
 class Record:
-    """record.txt of a case: what was sent, answered and run."""
+    """The record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begin = time.monotonic()
 
     def add(self, text):
@@ -439,8 +439,8 @@
 class World:
     """The deployment of a case."""
 
-    def __init__(self, folder, entries=3, servers=8, memory_mb=260):
-        self.record = Record(folder)
+    def __init__(self, record, entries=3, servers=8, memory_mb=260):
+        self.record = Record(record)
         self.limits = {"memory_mb": memory_mb}
         self.jobs = {}  # What clients have sent, by id.
         self.accepted = set()
@@ -549,13 +549,15 @@
                 await entry.process.wait()
 
 
-def main(folder, case, **options):
-    """Runs a case: an async function that returns True if the rule held."""
+def main(record, case, **options):
+    """Runs a case: an async function that returns True if the rule held.
+
+    record: path of the file that gets what was sent, answered and run."""
 
     async def run():
         with tempfile.TemporaryDirectory() as temporary:
             World.folder = pathlib.Path(temporary)
-            world = World(folder, **options)
+            world = World(record, **options)
             world.record.add("trouble " + ("on" if TROUBLE else "off"))
             try:
                 await world.start()
