Restart continuous tasks that end as done

Four tasks that end as done after 2 s had 4 starts in 11.5 s.

Cause: RunTracker::ApplyEnd() finished the task of every run that ended as done, and JobTable::Finish() did not look at StepSpec::continuous_. Where the same runs end as failed, each task is started again (24 starts), so a task that is released is placed again; the leader's log shows job_over true for the last end.

Change: Finish() leaves continuous tasks alone, also those that an earlier release has stored as done. ApplyEnd() releases their task after such an end, does not stop another run of it for a late one, and drops the checkpoint, which stands for work that is done, unless it may be of a later run. The end is neither learned as a duration nor left out of the log. Why this works: a task that is never done is waiting whenever it has no run, and what waits is placed; that holds for take-over, groups, occurrences, suspects and waves as well.

--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -29,7 +29,7 @@
 {
   Waiting, ///< No run of it exists or may exist.
   Active,  ///< A run exists or may exist on a backend server.
-  Done,
+  Done,    ///< Never the phase of a continuous task.
   Count
 };
 
@@ -168,7 +168,13 @@
   /// Sets the checkpoint of a task, or of its group, from a record.
   void RestoreCheckpoint(const TaskRef& aRef, const std::string& aCheckpoint);
 
-  /// Marks a task as done; all tasks of its step if they form a group.
+  /// Forgets the checkpoint of a task, or of its group, so that its next run begins anew. Does
+  /// nothing if a later run has begun: the checkpoint may be of that one.
+  /// @param aRun Number of the run that has ended.
+  void DropCheckpoint(const TaskRef& aRef, int64_t aRun);
+
+  /// Marks a task as done; all tasks of its step if they form a group. Continuous tasks are never
+  /// done: they run until their job is cancelled.
   void Finish(const TaskRef& aRef, TimePoint aNow);
 
   /// Keeps a task away from a backend server where a run failed or got stuck, for a short time.
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -337,6 +337,8 @@
   /// Logs which starts and leases of an incarnation that ends got no response.
   void LogOpenCalls(const Backend& aBackend) const;
   void ApplyEnd(BackendHandle aBackend, const EndedTask& aEnd);
+  /// Stops a second run of a task that is done by another one.
+  void StopOtherRun(BackendHandle aBackend, const EndedTask& aEnd, const TaskRef& aTask);
   void UpdateFailureStreak(Backend& aBackend, const BackendRun* aRun, const EndedTask& aEnd);
   void RemoveMissing(BackendHandle aBackend,
                      TimePoint aSent,
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -121,13 +121,14 @@
   const Job& job = jobs_.At(aEvent.task_.job_);
   const StepSpec& spec = jobs_.SpecOf(aEvent.task_);
   metrics_.Count(std::string("runs_ended{kind=\"") + kind + "\"}");
-  if (aEvent.kind_ == RunOutcome::Done && aEvent.lasted_ > milliseconds(0)) {
+  const bool isTaskDone = aEvent.kind_ == RunOutcome::Done && !spec.continuous_;
+  if (isTaskDone && aEvent.lasted_ > milliseconds(0)) {
     durations_.Observe(
       job.spec_.queue_, spec.estimate_, aEvent.lasted_, 1.0 / static_cast<double>(spec.taskCount_));
     metrics_.Observe("run_duration", aEvent.lasted_);
   }
-  // A successful run is logged only if it ends its job.
-  if (aEvent.kind_ == RunOutcome::Done && !job.HasEnded()) {
+  // A task that is done is logged only if it ends its job.
+  if (isTaskDone && !job.HasEnded()) {
     return;
   }
   const std::chrono::duration<double, std::milli> age = clock_.Now() - job.accepted_;
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -237,6 +237,7 @@
     aRecord.at("failed").get_to(job.failed_);
     for (const json& row : aRecord.at("done")) {
       for (const json& index : row.at(2)) {
+        // Earlier releases also wrote continuous tasks, which Finish() leaves waiting.
         if (const auto ref = locate(row, index)) {
           aTable.Finish(*ref, job.accepted_);
         }
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -201,6 +201,16 @@
   checkpoint = checkpoint.empty() ? aCheckpoint : checkpoint;
 }
 
+void
+JobTable::DropCheckpoint(const TaskRef& aRef, int64_t aRun)
+{
+  Task& task = At(FirstOfGroup(aRef));
+  if (task.run_ <= aRun && !task.checkpoint_.empty()) {
+    task.checkpoint_.clear();
+    Touch(aRef.job_);
+  }
+}
+
 TaskRef
 JobTable::FirstOfGroup(TaskRef aRef) const
 {
@@ -266,7 +276,7 @@
   Occurrence& occurrence = job.occurrences_[aRef.occurrence_];
   Step& step = occurrence.steps_[aRef.step_];
   Task& task = step.tasks_[aRef.index_];
-  if (task.phase_ == TaskPhase::Done) {
+  if (task.phase_ == TaskPhase::Done || SpecOf(aRef).continuous_) {
     return;
   }
   if (task.phase_ == TaskPhase::Active && task.startedAt_ != TimePoint{}) {
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -378,6 +378,32 @@
   }
 }
 
+void
+RunTracker::StopOtherRun(BackendHandle aBackend, const EndedTask& aEnd, const TaskRef& aTask)
+{
+  Backend& backend = backends_.At(aBackend);
+  const BackendRun* run = backend.FindRun(aEnd.run_);
+  const Task& task = jobs_.At(aTask);
+  // After a change of leader, ends of runs that only the earlier one knew are usual.
+  const bool isInherited = !run && task.run_ == 0 && jobs_.At(aTask.job_).inherited_;
+  if (task.phase_ != TaskPhase::Done && task.run_ != aEnd.run_.run_ && !isInherited) {
+    Log(LogLevel::Warn,
+        "run.done_after_release",
+        { { "task", aEnd.run_.task_ },
+          { "run", aEnd.run_.run_ },
+          { "backend", backend.entry_.id_ },
+          { "known_there", run != nullptr },
+          { "active", task.phase_ == TaskPhase::Active },
+          { "latest_run", task.run_ } });
+  }
+  if (task.phase_ == TaskPhase::Active && task.run_ != aEnd.run_.run_) {
+    Backend& other = backends_.At(task.backend_);
+    if (BackendRun* second = other.FindRun(RunId{ aEnd.run_.task_, task.run_ })) {
+      Stop(task.backend_, *second);
+    }
+  }
+}
+
 void
 RunTracker::ApplyEnd(BackendHandle aBackend, const EndedTask& aEnd)
 {
@@ -398,26 +424,10 @@
   if (run) {
     event.lasted_ = std::chrono::duration_cast<milliseconds>(now - run->sentAt_);
   }
-  if (aEnd.kind_ == RunOutcome::Done) {
-    const Task& task = jobs_.At(ref);
-    // After a change of leader, ends of runs that only the earlier one knew are usual.
-    const bool isInherited = !run && task.run_ == 0 && jobs_.At(ref.job_).inherited_;
-    if (task.phase_ != TaskPhase::Done && task.run_ != aEnd.run_.run_ && !isInherited) {
-      Log(LogLevel::Warn,
-          "run.done_after_release",
-          { { "task", aEnd.run_.task_ },
-            { "run", aEnd.run_.run_ },
-            { "backend", backend.entry_.id_ },
-            { "known_there", run != nullptr },
-            { "active", task.phase_ == TaskPhase::Active },
-            { "latest_run", task.run_ } });
-    }
-    if (task.phase_ == TaskPhase::Active && task.run_ != aEnd.run_.run_) {
-      Backend& other = backends_.At(task.backend_);
-      if (BackendRun* second = other.FindRun(RunId{ aEnd.run_.task_, task.run_ })) {
-        Stop(task.backend_, *second);
-      }
-    }
+  const bool isDone = aEnd.kind_ == RunOutcome::Done;
+  const bool isContinuous = jobs_.SpecOf(ref).continuous_;
+  if (isDone && !isContinuous) {
+    StopOtherRun(aBackend, aEnd, ref);
     jobs_.Finish(ref, now);
   }
   if (aEnd.kind_ == RunOutcome::Failed) {
@@ -430,6 +440,9 @@
     jobs_.EndTrial(ref);
   }
   DropRun(aBackend, aEnd.run_, aEnd.checkpoint_);
+  if (isDone && isContinuous) {
+    jobs_.DropCheckpoint(ref, aEnd.run_.run_); // It stands for work that is done.
+  }
   changed_ = true;
   if (listener_) {
     listener_(event);
--- a/standins/job_world.cpp
+++ b/standins/job_world.cpp
@@ -113,6 +113,10 @@
   const auto duration = durations_.find(id.job_);
   shape.duration_ = duration == durations_.end() ? step.estimate_ : duration->second;
   shape.continuous_ = step.continuous_;
+  const auto ownEnd = ownEnds_.find(id.job_);
+  if (ownEnd != ownEnds_.end()) {
+    shape.ownEnd_ = ownEnd->second;
+  }
   shape.isBestEffort_ = step.bestEffort_;
   shape.checkpointing_ = step.checkpointing_;
   shape.gang_ = step.gang_;
@@ -130,6 +134,13 @@
   durations_[aJob] = aDuration;
 }
 
+void
+JobWorld::SetOwnEnd(const std::string& aJob, RunOutcome aOutcome, milliseconds aAfter)
+{
+  ownEnds_[aJob] = aOutcome;
+  durations_[aJob] = aAfter;
+}
+
 void
 JobWorld::Tick(Node& aNode)
 {
--- a/standins/job_world.h
+++ b/standins/job_world.h
@@ -60,6 +60,11 @@
   /// Sends a call to an entry host that considers itself the leader and waits for the answer.
   JobResponse CallAt(size_t aHost, const JobRequest& aCall);
 
+  /// @returns The call that submits a job, whose tasks behave as their steps say.
+  JobRequest SubmitCall(const std::string& aPool,
+                        const std::string& aId,
+                        std::vector<StepSpec> aSteps);
+
   /// Submits a job of one step.
   JobResponse Submit(const std::string& aPool, const std::string& aId, const StepSpec& aStep);
   JobResponse Submit(const std::string& aPool,
@@ -85,6 +90,8 @@
 
   /// Sets the duration of all tasks of a job; by default they take their declared duration.
   void SetDuration(const std::string& aJob, std::chrono::milliseconds aDuration);
+  /// Lets the continuous tasks of a job end by themselves from their next start on.
+  void SetOwnEnd(const std::string& aJob, RunOutcome aOutcome, std::chrono::milliseconds aAfter);
   void SetPoison(const std::string& aJob) { poison_.insert(aJob); }
   /// Makes a task crash each backend server that starts it.
   /// @param aAfter Time from its start to the crash.
@@ -100,6 +107,8 @@
   size_t Starts() const { return fleet_->Starts(); }
   size_t Polls() const { return fleet_->Polls(); }
   size_t StoreCalls() const;
+  /// @returns The metrics of all entry hosts together, in the Prometheus text format.
+  std::string MetricsText() const { return metrics_.Exposition(); }
   MemoryRecordStore& Store() { return *store_; }
   ManualClock& Clock() { return clock_; }
 
@@ -124,9 +133,6 @@
   void Boot(size_t aHost);
   /// @returns A call to a path below that of a pool's queue.
   JobRequest CallTo(JobRequestKind aKind, const std::string& aPool, const std::string& aId) const;
-  JobRequest SubmitCall(const std::string& aPool,
-                        const std::string& aId,
-                        std::vector<StepSpec> aSteps);
   void Tick(Node& aNode);
   SimulatedFleet::TaskShape ShapeOf(const std::string& aTask) const;
 
@@ -142,6 +148,7 @@
   JobControlSettings settings_;
   std::map<std::string, std::vector<StepSpec>> specs_;
   std::map<std::string, std::chrono::milliseconds> durations_;
+  std::map<std::string, RunOutcome> ownEnds_;
   std::set<std::string> poison_;
   std::map<std::string, std::chrono::milliseconds> deadly_;
   std::chrono::milliseconds wall_{ 1000000 };
--- a/standins/simulated_fleet.cpp
+++ b/standins/simulated_fleet.cpp
@@ -442,12 +442,23 @@
   return result;
 }
 
+size_t
+SimulatedFleet::UnacknowledgedEnds() const
+{
+  size_t count = 0;
+  for (const auto& [id, server] : servers_) {
+    count += server.ended_.size();
+  }
+  return count;
+}
+
 void
 SimulatedFleet::AcknowledgeEnds(Server& aServer, int64_t aAcknowledgedUpTo)
 {
   auto& ended = aServer.ended_;
   for (const EndedTask& end : ended) {
-    if (end.number_ <= aAcknowledgedUpTo && end.kind_ == RunOutcome::Done) {
+    if (end.number_ <= aAcknowledgedUpTo && end.kind_ == RunOutcome::Done &&
+        !shapes_(end.run_.task_).continuous_) {
       acknowledgedDone_.insert(end.run_.task_);
     }
   }
--- a/standins/simulated_fleet.h
+++ b/standins/simulated_fleet.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -17,7 +18,8 @@
 /// Violations of invariants that the simulated fleet has detected.
 struct FleetViolations
 {
-  /// Concurrent runs of one task, or starts after its end was acknowledged.
+  /// Concurrent runs of one task, or starts of one that is not continuous after its end was
+  /// acknowledged.
   size_t duplicateRuns_ = 0;
   size_t overCapacity_ = 0; ///< Starts beyond the present capacity of a backend server.
   size_t tooManyDown_ = 0;  ///< Hosts that a roll-out takes down beyond its limit.
@@ -62,6 +64,8 @@
     Resources resources_;
     std::chrono::milliseconds duration_{ 1000 };
     bool continuous_ = false;
+    /// How a continuous task ends by itself after its duration; empty: it does not.
+    std::optional<RunOutcome> ownEnd_;
     bool fails_ = false;
     bool isBestEffort_ = false;
     bool checkpointing_ = false;
@@ -182,6 +186,9 @@
   size_t RunsOf(const std::string& aTask) const;
   size_t StartsOf(const std::string& aTask) const;
 
+  /// @returns Number of ends that backend servers still list, as nobody has acknowledged them.
+  size_t UnacknowledgedEnds() const;
+
   /// @returns Number of runs on the nth backend server of a pool.
   size_t RunsOn(const std::string& aPool, size_t aIndex) const;
 
--- a/standins/simulated_runs.cpp
+++ b/standins/simulated_runs.cpp
@@ -140,7 +140,8 @@
     }
     const double worked = std::chrono::duration<double>(now - run.progressedAt_).count();
     run.progressedAt_ = now;
-    if (aServer.behaviour_.hangs_ || run.shape_.continuous_) {
+    const bool runsOn = run.shape_.continuous_ && !run.shape_.ownEnd_;
+    if (aServer.behaviour_.hangs_ || runsOn) {
       continue;
     }
     const double durationSeconds = std::chrono::duration<double>(run.shape_.duration_).count();
@@ -154,7 +155,7 @@
     if (fails && run.progress_ >= kFailsAt) {
       EndRun(aServer, index, RunOutcome::Failed);
     } else if (run.progress_ >= 1.0) {
-      EndRun(aServer, index, RunOutcome::Done);
+      EndRun(aServer, index, run.shape_.ownEnd_.value_or(RunOutcome::Done));
     }
   }
 }
