Count no attempts of continuous tasks

What callers would see: once continuous tasks of one job have failed some 117,000 times, the store refuses all that the leader writes; no end is acknowledged and no task starts.

Cause: JobTable::Fail() recorded the number of each failed run as an attempt, also of continuous tasks, which have no limit of attempts.

Change: no attempt is counted for a continuous task, and those that an earlier release has stored are dropped when the record is read. Failed runs of such a task have nothing to store then, so that their number doesn't matter.

--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -181,7 +181,8 @@
   /// Later it returns there if it finds no room elsewhere.
   void Avoid(const TaskRef& aRef, BackendHandle aBackend, TimePoint aNow);
 
-  /// Uses one attempt for a failed run; a repeated call for the same run has no effect.
+  /// Uses one attempt for a failed run; a repeated call for the same run has no effect. Continuous
+  /// tasks have no limit of attempts, and none is counted.
   /// @returns True if this was the last attempt and the job has failed.
   bool Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow);
 
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -244,7 +244,9 @@
       }
     }
     for (const json& row : aRecord.at("failed_runs")) {
-      if (const auto ref = locate(row, row.at(2))) {
+      const auto ref = locate(row, row.at(2));
+      // Earlier releases also wrote those of continuous tasks, without a limit.
+      if (ref && !aTable.SpecOf(*ref).continuous_) {
         row.at(3).get_to(aTable.At(*ref).failedRuns_);
       }
     }
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -323,7 +323,9 @@
 JobTable::Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow)
 {
   Job& job = *jobs_[aRef.job_];
-  const StepSpec& spec = job.spec_.steps_[aRef.step_];
+  if (SpecOf(aRef).continuous_) {
+    return false;
+  }
   // All tasks of a group fail together; the attempts are counted at its first task.
   auto& runs = At(FirstOfGroup(aRef)).failedRuns_;
   if (std::find(runs.begin(), runs.end(), aRun) != runs.end()) {
@@ -331,7 +333,7 @@
   }
   runs.push_back(aRun);
   Touch(aRef.job_);
-  if (spec.continuous_ || job.HasEnded() || runs.size() < job.policy_.maxAttempts_) {
+  if (job.HasEnded() || runs.size() < job.policy_.maxAttempts_) {
     return false;
   }
   job.failed_ = true;
--- a/tests/continuous_end_test.cpp
+++ b/tests/continuous_end_test.cpp
@@ -79,6 +79,13 @@
     return world_.RunUntil([this] { return Running() == kTasks; }, seconds(3));
   }
 
+  std::string StoredProgress()
+  {
+    const auto& records = world_.Store().Records();
+    const auto found = records.find(JobJournal::ProgressKey(JobId(1)));
+    return found == records.end() ? "" : found->second.value_;
+  }
+
   void ExpectJobRuns() { EXPECT_EQ(world_.StateOf("births", JobId(1)), JobState::Running); }
 
   JobWorld world_;
@@ -280,6 +287,21 @@
   EXPECT_NE(world_.MetricsText().find("run_duration"), std::string::npos);
 }
 
+// LOST: stored progress grew with each failed run of a continuous task, until the store refused it
+// and with it all later transactions.
+TEST_F(ContinuousEndTest, FailedRunsDoNotGrowTheStoredProgress)
+{
+  Submit(ContinuousTasks(kTasks), milliseconds(50), RunOutcome::Failed);
+  ASSERT_TRUE(Start(5, seconds(20)));
+  const size_t size = StoredProgress().size();
+  ASSERT_TRUE(Start(50, seconds(200)));
+  EXPECT_LE(StoredProgress().size(), size);
+  world_.SetOwnEnd(JobId(1), RunOutcome::Failed, seconds(1000));
+  EXPECT_TRUE(RunAll());
+  EXPECT_TRUE(
+    world_.RunUntil([this] { return world_.Fleet().UnacknowledgedEnds() == 0; }, seconds(3)));
+}
+
 /// Stored progress of continuous tasks.
 class ContinuousRecordTest : public testing::Test
 {
@@ -326,5 +348,15 @@
   EXPECT_EQ(EncodeProgress(table_.At(job_)).find("\"done\":[["), std::string::npos);
 }
 
+// Failed runs that an earlier release has stored must not stay in the record.
+TEST_F(ContinuousRecordTest, FailedRunsOfAnEarlierReleaseAreDropped)
+{
+  const std::string record = R"({"id":")" + JobId(1) +
+                             R"(","started":true,"cancelled":false,"failed":false,"done":[],)"
+                             R"("failed_runs":[[0,0,1,[5,6,7]]],"checkpoints":[],"crashes":[]})";
+  ASSERT_TRUE(DecodeProgress(record, table_, job_));
+  EXPECT_NE(EncodeProgress(table_.At(job_)).find("\"failed_runs\":[]"), std::string::npos);
+}
+
 }
 }
