--- a/tests/continuous_end_test.cpp
+++ b/tests/continuous_end_test.cpp
@@ -60,7 +60,7 @@
   }
 
   /// @returns Whether each task starts at least this often within a time.
-  bool Start(size_t aTimes, milliseconds aLimit, uint32_t aOccurrence = 0)
+  bool WaitForStarts(size_t aTimes, milliseconds aLimit, uint32_t aOccurrence = 0)
   {
     return world_.RunUntil(
       [&] {
@@ -74,7 +74,7 @@
       aLimit);
   }
 
-  bool RunAll()
+  bool WaitUntilAllRun()
   {
     return world_.RunUntil([this] { return Running() == kTasks; }, seconds(3));
   }
@@ -96,8 +96,8 @@
 TEST_F(ContinuousEndTest, TaskThatEndsAsDoneIsStartedAgain)
 {
   Submit(ContinuousTasks(kTasks), seconds(2));
-  EXPECT_TRUE(Start(4, seconds(9)));
-  EXPECT_TRUE(RunAll());
+  EXPECT_TRUE(WaitForStarts(4, seconds(9)));
+  EXPECT_TRUE(WaitUntilAllRun());
   ExpectJobRuns();
 }
 
@@ -105,9 +105,9 @@
 TEST_F(ContinuousEndTest, EndsAreAcknowledged)
 {
   Submit(ContinuousTasks(kTasks), seconds(2));
-  ASSERT_TRUE(Start(2, seconds(4)));
+  ASSERT_TRUE(WaitForStarts(2, seconds(4)));
   world_.SetOwnEnd(JobId(1), RunOutcome::Done, seconds(1000));
-  ASSERT_TRUE(Start(3, seconds(4)));
+  ASSERT_TRUE(WaitForStarts(3, seconds(4)));
   EXPECT_TRUE(
     world_.RunUntil([this] { return world_.Fleet().UnacknowledgedEnds() == 0; }, seconds(3)));
 }
@@ -116,9 +116,9 @@
 TEST_F(ContinuousEndTest, OthersOfTheStepWorkOn)
 {
   Submit(ContinuousTasks(kTasks), seconds(2));
-  ASSERT_TRUE(Start(1, seconds(1)));
+  ASSERT_TRUE(WaitForStarts(1, seconds(1)));
   world_.SetOwnEnd(JobId(1), RunOutcome::Done, seconds(1000));
-  ASSERT_TRUE(Start(2, seconds(4)));
+  ASSERT_TRUE(WaitForStarts(2, seconds(4)));
   world_.Run(seconds(5));
   EXPECT_EQ(Running(), kTasks);
   EXPECT_EQ(world_.Starts(), 2 * kTasks);
@@ -128,7 +128,7 @@
 TEST_F(ContinuousEndTest, TaskThatEndsAtOnceIsStartedAgainAndCanBeCancelled)
 {
   Submit(ContinuousTasks(kTasks), milliseconds(1));
-  EXPECT_TRUE(Start(3, seconds(5)));
+  EXPECT_TRUE(WaitForStarts(3, seconds(5)));
   ExpectJobRuns();
   EXPECT_EQ(world_.Cancel("births", JobId(1)).kind_, JobResponseKind::Cancelled);
   world_.Run(seconds(1));
@@ -144,12 +144,12 @@
     world_.Fleet().BehaviourOf("births", host).losesAnswers_ = true;
   }
   Submit(ContinuousTasks(kTasks), milliseconds(100));
-  ASSERT_TRUE(Start(1, seconds(1)));
+  ASSERT_TRUE(WaitForStarts(1, seconds(1)));
   world_.Run(milliseconds(300));
   for (size_t host = 0; host < kHosts; ++host) {
     world_.Fleet().BehaviourOf("births", host).losesAnswers_ = false;
   }
-  EXPECT_TRUE(Start(2, seconds(6)));
+  EXPECT_TRUE(WaitForStarts(2, seconds(6)));
   ExpectJobRuns();
 }
 
@@ -157,10 +157,10 @@
 TEST_F(ContinuousEndTest, NewLeaderStartsTasksThatEndedUnderAnEarlierOne)
 {
   Submit(ContinuousTasks(kTasks), seconds(2));
-  ASSERT_TRUE(Start(1, seconds(1)));
+  ASSERT_TRUE(WaitForStarts(1, seconds(1)));
   world_.Run(milliseconds(1500));
   world_.PauseHost(*world_.Leader());
-  EXPECT_TRUE(Start(2, seconds(15)));
+  EXPECT_TRUE(WaitForStarts(2, seconds(15)));
   ExpectJobRuns();
 }
 
@@ -168,11 +168,11 @@
 TEST_F(ContinuousEndTest, NewLeaderKeepsTheRunsThatAnEarlierOneStartedAgain)
 {
   Submit(ContinuousTasks(kTasks), seconds(2));
-  ASSERT_TRUE(Start(1, seconds(1)));
+  ASSERT_TRUE(WaitForStarts(1, seconds(1)));
   world_.SetOwnEnd(JobId(1), RunOutcome::Done, seconds(1000));
   world_.RunUntil([this] { return Running() < kTasks; }, seconds(3));
   world_.StoreOf(*world_.Leader()).fault_ = MemoryRecordStore::Fault::Unresponsive;
-  ASSERT_TRUE(Start(2, seconds(2)));
+  ASSERT_TRUE(WaitForStarts(2, seconds(2)));
   world_.Restart(*world_.Leader());
   world_.Run(seconds(10));
   EXPECT_EQ(Running(), kTasks);
@@ -186,14 +186,14 @@
   StepSpec step = ContinuousTasks(kTasks);
   step.maxPerServer_ = 1;
   Submit(step, seconds(2));
-  ASSERT_TRUE(Start(1, seconds(1)));
+  ASSERT_TRUE(WaitForStarts(1, seconds(1)));
   world_.SetOwnEnd(JobId(1), RunOutcome::Done, seconds(1000));
   size_t busy = 0;
   while (world_.Fleet().RunsOn("births", busy) == 0) {
     ++busy;
   }
   world_.Fleet().BehaviourOf("births", busy).unresponsive_ = true;
-  ASSERT_TRUE(Start(2, seconds(20)));
+  ASSERT_TRUE(WaitForStarts(2, seconds(20)));
   world_.Fleet().BehaviourOf("births", busy).unresponsive_ = false;
   world_.Run(seconds(3));
   EXPECT_EQ(Running(), kTasks);
@@ -207,8 +207,8 @@
   StepSpec gang = ContinuousTasks(kTasks);
   gang.gang_ = true;
   Submit(gang, seconds(2));
-  EXPECT_TRUE(Start(3, seconds(8)));
-  EXPECT_TRUE(RunAll());
+  EXPECT_TRUE(WaitForStarts(3, seconds(8)));
+  EXPECT_TRUE(WaitUntilAllRun());
   ExpectJobRuns();
 }
 
@@ -218,8 +218,8 @@
   StepSpec step = ContinuousTasks(kTasks);
   step.checkpointing_ = true;
   Submit(step, seconds(5)); // Long enough for lists to name its checkpoints.
-  ASSERT_TRUE(Start(2, seconds(7)));
-  ASSERT_TRUE(RunAll());
+  ASSERT_TRUE(WaitForStarts(2, seconds(7)));
+  ASSERT_TRUE(WaitUntilAllRun());
   world_.Run(milliseconds(4500));
   EXPECT_EQ(world_.Starts(), 2 * kTasks);
 }
@@ -233,8 +233,8 @@
   submit.spec_.firstDue_ = world_.Wall();
   submit.spec_.interval_ = seconds(1);
   ASSERT_EQ(world_.Call(submit).kind_, JobResponseKind::Accepted);
-  EXPECT_TRUE(Start(3, seconds(8), 0));
-  EXPECT_TRUE(Start(3, seconds(8), 1));
+  EXPECT_TRUE(WaitForStarts(3, seconds(8), 0));
+  EXPECT_TRUE(WaitForStarts(3, seconds(8), 1));
   ExpectJobRuns();
 }
 
@@ -260,7 +260,7 @@
   step.maxUnavailable_ = 1;
   step.maxPerServer_ = 1;
   Submit(step, seconds(2));
-  ASSERT_TRUE(Start(1, seconds(1)));
+  ASSERT_TRUE(WaitForStarts(1, seconds(1)));
   world_.SetOwnEnd(JobId(1), RunOutcome::Done, seconds(1000));
   ASSERT_TRUE(world_.RunUntil([this] { return Running() < kTasks; }, seconds(3)));
   RolloutRequest request;
@@ -273,7 +273,7 @@
   world_.RequestRollout(request);
   EXPECT_TRUE(
     world_.RunUntil([this] { return world_.Fleet().Maintained() == kHosts; }, seconds(60)));
-  EXPECT_TRUE(RunAll());
+  EXPECT_TRUE(WaitUntilAllRun());
 }
 
 // The time after which a continuous task ends tells nothing about the duration of other tasks.
@@ -292,12 +292,12 @@
 TEST_F(ContinuousEndTest, FailedRunsDoNotGrowTheStoredProgress)
 {
   Submit(ContinuousTasks(kTasks), milliseconds(50), RunOutcome::Failed);
-  ASSERT_TRUE(Start(5, seconds(20)));
+  ASSERT_TRUE(WaitForStarts(5, seconds(20)));
   const size_t size = StoredProgress().size();
-  ASSERT_TRUE(Start(50, seconds(200)));
+  ASSERT_TRUE(WaitForStarts(50, seconds(200)));
   EXPECT_LE(StoredProgress().size(), size);
   world_.SetOwnEnd(JobId(1), RunOutcome::Failed, seconds(1000));
-  EXPECT_TRUE(RunAll());
+  EXPECT_TRUE(WaitUntilAllRun());
   EXPECT_TRUE(
     world_.RunUntil([this] { return world_.Fleet().UnacknowledgedEnds() == 0; }, seconds(3)));
 }
