--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -48,6 +48,9 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def handle_error(self, request, client_address):
+        """A caller has closed its connection."""
+
 
 def listen(answer):
     """Serves answer(method, path, query, headers, body) -> (status, object) on a free port.
