--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -23,6 +23,7 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 6000
 STOP_S = 0.2
+UPKEEP_S = 2.0
 BEGIN = time.monotonic()
 
 
@@ -379,7 +380,7 @@
     def __init__(self, name, pool, rack, cpu=16000, memory=65536, round_trip=0.0):
         self.round_trip = round_trip  # Seconds that the network adds to an answer.
         self.id, self.pool, self.rack, self.cpu, self.memory = name, pool, rack, cpu, memory
-        self.lives, self.worker, self.state = 0, None, "up"
+        self.lives, self.worker, self.state, self.fence = 0, None, "up", 0
 
 
 class World:
@@ -389,7 +390,9 @@
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.temporary = tempfile.TemporaryDirectory()
         self.store = Store(self.record)
-        self.cloud = listen(self.answer_cloud)
+        self.cloud, self.cloud_lock, self.waves = listen(self.answer_cloud), threading.Lock(), {}
+        self.delay_cloud_call = lambda path, body: 0
+        self.on_upkeep = lambda machine, wave: None
         self.lengths, self.on_start = {}, lambda worker, task, number: None
         self.machines = {machine.id: machine for machine in machines}
         for machine in machines:
@@ -421,7 +424,37 @@
                 row |= {"labels": ["a", m.rack], "capacity": capacity}
                 rows.append(row | {"id": m.worker.id if m.worker else ""})
             return 200, {"machines": rows, "next-token": None}
-        return 409, {"reason": "busy"}
+        body, fence = json.loads(text), int(headers["Fencing-Token"])
+        holder = headers["Lease-Holder"]
+        call = f"cloud: {path} {body} by {holder}, fence {fence}"
+        delay = self.delay_cloud_call(path, body)
+        if delay:
+            self.record.add(f"{call}: no answer, carried out {delay} s later")
+            threading.Timer(delay, self.change_machine, (call, path, body, fence)).start()
+            time.sleep(3.0)
+            return None
+        return self.change_machine(call, path, body, fence)
+
+    def change_machine(self, call, path, body, fence):
+        with self.cloud_lock:
+            machine = self.machines[body["machine"]]
+            begun = self.waves.setdefault(body.get("wave"), set())
+            if fence < machine.fence:
+                result = 409, {"reason": "fence"}
+            elif path == "/machine-move" or machine.id in begun:
+                result = (200, {}) if machine.id in begun else (409, {"reason": "busy"})
+            elif machine.state != "up":
+                result = 409, {"reason": "busy"}
+            else:
+                result = 200, {}
+                begun.add(machine.id)
+                self.on_upkeep(machine, body["wave"])
+                self.crash(machine)
+                machine.state = "upkeep"
+                threading.Timer(UPKEEP_S, self.boot, (machine,)).start()
+            machine.fence = max(machine.fence, fence)
+        self.record.add(f"{call}: {result[0]} {result[1].get('reason', '')}")
+        return result
 
     def configure(self, version, routes, services):
         rows = [
