--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,8 @@
-"""A client hands in one scheduled job of legal size; its occurrences come due 20 times a second."""
+"""The service of a route changes in a long configuration; then the leader is stopped, as in a rolling
+restart. The machines have links of 10 Mbit/s."""
 
 import pathlib
-import subprocess
+import signal
 import sys
 import time
 
@@ -10,57 +11,67 @@
 from world import Machine, World, run_case  # noqa: E402
 
 JOB = "5c0e7a21d94b36f8"
-ORDINARY = "1111111111111111"
-MEMORY_MB = 260  # Of the machine, as in the settings.
-ENDS = 3  # Times that a process has to end by itself,
-MACHINES = 2  # on so many machines.
+PATH = f"/q/{JOB}"
+SECOND = f"{JOB}.0.1."
+SERVICES = ("alpha", "beta")
+# The workers of beta are in another zone; one way is 0.9 ms between zones.
+ROUND_TRIP_S = {"alpha": 0.0, "beta": 0.0018}
+WORKERS = {"alpha": 3, "beta": 8}
+MORE_ROUTES = 1400
+LINK_BITS_PER_S = 10_000_000
+
+
+def routes(service):
+    return {"q": service} | {f"idle-{number}": "alpha" for number in range(MORE_ROUTES)}
 
 
 def make():
-    world = World(HERE, [Machine(f"m-a{i}", "alpha", f"r-{i}") for i in range(3)])
-    world.configure(1, {"q": "alpha"}, ("alpha",))
+    machines = [
+        Machine(f"m-{pool[0]}{i}", pool, f"r-{pool[0]}{i}", round_trip=ROUND_TRIP_S[pool])
+        for pool in SERVICES
+        for i in range(WORKERS[pool])
+    ]
+    world = World(HERE, machines, link_bits_per_s=LINK_BITS_PER_S)
+    world.configure(1, routes("alpha"), SERVICES)
     return world
 
 
-def memory_mb(process):
-    try:
-        status = pathlib.Path(f"/proc/{process.pid}/status").read_text(encoding="utf-8")
-        return int(status.split("VmRSS:")[1].split()[0]) // 1024
-    except (OSError, IndexError):
-        return 0
+def holders(world):
+    return [w for w in world.workers() if any(task.startswith(SECOND) for task in list(w.runs))]
 
 
 def play(world, trouble):
-    time.sleep(1.0)
-    interval = 50 if trouble else 3600000
-    first = int(time.time() * 1000) + 2000
-    step = {"count": 10000, "cpu": 10, "mem-mb": 1, "estimate-ms": 1000}
-    world.submit(f"/q/{JOB}", {"spec": "reminder", "steps": [step], "first-ms": first,
-                               "interval-ms": interval, "repeats": 20000})
-    step = {"count": 1, "cpu": 1000, "mem-mb": 512, "estimate-ms": 1000}
-    world.submit(f"/q/{ORDINARY}", {"spec": "permit", "steps": [step]})
-    ends = {entry["name"]: 0 for entry in world.entries}
-    end = time.monotonic() + (95 if trouble else 20)
-    while time.monotonic() < end:
+    both = []
+
+    def on_start(worker, task, number):
+        for other in world.workers():
+            if other is not worker and task in other.runs:
+                both.append(f"TWICE: {task} run {number} starts on {worker.id} while run "
+                            f"{other.runs[task].number} is running on {other.id}")
+                world.record.add(both[-1])
+
+    time.sleep(2.0)
+    world.on_start = on_start
+    world.lengths = {f"{JOB}.0.0": 4.0, f"{JOB}.0.1": 12.0}
+    step = {"count": 1, "cpu": 1000, "mem-mb": 512, "estimate-ms": 3000}
+    second = step | {"count": 16, "cpu": 6000, "estimate-ms": 12000, "after": [0]}
+    world.submit(PATH, {"spec": "permit", "steps": [step, second]})
+    world.wait("the first step runs", lambda: any(w.runs for w in world.workers()), 5)
+    world.configure(3, routes("beta"), SERVICES)
+    world.wait("the second step runs", lambda: holders(world), 10)
+    if not all(worker.machine.pool == "beta" for worker in holders(world)):
+        raise RuntimeError("the second step does not run on beta")
+    time.sleep(3.0)  # Longer than config-apply-ms.
+    if trouble:
+        leader = world.leader()
+        leader["process"].send_signal(signal.SIGTERM)
+        world.record.add(f"{leader['name']}, the leader, gets SIGTERM")
+    end = time.monotonic() + 12
+    while time.monotonic() < end and not both:
         time.sleep(0.05)
-        for entry in world.entries:
-            process, used = entry["process"], memory_mb(entry["process"])
-            if process.poll() is None and used <= MEMORY_MB:
-                continue
-            # The platform kills a process that exceeds the memory of its machine, and restarts it.
-            process.kill()
-            process.wait()
-            ends[entry["name"]] += 1
-            world.record.add(f"{entry['name']} ends with {used} MB, for the {ends[entry['name']]}. time")
-            time.sleep(0.3)
-            with open(entry["log"], "ab") as log:
-                entry["process"] = subprocess.Popen(process.args, stdout=log, stderr=log)
-        if sum(count >= ENDS for count in ends.values()) >= MACHINES:
-            state = world.call("GET", f"/q/{ORDINARY}")
-            return f"Fault: processes ended by themselves {ends} times; a GET for an ordinary job: {state[0]}"
-    if not trouble and world.state(f"/q/{ORDINARY}") != "done":
-        raise TimeoutError("the ordinary job is not done")
-    return None
+    if not both and not trouble and world.state(PATH) != "done":
+        raise TimeoutError("the job is not done")
+    return both[0] if both else None
 
 
 run_case(make, play)
--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -53,10 +53,11 @@
         """A caller has closed its connection."""
 
 
-def listen(answer):
+def listen(answer, bits_per_s=None):
     """Serves answer(method, path, query, headers, body) -> (status, object) on a free port.
 
-    An answer of None leaves the call without a response and closes its connection."""
+    An answer of None leaves the call without a response and closes its connection. An answer takes
+    as long as the link of the caller's machine needs for it."""
 
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -72,6 +73,8 @@
                 return
             status, value = reply
             text = json.dumps(value).encode()
+            if bits_per_s:
+                time.sleep(len(text) * 8 / bits_per_s)
             self.send_response(status)
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(text)))
@@ -99,13 +102,13 @@
 
     VALUE_BYTES = 1048576
 
-    def __init__(self, record):
+    def __init__(self, record, bits_per_s=None):
         self.record = record
         self.change = threading.Condition()
         self.rev, self.items, self.history = 10, {}, []
         self.leases, self.next_lease = {}, 100
         self.too_large_status = 400
-        self.server = listen(self.answer)
+        self.server = listen(self.answer, bits_per_s)
         self.address = f"127.0.0.1:{self.server.server_port}"
         threading.Thread(target=self.expire, daemon=True).start()
 
@@ -386,10 +389,10 @@
 class World:
     """The platform, its workers and the entry processes of one case."""
 
-    def __init__(self, folder, machines, entries=3, settings=None):
+    def __init__(self, folder, machines, entries=3, settings=None, link_bits_per_s=None):
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.temporary = tempfile.TemporaryDirectory()
-        self.store = Store(self.record)
+        self.store = Store(self.record, link_bits_per_s)
         self.cloud, self.cloud_lock, self.waves = listen(self.answer_cloud), threading.Lock(), {}
         self.delay_cloud_call = lambda path, body: 0
         self.on_upkeep = lambda machine, wave: None
@@ -467,7 +470,8 @@
         limits = {"max-header-bytes": 16384, "max-body-bytes": 262144}
         config = {"version": version, "routes": rows, "services": pools, "limits": limits}
         self.store.put("op/config", config)
-        self.record.add(f"operator: version {version}, routes {routes}")
+        shown = {name: routes[name] for name in list(routes)[:3]}
+        self.record.add(f"operator: version {version}, {len(routes)} routes, {shown}")
 
     def start_entries(self):
         for index in range(self.entry_count):
