--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -53,7 +53,7 @@
         """A caller has closed its connection."""
 
 
-def listen(answer, bits_per_s=None):
+def listen(answer, bits_per_s=None, port=0):
     """Serves answer(method, path, query, headers, body) -> (status, object) on a free port.
 
     An answer of None leaves the call without a response and closes its connection. An answer takes
@@ -92,7 +92,7 @@
         def log_message(self, *_):
             pass
 
-    server = Server(("127.0.0.1", 0), Handler)
+    server = Server(("127.0.0.1", port), Handler)
     threading.Thread(target=server.serve_forever, daemon=True, kwargs={"poll_interval": 0.05}).start()
     return server
 
@@ -231,19 +231,22 @@
 class Worker:
     """One life of a machine: registers itself, runs tasks under leases, lists their ends."""
 
-    def __init__(self, world, machine):
+    def __init__(self, world, machine, earlier=None, first_beat_s=0.0):
+        """Starts a life; with an earlier one under its id and address."""
         self.world, self.machine = world, machine
         machine.lives += 1
-        self.id = f"i-{machine.id[2:]}-{machine.lives}"
+        self.id = earlier.id if earlier else f"i-{machine.id[2:]}-{machine.lives}"
+        self.first_beat_s = first_beat_s
         self.born, self.begin = int(time.time() * 1000), time.monotonic()
         self.change = threading.Condition()
         self.alive, self.cut, self.round_trip = True, False, machine.round_trip
         self.fence, self.lease_end = 0, 0.0
         self.runs, self.over, self.ended, self.ends = {}, {}, [], 0
         self.seq = 0
-        self.server = listen(self.answer)
+        self.server = listen(self.answer, port=earlier.server.server_port if earlier else 0)
         self.address = f"127.0.0.1:{self.server.server_port}"
-        self.beat()
+        if not first_beat_s:
+            self.beat()
         threading.Thread(target=self.live, daemon=True).start()
 
     def clock(self):
@@ -260,7 +263,7 @@
         self.world.store.put("servers/" + self.id, entry)
 
     def live(self):
-        next_beat = time.monotonic() + HEARTBEAT_S
+        next_beat = time.monotonic() + (self.first_beat_s or HEARTBEAT_S)
         silent_since = None
         while True:
             time.sleep(0.01)
@@ -269,7 +272,8 @@
                 silent_since = silent_since or now
                 if now - silent_since > 3 * HEARTBEAT_S and self.seq:
                     self.seq = 0
-                    self.world.store.remove("servers/" + self.id)
+                    if self.machine.worker is self or not self.machine.has_same_id(self.id):
+                        self.world.store.remove("servers/" + self.id)
             elif now >= next_beat:
                 silent_since, next_beat = None, now + HEARTBEAT_S
                 self.beat()
@@ -323,6 +327,15 @@
             return self.reply()
         body = json.loads(text)
         time.sleep(self.round_trip)
+        delay = self.world.delay_order(self, path, body)
+        if delay:
+            self.world.record.add(f"{self.id}: {path} of {body.get('task')} gets no answer")
+            threading.Timer(delay, self.world.carry_out, (self, path, body)).start()
+            time.sleep(3.0)
+            return None
+        return self.carry_out(path, body)
+
+    def carry_out(self, path, body):
         with self.change:
             if body.get("fence", 0) < self.fence:
                 return self.reply(409, reason="fence")
@@ -385,6 +398,9 @@
         self.id, self.pool, self.rack, self.cpu, self.memory = name, pool, rack, cpu, memory
         self.lives, self.worker, self.state, self.fence = 0, None, "up", 0
 
+    def has_same_id(self, name):
+        return self.worker is not None and self.worker.id == name
+
 
 class World:
     """The platform, its workers and the entry processes of one case."""
@@ -395,6 +411,7 @@
         self.store = Store(self.record, link_bits_per_s)
         self.cloud, self.cloud_lock, self.waves = listen(self.answer_cloud), threading.Lock(), {}
         self.delay_cloud_call = lambda path, body: 0
+        self.delay_order = lambda worker, path, body: 0
         self.on_upkeep = lambda machine, wave: None
         self.lengths, self.on_start = {}, lambda worker, task, number: None
         self.machines = {machine.id: machine for machine in machines}
@@ -414,8 +431,16 @@
         self.record.add(f"{worker.id} on {machine.id} crashes")
         worker.crash()
 
-    def boot(self, machine):
-        machine.worker, machine.state = Worker(self, machine), "up"
+    def carry_out(self, worker, path, body):
+        """Carries an order out late, if a life with the id that it names is up."""
+        current = worker.machine.worker
+        if current and current.id == worker.id:
+            status, reply = current.carry_out(path, body)
+            self.record.add(f"{current.id}: {path} of {body.get('task')} carried out late: {status} "
+                            f"{reply.get('reason', '')}")
+
+    def boot(self, machine, earlier=None, first_beat_s=0.0):
+        machine.worker, machine.state = Worker(self, machine, earlier, first_beat_s), "up"
         self.record.add(f"{machine.worker.id} on {machine.id} is up")
 
     def answer_cloud(self, method, path, _, headers, text):
