--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -605,6 +605,7 @@
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             pathlib.Path(keep).write_text(world.log_text(), encoding="utf-8")
+        world.temporary.cleanup()
     print(verdict)
     sys.stdout.flush()
     os._exit(code)
