--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,6 +6,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+RECORD = HERE / "record.txt"  # What was sent, answered and run.
 sys.path.insert(0, str(HERE.parent / "lib3"))
 from world import Machine, World, run_case  # noqa: E402
 
@@ -23,7 +24,7 @@
         for pool in SERVICES
         for i in (1, 2, 3)
     ]
-    world = World(HERE, machines)
+    world = World(RECORD, machines)
     world.configure(1, {"q": "alpha"}, SERVICES)
     return world
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -7,6 +7,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
+RECORD = HERE / "record.txt"  # What was sent, answered and run.
 sys.path.insert(0, str(HERE.parent / "lib3"))
 from world import Machine, World, run_case  # noqa: E402
 
@@ -31,7 +32,7 @@
         for pool in SERVICES
         for i in range(WORKERS[pool])
     ]
-    world = World(HERE, machines, link_bits_per_s=LINK_BITS_PER_S)
+    world = World(RECORD, machines, link_bits_per_s=LINK_BITS_PER_S)
     world.configure(1, routes("alpha"), SERVICES)
     return world
 
--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -1,6 +1,6 @@
 """Stand-ins for the platform, workers and clients on loopback, and the entry processes of a case.
 
-Standard library only. Everything that is sent, answered and run goes to record.txt.
+Standard library only. Everything that is sent, answered and run goes to the record of the case.
 """
 
 import base64
@@ -405,8 +405,8 @@
 class World:
     """The platform, its workers and the entry processes of one case."""
 
-    def __init__(self, folder, machines, entries=3, settings=None, link_bits_per_s=None):
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+    def __init__(self, record_file, machines, entries=3, settings=None, link_bits_per_s=None):
+        self.record = Record(record_file)
         self.temporary = tempfile.TemporaryDirectory()
         self.store = Store(self.record, link_bits_per_s)
         self.cloud, self.cloud_lock, self.waves = listen(self.answer_cloud), threading.Lock(), {}
