Store the services on which runs of a job may be

Cause: a new leader waits for the backend servers that may run a job, and derived them from the present service and from that of the acceptance. Placements are not stored, so that a service in between was forgotten with the leader that had used it. Evidence: the successor resumed the job 8 ms after it had loaded it, when the servers of the present service had answered and none of those in between. Ruled out: an old configuration (the newest one was applied before), lists that were not adopted (none had come).

Change: the progress record names each service on which a run of the job may be, if they differ from that of its acceptance. A task starts on a service only once every record that a successor may read names it, so that no leader can leave a run behind that its successor does not look for. A job of a removed queue stays on its last service. Runs that are adopted elsewhere add their service.

--- a/include/sardinespoke/job_journal.h
+++ b/include/sardinespoke/job_journal.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,7 @@
     std::vector<uint32_t> progress_;      ///< Jobs whose progress it contains.
     std::vector<uint64_t> numbers_;       ///< Their numbers in the queue, in the same order.
     std::vector<JobState> visibleStates_; ///< States of the jobs in progress_, in the same order.
+    std::vector<std::set<std::string>> services_; ///< The services that their records name.
     std::vector<BackendHandle> recorded_;
     std::vector<RecordWrite> writes_;
     std::vector<std::string> deletes_;
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -74,7 +75,13 @@
   JobSpec spec_;
   QueuePolicy policy_;
   TenantUsage::Id tenant_ = TenantUsage::kNoTenant;
-  std::string originalService_;              ///< Service of its queue when the job was accepted.
+  std::string originalService_; ///< Service of its queue when the job was accepted.
+  /// Services whose backend servers may run its tasks: the present one and those of earlier
+  /// policies.
+  std::set<std::string> services_;
+  /// Those that each record of the job names which a successor may read. Its tasks may start only
+  /// there, so that the successor knows where their runs may be.
+  std::set<std::string> storedServices_;
   TimePoint accepted_{};                     ///< On this process's clock.
   std::chrono::milliseconds acceptedWall_{}; ///< Since the Unix epoch.
   /// Occurrences that are due, or of which a run or a record is known, from the first.
@@ -99,6 +106,8 @@
   bool HasEnded() const { return cancelled_ || failed_ || finished_; }
   /// @returns True if it only stands for a cancellation that came before its job.
   bool IsEarlyCancel() const { return spec_.steps_.empty(); }
+  /// @returns True if its tasks may start in the service of its present policy.
+  bool IsServiceStored() const { return storedServices_.count(policy_.service_) > 0; }
   bool HasContinuousSteps() const;
   uint32_t OccurrenceCount() const { return spec_.repeats_ == 0 ? 1 : spec_.repeats_; }
 };
@@ -217,9 +226,25 @@
   TenantUsage& Tenants() { return tenants_; }
   const TenantUsage& Tenants() const { return tenants_; }
 
-  /// Gives a job the present policy of its queue, which may name another pool.
+  /// Gives a job the present policy of its queue, which may name another pool. Tasks start there
+  /// once that is stored.
   void SetPolicy(Job& aJob, const QueuePolicy& aPolicy);
 
+  /// Notes that a run of a job may be on a service, which is stored next.
+  void AddService(Job& aJob, const std::string& aService);
+
+  /// Sets the services that the record of a job's progress names. Call before a task is active.
+  /// @param aPresent The service of the job's policy when the record was written.
+  static void RestoreServices(Job& aJob,
+                              const std::string& aPresent,
+                              std::set<std::string> aServices);
+
+  /// Notes that a record of a job's progress is about to be written.
+  static void BeginStoringServices(Job& aJob);
+
+  /// Notes that the store has a record that names these services.
+  void StoredServices(Job& aJob, std::set<std::string> aServices);
+
   /// Jobs by index; removed ones are nullptr.
   const std::vector<std::unique_ptr<Job>>& Jobs() const { return jobs_; }
 
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -429,8 +429,8 @@
   }
   // Jobs outlive their queues.
   for (const uint32_t index : jobs_.Open()) {
-    services.insert(jobs_.At(index).policy_.service_);
-    services.insert(jobs_.At(index).originalService_);
+    const std::set<std::string>& ofJob = jobs_.At(index).services_;
+    services.insert(ofJob.begin(), ofJob.end());
   }
   return services;
 }
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -172,6 +172,7 @@
   aBatch.progress_.push_back(aEntry.job_);
   aBatch.numbers_.push_back(aEntry.number_);
   aBatch.visibleStates_.push_back(JobTable::StateOf(jobs_.At(aEntry.job_)));
+  aBatch.services_.push_back(jobs_.At(aEntry.job_).services_);
 }
 
 void
@@ -267,8 +268,10 @@
       RecordWrite{ JobKey(jobs_.At(job).spec_.id_), EncodeJob(jobs_.At(job)) });
   }
   for (size_t index = 0; index < batch_.progress_.size(); ++index) {
-    const Job& job = jobs_.At(batch_.progress_[index]);
+    Job& job = jobs_.At(batch_.progress_[index]);
     batch_.visibleStates_[index] = JobTable::StateOf(job);
+    batch_.services_[index] = job.services_;
+    JobTable::BeginStoringServices(job);
     change.writes_.push_back(RecordWrite{ ProgressKey(job.spec_.id_), EncodeProgress(job) });
   }
   for (const BackendHandle handle : batch_.recorded_) {
@@ -411,9 +414,12 @@
   for (const uint32_t job : batch_.jobs_) {
     jobs_.At(job).stored_ = true;
     jobs_.MarkChanged(job);
+    jobs_.StoredServices(jobs_.At(job), { jobs_.At(job).originalService_ });
   }
   for (size_t index = 0; index < batch_.progress_.size(); ++index) {
-    jobs_.At(batch_.progress_[index]).visibleState_ = batch_.visibleStates_[index];
+    Job& job = jobs_.At(batch_.progress_[index]);
+    job.visibleState_ = batch_.visibleStates_[index];
+    jobs_.StoredServices(job, std::move(batch_.services_[index]));
   }
   for (const BackendHandle handle : batch_.recorded_) {
     backends_.At(handle).recorded_ = true;
--- a/src/job_record.cpp
+++ b/src/job_record.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 
 namespace sardinespoke {
 
@@ -89,11 +90,12 @@
   return step;
 }
 
+/// @param aService Service of the queue when the job was accepted.
 json
-EncodePolicy(const QueuePolicy& aPolicy)
+EncodePolicy(const QueuePolicy& aPolicy, const std::string& aService)
 {
   return json{ { "name", aPolicy.name_ },
-               { "service", aPolicy.service_ },
+               { "service", aService },
                { "priority", aPolicy.priority_ },
                { "max_attempts", aPolicy.maxAttempts_ },
                { "stretch", aPolicy.stretch_ },
@@ -150,7 +152,7 @@
     { "first_due_ms", aJob.spec_.firstDue_.count() },
     { "interval_ms", aJob.spec_.interval_.count() },
     { "repeats", aJob.spec_.repeats_ },
-    { "queue", EncodePolicy(aJob.policy_) },
+    { "queue", EncodePolicy(aJob.policy_, aJob.originalService_) },
     { "tenant", aJob.spec_.tenant_ },
     { "accepted_ms", aJob.acceptedWall_.count() }
   }.dump();
@@ -206,16 +208,19 @@
       }
     }
   }
-  return json{
-    { "id", aJob.spec_.id_ },
-    { "started", aJob.started_ },
-    { "cancelled", aJob.cancelled_ },
-    { "failed", aJob.failed_ },
-    { "done", std::move(done) },
-    { "failed_runs", std::move(failed) },
-    { "checkpoints", std::move(checkpoints) },
-    { "crashes", std::move(crashes) }
-  }.dump();
+  json record{ { "id", aJob.spec_.id_ },
+               { "started", aJob.started_ },
+               { "cancelled", aJob.cancelled_ },
+               { "failed", aJob.failed_ },
+               { "done", std::move(done) },
+               { "failed_runs", std::move(failed) },
+               { "checkpoints", std::move(checkpoints) },
+               { "crashes", std::move(crashes) } };
+  if (aJob.services_ != std::set<std::string>{ aJob.originalService_ }) {
+    record["service"] = aJob.policy_.service_;
+    record["services"] = aJob.services_;
+  }
+  return record.dump();
 }
 
 bool
@@ -235,6 +240,11 @@
     aRecord.at("started").get_to(job.started_);
     aRecord.at("cancelled").get_to(job.cancelled_);
     aRecord.at("failed").get_to(job.failed_);
+    if (aRecord.contains("services")) {
+      JobTable::RestoreServices(job,
+                                aRecord.at("service").get<std::string>(),
+                                aRecord.at("services").get<std::set<std::string>>());
+    }
     for (const json& row : aRecord.at("done")) {
       for (const json& index : row.at(2)) {
         // Earlier releases also wrote continuous tasks, which Finish() leaves waiting.
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -1,6 +1,7 @@
 #include "sardinespoke/job_table.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sardinespoke {
 
@@ -26,6 +27,8 @@
   auto job = std::make_unique<Job>();
   job->spec_ = std::move(aSpec);
   job->originalService_ = aPolicy.service_;
+  job->services_ = { aPolicy.service_ };
+  job->storedServices_ = job->services_;
   job->policy_ = std::move(aPolicy);
   job->tenant_ = tenants_.IdOf(job->spec_.tenant_);
   job->accepted_ = aNow;
@@ -267,6 +270,45 @@
   if (moves) {
     countAll(true);
   }
+  AddService(aJob, aPolicy.service_);
+}
+
+void
+JobTable::AddService(Job& aJob, const std::string& aService)
+{
+  if (aJob.services_.insert(aService).second && aJob.stored_) {
+    Touch(aJob.index_);
+  }
+}
+
+void
+JobTable::RestoreServices(Job& aJob, const std::string& aPresent, std::set<std::string> aServices)
+{
+  aJob.policy_.service_ = aPresent;
+  aJob.services_ = std::move(aServices);
+  aJob.services_.insert(aPresent);
+  aJob.storedServices_ = aJob.services_;
+}
+
+void
+JobTable::BeginStoringServices(Job& aJob)
+{
+  std::set<std::string> named;
+  std::set_intersection(aJob.storedServices_.begin(),
+                        aJob.storedServices_.end(),
+                        aJob.services_.begin(),
+                        aJob.services_.end(),
+                        std::inserter(named, named.begin()));
+  aJob.storedServices_.swap(named);
+}
+
+void
+JobTable::StoredServices(Job& aJob, std::set<std::string> aServices)
+{
+  aJob.storedServices_ = std::move(aServices);
+  if (aJob.storedServices_ != aJob.services_) {
+    Touch(aJob.index_); // They have changed since the record was encoded.
+  }
 }
 
 void
--- a/src/run_polls.cpp
+++ b/src/run_polls.cpp
@@ -426,6 +426,7 @@
     run.proven_ = run.isSuspect_ && !isHeld && !jobs_.IsInTrial(ref);
     isTasksRun = task.phase_ == TaskPhase::Waiting || isHeld;
     wanted = isTasksRun && !jobs_.At(ref.job_).HasEnded();
+    jobs_.AddService(jobs_.At(ref.job_), backend.entry_.service_);
   }
   Confirm(run, aRunning, aClock);
   if (LateStart* late = FindLateStart(backend.entry_.id_, run.id_)) {
--- a/src/run_restarts.cpp
+++ b/src/run_restarts.cpp
@@ -172,6 +172,7 @@
   aRun.throttleInFlight_ = false;
   aRun.progressAt_ = clock_.Now();
   if (aRun.task_) {
+    jobs_.AddService(jobs_.At(aRun.task_->job_), backends_.At(aTo).entry_.service_);
     Task& task = jobs_.At(*aRun.task_);
     if (task.phase_ == TaskPhase::Active && task.run_ == aRun.id_.run_ && task.backend_ == aFrom) {
       task.backend_ = aTo;
--- a/src/task_scheduler.cpp
+++ b/src/task_scheduler.cpp
@@ -206,7 +206,7 @@
   };
   while (const WaitRank* rank = cursor.Next()) {
     const Job& job = jobs_.At(rank->job_);
-    if (MayRunUnseen(job)) {
+    if (!job.IsServiceStored() || MayRunUnseen(job)) {
       continue;
     }
     const bool isInTime = rank->tier_ == WaitTier::InTime;
@@ -226,8 +226,11 @@
 bool
 TaskScheduler::MayRunUnseen(const Job& aJob) const
 {
-  return aJob.inherited_ && (unreconciled_.count(aJob.policy_.service_) > 0 ||
-                             unreconciled_.count(aJob.originalService_) > 0);
+  const auto& services = aJob.services_;
+  return aJob.inherited_ &&
+         std::any_of(services.begin(), services.end(), [this](const std::string& aService) {
+           return unreconciled_.count(aService) > 0;
+         });
 }
 
 void
@@ -396,6 +399,8 @@
         "job.resumed",
         { { "job", job.spec_.id_ },
           { "tasks", started },
+          { "service", job.policy_.service_ },
+          { "services", job.services_ },
           { "progress_revision", job.restoredRevision_ } });
   }
   return started;
