Start tasks once the configuration is read

Cause: JobControl waited for the jobs and the registry before it ran the scheduler, but not for the configuration, which tells where a job may run and how much its tenant may use. Evidence: in the log of the successor job.resumed comes 7 ms after owner.loaded, config.applied not at all.

Change: the scheduler, roll-outs and moves wait until a configuration is in force; polls and leases go on, so that no run lapses meanwhile.

--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -565,7 +565,7 @@
   advice_.Tick();
   const bool advised = advice_.TakeChanged();
   const bool changed = runs_.TakeChanged() || advised;
-  if (runs_.MayExtendRuns() && (changed || now >= nextSchedule_)) {
+  if (MayPlaceTasks() && (changed || now >= nextSchedule_)) {
     nextSchedule_ = now + kSchedulePeriod;
     phases_.Measure(LoopPhase::Schedule, [this] { scheduler_.Run(); });
   }
@@ -586,8 +586,10 @@
   EnforceLatencyTargets();
   directory_.Tick(runs_.HasUnresponsive() ? kUnresponsiveListPeriod : rolloutRunner_.ListPeriod());
   runs_.ApplyHosts(directory_.All(), directory_.RequestedAt());
-  rolloutRunner_.Tick(rollouts_);
-  allocator_.Tick(config_);
+  if (config_.version_ != 0) {
+    rolloutRunner_.Tick(rollouts_); // A task that it stops has to start elsewhere.
+    allocator_.Tick(config_);
+  }
   RemoveEndedJobs();
   PublishMetrics();
 }
@@ -599,8 +601,8 @@
   if (!loaded_) {
     return due;
   }
-  due = std::min({ due, nextHousekeeping_, nextSchedule_, runs_.NextDue(), journal_.NextDue() });
-  return due;
+  due = std::min({ due, nextHousekeeping_, runs_.NextDue(), journal_.NextDue() });
+  return MayPlaceTasks() ? std::min(due, nextSchedule_) : due;
 }
 
 }
--- a/standins/memory_record_store.cpp
+++ b/standins/memory_record_store.cpp
@@ -46,7 +46,15 @@
 void
 MemoryRecordStore::Client::Range(const std::string& aPrefix, const std::string& aAfter, Done aDone)
 {
-  Call([this, aPrefix, aAfter] { return store_.Read(aPrefix, aAfter); }, false, aDone);
+  const auto read = [this, aPrefix, aAfter, aDone] {
+    Call([this, aPrefix, aAfter] { return store_.Read(aPrefix, aAfter); }, false, aDone);
+  };
+  const auto delay = readDelays_.find(aPrefix);
+  if (delay == readDelays_.end()) {
+    read();
+  } else {
+    store_.events_.ScheduleAfter(delay->second, read);
+  }
 }
 
 void
--- a/standins/memory_record_store.h
+++ b/standins/memory_record_store.h
@@ -44,6 +44,8 @@
     void Renew(uint64_t aLease, Done aDone) override;
 
     Fault fault_ = Fault::None;
+    /// Time until reads of a range take effect, by prefix; at once if it is not named.
+    std::map<std::string, std::chrono::milliseconds> readDelays_;
     size_t calls_ = 0;
 
   private:
