Do not wait for servers of a service that a job has left

A job that was accepted while its queue was sent to one service, and has run on another one since, waited at each change of leader for the servers of the first one. If those were gone for good, it waited until their leases were over (LOST).

Change: a service is taken out of the job's record once no run of the job is on a server of it, no start of it may be carried out late, and all servers there have answered the leader or lapsed. The shorter list is stored like a longer one, so that starts keep to what both versions name.

--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -239,6 +239,10 @@
                               const std::string& aPresent,
                               std::set<std::string> aServices);
 
+  /// Takes services that none of its runs can be on from a job.
+  /// @param aKept Those that stay; others than the job's are ignored.
+  void KeepServices(Job& aJob, const std::set<std::string>& aKept);
+
   /// Notes that a record of a job's progress is about to be written.
   static void BeginStoringServices(Job& aJob);
 
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -146,6 +146,10 @@
   /// yet.
   std::set<std::string> UnreconciledServices() const;
 
+  /// Forgets the services of open jobs on which none of their runs can be left, so that a successor
+  /// does not wait for their backend servers. The present service of a job is kept.
+  void ForgetLeftServices();
+
   /// @returns Capacity of the backend servers that may run inherited tasks and have not responded
   /// yet.
   Resources UnreconciledCapacity() const;
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -11,6 +11,15 @@
 // failed. Its own fault may be the cause, and most tasks of a busy pool end sooner.
 constexpr std::chrono::milliseconds kAvoidTime{ 2000 };
 
+std::set<std::string>
+Intersection(const std::set<std::string>& aLeft, const std::set<std::string>& aRight)
+{
+  std::set<std::string> both;
+  std::set_intersection(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), std::inserter(both, both.begin()));
+  return both;
+}
+
 }
 
 bool
@@ -290,16 +299,20 @@
   aJob.storedServices_ = aJob.services_;
 }
 
+void
+JobTable::KeepServices(Job& aJob, const std::set<std::string>& aKept)
+{
+  std::set<std::string> kept = Intersection(aJob.services_, aKept);
+  if (kept != aJob.services_) {
+    aJob.services_.swap(kept);
+    Touch(aJob.index_);
+  }
+}
+
 void
 JobTable::BeginStoringServices(Job& aJob)
 {
-  std::set<std::string> named;
-  std::set_intersection(aJob.storedServices_.begin(),
-                        aJob.storedServices_.end(),
-                        aJob.services_.begin(),
-                        aJob.services_.end(),
-                        std::inserter(named, named.begin()));
-  aJob.storedServices_.swap(named);
+  aJob.storedServices_ = Intersection(aJob.storedServices_, aJob.services_);
 }
 
 void
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -134,19 +134,6 @@
          (aBackend.ejectedUntil_ == TimePoint{} || aBackend.ejectedUntil_ <= clock_.Now());
 }
 
-std::set<std::string>
-RunTracker::UnreconciledServices() const
-{
-  std::set<std::string> services;
-  for (const BackendHandle handle : backends_.Live()) {
-    const Backend& backend = backends_.At(handle);
-    if (backend.unreconciled_ && !IsLeaseOver(backend)) {
-      services.insert(backend.entry_.service_);
-    }
-  }
-  return services;
-}
-
 Resources
 RunTracker::UnreconciledCapacity() const
 {
--- a/tests/changed_service_test.cpp
+++ b/tests/changed_service_test.cpp
@@ -233,6 +233,50 @@
   EXPECT_TRUE(world_.RunUntil([this] { return RunsOn("births") == kTasks; }, seconds(9)));
 }
 
+// LOST: a job waited at each change of leader for the servers of a service that it had left, also
+// if they were gone for good.
+TEST_P(ChangedServiceAtLeaderEndTest, ServersOfAServiceThatAJobHasLeftAreNotWaitedFor)
+{
+  StepSpec third = Second();
+  third.after_ = { 1 };
+  ASSERT_EQ(
+    world_.Submit("births", job_, { Tasks(1, seconds(1)), Second(seconds(3)), third }).kind_,
+    JobResponseKind::Accepted);
+  ASSERT_TRUE(world_.RunUntil([this] { return world_.Starts() == 1; }, seconds(1)));
+  RunSecondStepOn("market");
+  world_.Run(milliseconds(800));
+  for (size_t server = 0; server < kServers; ++server) {
+    world_.Fleet().Crash("births", server);
+  }
+  const auto leader = world_.Leader();
+  ASSERT_TRUE(leader.has_value());
+  if (GetParam() == LeaderEnd::Stopped) {
+    world_.Stop(*leader);
+  } else {
+    world_.Restart(*leader);
+  }
+  // The second step ends 2.2 s from here, a lease 4.5 s or more.
+  EXPECT_TRUE(
+    world_.RunUntil([this] { return world_.Starts() == 1 + 2 * kTasks; }, milliseconds(4000)));
+}
+
+// A service is left only once the last run there has ended.
+TEST_P(ChangedServiceAtLeaderEndTest, AServiceWithOneRunLeftIsStillWaitedFor)
+{
+  Submit(Second());
+  RunSecondStepOn("market");
+  SendQueueTo("births");
+  world_.Run(milliseconds(300));
+  for (size_t server = 1; server < kServers; ++server) {
+    world_.Fleet().Crash("market", server);
+  }
+  ASSERT_TRUE(world_.RunUntil([this] { return RunsOn("births") == kTasks - 1; }, seconds(9)));
+  world_.Run(milliseconds(300));
+  ChangeLeader(GetParam(), "market");
+  EXPECT_TRUE(IsDoneWithin(seconds(20)));
+  EXPECT_EQ(world_.Starts(), 2 * kTasks);
+}
+
 INSTANTIATE_TEST_SUITE_P(LeaderEnds,
                          ChangedServiceAtLeaderEndTest,
                          testing::Values(LeaderEnd::Stopped, LeaderEnd::Killed),
@@ -358,6 +402,25 @@
   EXPECT_EQ(policy.service_, "births");
 }
 
+// The record that names one service less must name no service of a possible run less.
+TEST_F(ServiceRecordTest, AServiceThatWasLeftIsStoredAnewBeforeTasksStartThere)
+{
+  SendTo("market");
+  JobTable::BeginStoringServices(job_);
+  table_.StoredServices(job_, job_.services_);
+  table_.TakeTouched();
+  table_.KeepServices(job_, { "market" });
+  EXPECT_EQ(table_.TakeTouched().size(), 1U);
+  SendTo("births");
+  JobTable::BeginStoringServices(job_);
+  EXPECT_TRUE(job_.IsServiceStored()) << "the record from before and the new one name it";
+  table_.StoredServices(job_, job_.services_);
+  table_.KeepServices(job_, { "market" });
+  JobTable::BeginStoringServices(job_);
+  SendTo("births");
+  EXPECT_FALSE(job_.IsServiceStored());
+}
+
 // Of two records that a successor may read, only the services that both name count as stored.
 TEST_F(ServiceRecordTest, AServiceCountsAsStoredOnceNoOlderRecordCanBeRead)
 {
