Count attempts by the configuration, not by the record of a job

A job was shown as failed although its queue allows more attempts (LOST), or got one more than its queue allows (BUDGET), if a run failed while there was no leader and the number of attempts had changed since the acceptance of the job.

Cause: a new leader reads ends from backend servers before it has read the configuration, and compared with the policy in the record of the job. Ends cannot wait for the configuration, since polls renew leases.

Change: until the configuration is read, a failed run is counted but does not end its job. Then the jobs with such a run are checked, before any task starts.

--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -91,9 +91,13 @@
   bool inherited_ = false;      ///< Accepted by an earlier leader.
   /// Revision of the progress record that an inherited job was restored from; 0: there was none.
   int64_t restoredRevision_ = 0;
-  bool resumed_ = false;     ///< This leader has started a task of an inherited job.
-  bool started_ = false;     ///< At least one task has started.
-  bool isAboveRate_ = false; ///< Its tenant submitted more than its weight allows.
+  bool resumed_ = false; ///< This leader has started a task of an inherited job.
+  /// The leader has read the configuration; until then an inherited job has the policy of its
+  /// record.
+  bool isPolicyRead_ = true;
+  bool hasUncheckedFailure_ = false; ///< A run has failed before the policy was read.
+  bool started_ = false;             ///< At least one task has started.
+  bool isAboveRate_ = false;         ///< Its tenant submitted more than its weight allows.
   bool cancelled_ = false;
   bool failed_ = false;
   bool finished_ = false;                    ///< All tasks are done.
@@ -191,10 +195,15 @@
   void Avoid(const TaskRef& aRef, BackendHandle aBackend, TimePoint aNow);
 
   /// Uses one attempt for a failed run; a repeated call for the same run has no effect. Continuous
-  /// tasks have no limit of attempts, and none is counted.
+  /// tasks have no limit of attempts, and none is counted. The limit is checked by
+  /// NotePolicyRead() if the policy of the job is not read yet.
   /// @returns True if this was the last attempt and the job has failed.
   bool Fail(const TaskRef& aRef, int64_t aRun, TimePoint aNow);
 
+  /// Notes that an inherited job has its present policy. Call after SetPolicy().
+  /// @returns True if the attempts of a task are used up and the job has failed.
+  bool NotePolicyRead(Job& aJob, TimePoint aNow);
+
   /// @returns Backend servers that crashed while the task, or its group, was in question.
   uint32_t CrashesOf(const TaskRef& aRef) { return At(FirstOfGroup(aRef)).crashes_; }
 
@@ -280,6 +289,9 @@
   /// Counts a task of a step as running or not any more.
   void CountRunning(const Job& aJob, uint32_t aStep, bool aRuns);
   void SetTrial(const TaskRef& aRef, bool aInTrial);
+  /// Ends a job as failed if a task has used this many attempts and there are no more.
+  /// @returns True if it has.
+  bool FailIfUsedUp(Job& aJob, size_t aAttempts, TimePoint aNow);
   void OpenOccurrence(Job& aJob);
 
   std::vector<std::unique_ptr<Job>> jobs_;
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -265,6 +265,7 @@
     Job& job = jobs_.At(index);
     job.stored_ = true;
     job.inherited_ = true;
+    job.isPolicyRead_ = false;
     jobs_.MarkChanged(index);
     jobs_.OpenDueOccurrences(job, wall_);
     const auto progress = parts_[PartProgress].find(JobJournal::ProgressKey(id));
@@ -414,6 +415,9 @@
         jobs_.SetPolicy(job, queue);
       }
     }
+    if (config_.version_ != 0 && !job.isPolicyRead_ && jobs_.NotePolicyRead(job, clock_.Now())) {
+      runs_.StopJob(index);
+    }
   }
 }
 
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace sardinespoke {
 
@@ -388,12 +389,44 @@
   }
   runs.push_back(aRun);
   Touch(aRef.job_);
-  if (job.HasEnded() || runs.size() < job.policy_.maxAttempts_) {
+  if (!job.isPolicyRead_) {
+    job.hasUncheckedFailure_ = true;
     return false;
   }
-  job.failed_ = true;
-  MarkChanged(job.index_);
-  job.endedAt_ = aNow;
+  return FailIfUsedUp(job, runs.size(), aNow);
+}
+
+bool
+JobTable::FailIfUsedUp(Job& aJob, size_t aAttempts, TimePoint aNow)
+{
+  if (aJob.HasEnded() || aAttempts < aJob.policy_.maxAttempts_) {
+    return false;
+  }
+  aJob.failed_ = true;
+  MarkChanged(aJob.index_);
+  aJob.endedAt_ = aNow;
+  return true;
+}
+
+bool
+JobTable::NotePolicyRead(Job& aJob, TimePoint aNow)
+{
+  aJob.isPolicyRead_ = true;
+  if (!std::exchange(aJob.hasUncheckedFailure_, false)) {
+    return false;
+  }
+  size_t most = 0;
+  for (const Occurrence& occurrence : aJob.occurrences_) {
+    for (const Step& step : occurrence.steps_) {
+      for (const Task& task : step.tasks_) {
+        most = std::max(most, task.phase_ == TaskPhase::Done ? 0 : task.failedRuns_.size());
+      }
+    }
+  }
+  if (!FailIfUsedUp(aJob, most, aNow)) {
+    return false;
+  }
+  Touch(aJob.index_);
   return true;
 }
 
--- a/tests/unread_configuration_test.cpp
+++ b/tests/unread_configuration_test.cpp
@@ -175,5 +175,47 @@
   EXPECT_TRUE(world_.RunUntil([this] { return world_.Starts() == 3; }, seconds(2)));
 }
 
+/// The number of attempts of a task is in the configuration too.
+class UnreadAttemptsTest : public UnreadConfigurationTest
+{
+protected:
+  /// Lets a task that fails end while there is no leader.
+  void FailOnce(uint32_t aAttemptsAtAcceptance, uint32_t aAttempts)
+  {
+    world_.Config().queues_.front().maxAttempts_ = aAttemptsAtAcceptance;
+    world_.Configure();
+    world_.Run(milliseconds(500));
+    world_.SetPoison(job_);
+    ASSERT_EQ(world_.Submit("births", job_, Tasks(1)).kind_, JobResponseKind::Accepted);
+    world_.Config().queues_.front().maxAttempts_ = aAttempts;
+    world_.Configure();
+    ASSERT_TRUE(world_.RunUntil([this] { return RunsOn("births") == 1; }, milliseconds(500)));
+    StopLeader(seconds(2));
+    ASSERT_TRUE(IsSuccessorReady(seconds(4)));
+  }
+
+  bool HasFailed(milliseconds aLimit)
+  {
+    return world_.RunUntil([this] { return world_.StateOf("births", job_) == JobState::Failed; },
+                           aLimit);
+  }
+};
+
+// LOST: a job was shown as failed by the attempts that its queue had when it was accepted.
+TEST_F(UnreadAttemptsTest, AttemptsThatWereAddedAreUsed)
+{
+  FailOnce(1, 3);
+  EXPECT_TRUE(HasFailed(seconds(5)));
+  EXPECT_EQ(world_.Starts(), 3U);
+}
+
+// BUDGET: attempts that were taken away must not be used.
+TEST_F(UnreadAttemptsTest, AttemptsThatWereTakenAwayAreNotUsed)
+{
+  FailOnce(3, 1);
+  EXPECT_TRUE(HasFailed(milliseconds(500)));
+  EXPECT_EQ(world_.Starts(), 1U);
+}
+
 }
 }
