--- a/include/sardinespoke/job_control.h
+++ b/include/sardinespoke/job_control.h
@@ -135,8 +135,8 @@
   void PublishTenants();
   void LogLoad();
   void TickLoaded();
-  /// @returns Whether tasks may be started and hosts be commanded. Where a job may run and how much
-  /// its tenant may use is in the configuration, so that a new leader reads it first.
+  /// @returns Whether tasks may be started. Where a job may run and how much its tenant may use is
+  /// in the configuration, so that a new leader reads it first.
   bool MayPlaceTasks() const { return config_.version_ != 0 && runs_.MayExtendRuns(); }
   void DoHousekeeping();
 
--- a/include/sardinespoke/job_table.h
+++ b/include/sardinespoke/job_table.h
@@ -76,11 +76,11 @@
   QueuePolicy policy_;
   TenantUsage::Id tenant_ = TenantUsage::kNoTenant;
   std::string originalService_; ///< Service of its queue when the job was accepted.
-  /// Services whose backend servers may run its tasks: the present one and those of earlier
-  /// policies.
+  /// Services on which a run of it may be: the present one, and those that its queue was sent to
+  /// earlier until all runs there have ended.
   std::set<std::string> services_;
-  /// Those that each record of the job names which a successor may read. Its tasks may start only
-  /// there, so that the successor knows where their runs may be.
+  /// Services that a successor finds in the records of the job, whichever version of them it reads.
+  /// Tasks start only there, so that it knows where their runs may be.
   std::set<std::string> storedServices_;
   TimePoint accepted_{};                     ///< On this process's clock.
   std::chrono::milliseconds acceptedWall_{}; ///< Since the Unix epoch.
@@ -248,15 +248,16 @@
                               const std::string& aPresent,
                               std::set<std::string> aServices);
 
-  /// Takes services that none of its runs can be on from a job.
-  /// @param aKept Those that stay; others than the job's are ignored.
+  /// Forgets the services of a job that are not among these, which is stored next.
   void KeepServices(Job& aJob, const std::set<std::string>& aKept);
 
-  /// Notes that a record of a job's progress is about to be written.
-  static void BeginStoringServices(Job& aJob);
+  /// Notes that a record of a job's progress is about to be written: a successor may read the new
+  /// one or the one before.
+  static void OnServicesSent(Job& aJob);
 
-  /// Notes that the store has a record that names these services.
-  void StoredServices(Job& aJob, std::set<std::string> aServices);
+  /// Notes that the store has the record.
+  /// @param aServices The services that it names.
+  void OnServicesStored(Job& aJob, std::set<std::string> aServices);
 
   /// Jobs by index; removed ones are nullptr.
   const std::vector<std::unique_ptr<Job>>& Jobs() const { return jobs_; }
--- a/include/sardinespoke/run_tracker.h
+++ b/include/sardinespoke/run_tracker.h
@@ -146,9 +146,9 @@
   /// yet.
   std::set<std::string> UnreconciledServices() const;
 
-  /// Forgets the services of open jobs on which none of their runs can be left, so that a successor
-  /// does not wait for their backend servers. The present service of a job is kept.
-  void ForgetLeftServices();
+  /// Forgets the services on which no run of an open job can be, so that a successor does not wait
+  /// for their backend servers. The present service of a job is kept.
+  void ForgetUnusedServices();
 
   /// @returns Capacity of the backend servers that may run inherited tasks and have not responded
   /// yet.
--- a/src/job_control.cpp
+++ b/src/job_control.cpp
@@ -587,7 +587,7 @@
     jobs_.OpenDueOccurrences(jobs_.At(index), wall_);
   }
   StopStuckRuns();
-  runs_.ForgetLeftServices();
+  runs_.ForgetUnusedServices();
   EnforceLatencyTargets();
   directory_.Tick(runs_.HasUnresponsive() ? kUnresponsiveListPeriod : rolloutRunner_.ListPeriod());
   runs_.ApplyHosts(directory_.All(), directory_.RequestedAt());
--- a/src/job_journal.cpp
+++ b/src/job_journal.cpp
@@ -271,7 +271,7 @@
     Job& job = jobs_.At(batch_.progress_[index]);
     batch_.visibleStates_[index] = JobTable::StateOf(job);
     batch_.services_[index] = job.services_;
-    JobTable::BeginStoringServices(job);
+    JobTable::OnServicesSent(job);
     change.writes_.push_back(RecordWrite{ ProgressKey(job.spec_.id_), EncodeProgress(job) });
   }
   for (const BackendHandle handle : batch_.recorded_) {
@@ -414,12 +414,12 @@
   for (const uint32_t job : batch_.jobs_) {
     jobs_.At(job).stored_ = true;
     jobs_.MarkChanged(job);
-    jobs_.StoredServices(jobs_.At(job), { jobs_.At(job).originalService_ });
+    jobs_.OnServicesStored(jobs_.At(job), { jobs_.At(job).originalService_ });
   }
   for (size_t index = 0; index < batch_.progress_.size(); ++index) {
     Job& job = jobs_.At(batch_.progress_[index]);
     job.visibleState_ = batch_.visibleStates_[index];
-    jobs_.StoredServices(job, std::move(batch_.services_[index]));
+    jobs_.OnServicesStored(job, std::move(batch_.services_[index]));
   }
   for (const BackendHandle handle : batch_.recorded_) {
     backends_.At(handle).recorded_ = true;
--- a/src/job_table.cpp
+++ b/src/job_table.cpp
@@ -311,13 +311,13 @@
 }
 
 void
-JobTable::BeginStoringServices(Job& aJob)
+JobTable::OnServicesSent(Job& aJob)
 {
   aJob.storedServices_ = Intersection(aJob.storedServices_, aJob.services_);
 }
 
 void
-JobTable::StoredServices(Job& aJob, std::set<std::string> aServices)
+JobTable::OnServicesStored(Job& aJob, std::set<std::string> aServices)
 {
   aJob.storedServices_ = std::move(aServices);
   if (aJob.storedServices_ != aJob.services_) {
--- a/src/run_services.cpp
+++ b/src/run_services.cpp
@@ -1,7 +1,5 @@
 #include "sardinespoke/run_tracker.h"
 
-#include <algorithm>
-
 namespace sardinespoke {
 
 std::set<std::string>
@@ -18,7 +16,7 @@
 }
 
 void
-RunTracker::ForgetLeftServices()
+RunTracker::ForgetUnusedServices()
 {
   std::map<uint32_t, std::set<std::string>> keptOf; // By job.
   for (const uint32_t index : jobs_.Open()) {
--- a/tests/changed_service_test.cpp
+++ b/tests/changed_service_test.cpp
@@ -406,17 +406,17 @@
 TEST_F(ServiceRecordTest, AServiceThatWasLeftIsStoredAnewBeforeTasksStartThere)
 {
   SendTo("market");
-  JobTable::BeginStoringServices(job_);
-  table_.StoredServices(job_, job_.services_);
+  JobTable::OnServicesSent(job_);
+  table_.OnServicesStored(job_, job_.services_);
   table_.TakeTouched();
   table_.KeepServices(job_, { "market" });
   EXPECT_EQ(table_.TakeTouched().size(), 1U);
   SendTo("births");
-  JobTable::BeginStoringServices(job_);
+  JobTable::OnServicesSent(job_);
   EXPECT_TRUE(job_.IsServiceStored()) << "the record from before and the new one name it";
-  table_.StoredServices(job_, job_.services_);
+  table_.OnServicesStored(job_, job_.services_);
   table_.KeepServices(job_, { "market" });
-  JobTable::BeginStoringServices(job_);
+  JobTable::OnServicesSent(job_);
   SendTo("births");
   EXPECT_FALSE(job_.IsServiceStored());
 }
@@ -425,12 +425,12 @@
 TEST_F(ServiceRecordTest, AServiceCountsAsStoredOnceNoOlderRecordCanBeRead)
 {
   SendTo("market");
-  JobTable::BeginStoringServices(job_);
+  JobTable::OnServicesSent(job_);
   EXPECT_FALSE(job_.IsServiceStored());
   const std::set<std::string> written = job_.services_;
   SendTo("permits");
   table_.TakeTouched();
-  table_.StoredServices(job_, written);
+  table_.OnServicesStored(job_, written);
   EXPECT_FALSE(job_.IsServiceStored());
   EXPECT_EQ(table_.TakeTouched().size(), 1U) << "the record lacks the newest service";
   SendTo("market");
