End silent servers whose hosts are no longer listed

A job waited up to 30 s at a take-over for servers that were gone for good (LOST): for half of the witnesses to answer, and then for leases.

Cause: host control removes the hosts of such servers from its list, and ApplyHosts() passed over hosts that are not listed. Ruled out: hosts that are listed as down; those were ended after 0.25 to 1.4 s.

Change: a server that does not respond ends if its host is missing in two lists in a row that were asked for after that.

ServersWhoseHostsAreNoLongerListedAre- NotWaitedFor failed before (2 of 2), passes.

--- a/include/sardinespoke/backend_table.h
+++ b/include/sardinespoke/backend_table.h
@@ -121,7 +121,9 @@
   uint32_t startsWithoutResponse_ = 0; ///< Consecutive starts without a response.
   std::string lastFailedJob_;
   TimePoint idleSince_{};
-  bool listedGone_ = false;             ///< Host control's newest list has its host without it.
+  bool listedGone_ = false; ///< Host control's newest list has its host without it.
+  /// When the first list without its host was requested, while it does not respond.
+  std::optional<TimePoint> missingInListOf_;
   TimePoint reservedUntil_{};           ///< Until then it is kept free for a suspect.
   uint32_t bestEffortCpuPercent_ = 100; ///< Limit of the processor time of best-effort tasks.
   TimePoint belowTargetSince_{}; ///< Since then every task was well below its latency target.
--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -167,13 +167,26 @@
   NoteLostHosts(aHosts, aAskedAt);
   const auto live = backends_.Live();
   for (const BackendHandle handle : live) {
-    const Backend& backend = backends_.At(handle);
+    Backend& backend = backends_.At(handle);
     const auto found = aHosts.find(backend.entry_.host_);
+    const bool isMissing =
+      found == aHosts.end() && !aHosts.empty() && !backend.entry_.host_.empty();
     // A backend server that responds is running, and the list may be older than its incarnation.
-    if (found == aHosts.end() || backend.failedPolls_ == 0 ||
-        backend.unresponsiveSince_ >= aAskedAt) {
+    if (backend.failedPolls_ == 0 || backend.unresponsiveSince_ >= aAskedAt ||
+        (found == aHosts.end() && !isMissing)) {
+      backend.missingInListOf_.reset();
+      continue;
+    }
+    if (isMissing) {
+      // A list is read in pages, between which hosts may change their places.
+      if (!backend.missingInListOf_) {
+        backend.missingInListOf_ = aAskedAt;
+      } else if (*backend.missingInListOf_ < aAskedAt) {
+        EndIncarnation(handle, "host control no longer lists its host", IncarnationEnd::Planned);
+      }
       continue;
     }
+    backend.missingInListOf_.reset();
     const HostEntry& host = found->second;
     if (host.state_ != HostState::Up || host.backend_ != backend.entry_.id_) {
       Log(LogLevel::Info,
--- a/tests/changed_service_test.cpp
+++ b/tests/changed_service_test.cpp
@@ -277,6 +277,32 @@
   EXPECT_EQ(world_.Starts(), 2 * kTasks);
 }
 
+// LOST: most servers were gone for good when the leader ended, and host control no longer listed
+// their hosts. The successor waited 29 s: for a majority of them to answer, and for their leases.
+TEST_P(ChangedServiceAtLeaderEndTest, ServersWhoseHostsAreNoLongerListedAreNotWaitedFor)
+{
+  StepSpec second = Second(seconds(20));
+  second.maxPerServer_ = 0; // Idle servers of "births" may be moved to the other service.
+  Submit(second);
+  RunSecondStepOn("market");
+  SendQueueTo("births");
+  world_.Run(milliseconds(2500));
+  const auto leader = world_.Leader();
+  ASSERT_TRUE(leader.has_value());
+  for (const char* service : { "market", "permits" }) {
+    for (size_t server = 0; server < kServers; ++server) {
+      world_.Fleet().RemoveHost(service, server);
+    }
+  }
+  if (GetParam() == LeaderEnd::Stopped) {
+    world_.Stop(*leader);
+  } else {
+    world_.Restart(*leader);
+  }
+  ASSERT_TRUE(world_.RunUntil([this] { return world_.Leader().has_value(); }, seconds(6)));
+  EXPECT_TRUE(world_.RunUntil([this] { return RunsOn("births") == kTasks; }, seconds(3)));
+}
+
 INSTANTIATE_TEST_SUITE_P(LeaderEnds,
                          ChangedServiceAtLeaderEndTest,
                          testing::Values(LeaderEnd::Stopped, LeaderEnd::Killed),
