--- a/src/run_tracker.cpp
+++ b/src/run_tracker.cpp
@@ -169,24 +169,21 @@
   for (const BackendHandle handle : live) {
     Backend& backend = backends_.At(handle);
     const auto found = aHosts.find(backend.entry_.host_);
-    const bool isMissing =
-      found == aHosts.end() && !aHosts.empty() && !backend.entry_.host_.empty();
+    const auto missedBefore = std::exchange(backend.missingInListOf_, std::nullopt);
     // A backend server that responds is running, and the list may be older than its incarnation.
-    if (backend.failedPolls_ == 0 || backend.unresponsiveSince_ >= aAskedAt ||
-        (found == aHosts.end() && !isMissing)) {
-      backend.missingInListOf_.reset();
+    if (backend.failedPolls_ == 0 || backend.unresponsiveSince_ >= aAskedAt) {
       continue;
     }
-    if (isMissing) {
+    if (found == aHosts.end()) {
+      const bool isHostKnown = !aHosts.empty() && !backend.entry_.host_.empty();
       // A list is read in pages, between which hosts may change their places.
-      if (!backend.missingInListOf_) {
-        backend.missingInListOf_ = aAskedAt;
-      } else if (*backend.missingInListOf_ < aAskedAt) {
+      if (isHostKnown && missedBefore && *missedBefore < aAskedAt) {
         EndIncarnation(handle, "host control no longer lists its host", IncarnationEnd::Planned);
+      } else if (isHostKnown) {
+        backend.missingInListOf_ = missedBefore.value_or(aAskedAt);
       }
       continue;
     }
-    backend.missingInListOf_.reset();
     const HostEntry& host = found->second;
     if (host.state_ != HostState::Up || host.backend_ != backend.entry_.id_) {
       Log(LogLevel::Info,
