Leave the services of a job that is not stored alone

The leader ended with a segmentation fault if a configuration arrived while a job was being stored and its submission was then refused: its services had been queued for the store, and the job had left the table.

Result: ServicesOfAJobThatIsNotStoredAreNotStored ended with the fault before, passes; all 41 tests of changed services and of unread configurations pass.

--- a/src/run_services.cpp
+++ b/src/run_services.cpp
@@ -21,7 +21,7 @@
   std::map<uint32_t, std::set<std::string>> keptOf; // By job.
   for (const uint32_t index : jobs_.Open()) {
     const Job& job = jobs_.At(index);
-    if (job.services_.size() > 1) {
+    if (job.stored_ && job.services_.size() > 1) {
       keptOf[index] = { job.policy_.service_ };
     }
   }
--- a/tests/changed_service_test.cpp
+++ b/tests/changed_service_test.cpp
@@ -364,6 +364,27 @@
   EXPECT_EQ(world_.Starts(), kTasks);
 }
 
+// A job whose submission is refused leaves the table. Fault: the leader ended with a segmentation
+// fault, as the job's services had been queued for the store before the job was (soak, seed 68115).
+TEST_F(ChangedServiceTest, ServicesOfAJobThatIsNotStoredAreNotStored)
+{
+  const auto leader = world_.Leader();
+  ASSERT_TRUE(leader.has_value());
+  world_.StoreOf(*leader).fault_ = MemoryRecordStore::Fault::ResponsesLost;
+  std::vector<JobResponseKind> responses;
+  for (const std::string& id : { job_, JobId(2) }) {
+    world_.SendSubmit("births", id, { Tasks(1) }, [&](const JobResponse& aResponse) {
+      responses.push_back(aResponse.kind_);
+    });
+    world_.Run(milliseconds(10));
+  }
+  SendQueueTo("market");
+  world_.Run(seconds(2));
+  EXPECT_EQ(responses, (std::vector{ JobResponseKind::Refused, JobResponseKind::Unknown }));
+  world_.StoreOf(*leader).fault_ = MemoryRecordStore::Fault::None;
+  EXPECT_TRUE(IsDoneWithin(seconds(4)));
+}
+
 /// A job that was accepted while its queue was sent to "births".
 class ServiceRecordTest : public testing::Test
 {
